Lay out the modules, the core types, the HTTP client and the design page

Cause: nothing exists yet; every later part needs fixed interfaces to be built against. Ruled out: one module, because the decisions must not see sockets or clocks, and the emulators must not reach the shipped jar.

--- /dev/null
+++ b/bench/src/main/java/org/magnoliavane/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Virtual-clock benchmark of the pool scheduler against baselines.
+ */
+package org.magnoliavane.bench;
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types that every module shares.
+ */
+package org.magnoliavane;
--- /dev/null
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -0,0 +1,103 @@
+package org.magnoliavane.http;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * Controls one exchange on its own connection.
+ *
+ * <p>Thread-safe.
+ */
+public final class HttpExchange implements AutoCloseable {
+    private final ResponseListener listener;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile boolean headSeen;
+    private volatile Connection<?> connection;
+    private volatile long lastReadNanos = System.nanoTime();
+
+    HttpExchange(ResponseListener listener) {
+        this.listener = listener;
+    }
+
+    /**
+     * Closes the connection. The listener gets {@link ResponseListener#onFailure} unless the response has ended.
+     */
+    @Override
+    public void close() {
+        fail(new IOException("exchange closed by the client"));
+    }
+
+    /**
+     * Gets the time since the last bytes were received, or since the start.
+     *
+     * @return the time in milliseconds
+     */
+    public long getSilentMillis() {
+        return (System.nanoTime() - lastReadNanos) / 1_000_000;
+    }
+
+    void attach(Connection<?> opened) {
+        connection = opened;
+        if (ended.get()) {
+            opened.closeSilently();
+        }
+    }
+
+    void receive(HttpContent content) {
+        lastReadNanos = System.nanoTime();
+        if (ended.get()) {
+            return;
+        }
+        if (!headSeen) {
+            headSeen = true;
+            HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+            listener.onHead(head.getStatus(), headersOf(head));
+        }
+        Buffer buffer = content.getContent();
+        if (buffer.hasRemaining()) {
+            byte[] bytes = new byte[buffer.remaining()];
+            buffer.get(bytes);
+            listener.onBytes(bytes);
+        }
+        if (content.isLast()) {
+            end();
+        }
+    }
+
+    void fail(IOException cause) {
+        if (ended.compareAndSet(false, true)) {
+            closeConnection();
+            listener.onFailure(cause);
+        }
+    }
+
+    private void end() {
+        if (ended.compareAndSet(false, true)) {
+            closeConnection();
+            listener.onEnd();
+        }
+    }
+
+    private void closeConnection() {
+        Connection<?> current = connection;
+        if (current != null) {
+            current.closeSilently();
+        }
+    }
+
+    private static Map<String, String> headersOf(HttpResponsePacket head) {
+        Map<String, String> headers = new HashMap<>();
+        for (String name : head.getHeaders().names()) {
+            headers.put(name.toLowerCase(Locale.ROOT), head.getHeader(name));
+        }
+        return headers;
+    }
+}
--- /dev/null
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -0,0 +1,110 @@
+package org.magnoliavane.http;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.ServerSocket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+public class HttpClientTest {
+    private static final String HOST = "127.0.0.1";
+
+    private HttpServer server;
+    private HttpClient client;
+    private int port;
+
+    @BeforeClass
+    public void start() throws IOException {
+        server = new HttpServer();
+        NetworkListener listener = new NetworkListener("test", HOST, 0);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new EchoHandler(), "/echo");
+        server.start();
+        port = listener.getPort();
+        client = HttpClient.open("test-client");
+    }
+
+    @AfterClass
+    public void stop() throws IOException {
+        client.close();
+        server.shutdownNow();
+    }
+
+    @Test
+    public void aResponseComesBackWholeWithItsStatusAndHeaders() throws Exception {
+        byte[] body = "x".repeat(100_000).getBytes(StandardCharsets.UTF_8);
+        HttpRequest request = HttpRequest.of("POST", HOST, port, "/echo").withBody("text/plain", body);
+        HttpResponse response = client.send(request).get(5, TimeUnit.SECONDS);
+        assertEquals(response.status(), 201);
+        assertEquals(response.findHeader("x-length").orElseThrow(), "100000");
+        assertEquals(response.body(), body);
+    }
+
+    /** Guards against a retry of a call that may have been sent: only a ConnectException allows one. */
+    @Test
+    public void aRefusedConnectionIsToldApartFromALaterFailure() throws Exception {
+        int closed;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            closed = socket.getLocalPort();
+        }
+        HttpRequest request = HttpRequest.of("GET", HOST, closed, "/echo");
+        ExecutionException failure = expectThrows(
+                ExecutionException.class, () -> client.send(request).get(5, TimeUnit.SECONDS));
+        assertTrue(failure.getCause() instanceof ConnectException);
+    }
+
+    /** Guards against waiting for ever on a server that accepts and stays silent. */
+    @Test
+    public void aSilentServerEndsInATimeout() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            HttpRequest request =
+                    HttpRequest.of("GET", HOST, silent.getLocalPort(), "/").withTimeoutMillis(200);
+            ExecutionException failure = expectThrows(
+                    ExecutionException.class, () -> client.send(request).get(5, TimeUnit.SECONDS));
+            assertTrue(failure.getCause() instanceof SocketTimeoutException);
+        }
+    }
+
+    @Test
+    public void eventsAreCutAtBlankLinesWhereverTheBytesAreSplit() {
+        byte[] stream = ": keep-alive\n\nid: 1\nevent: token\ndata: {\"ä\":1}\n\ndata: a\ndata: b\n\n"
+                .getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= stream.length; cut++) {
+            List<ServerSentEvent> events = new ArrayList<>();
+            ServerSentEventParser parser = new ServerSentEventParser(events::add);
+            parser.feed(java.util.Arrays.copyOfRange(stream, 0, cut));
+            parser.feed(java.util.Arrays.copyOfRange(stream, cut, stream.length));
+            assertEquals(events.size(), 2);
+            assertEquals(events.get(0).id().orElseThrow(), "1");
+            assertEquals(events.get(0).data(), "{\"ä\":1}");
+            assertEquals(events.get(1).data(), "a\nb");
+        }
+    }
+
+    private static final class EchoHandler extends HttpHandler {
+        @Override
+        public void service(Request request, Response response) throws Exception {
+            byte[] body = request.getInputStream().readAllBytes();
+            response.setStatus(201);
+            response.setHeader("X-Length", Integer.toString(body.length));
+            response.getOutputStream().write(body);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line: starts a node, and the operators' commands.
+ */
+package org.magnoliavane.cli;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Keeps the configuration in force up to date.
+ */
+package org.magnoliavane.node.configuration;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Log of routing and placement decisions.
+ */
+package org.magnoliavane.node.decision;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/keyed/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls with idempotency keys, which run at most once.
+ */
+package org.magnoliavane.node.keyed;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/log/LogRecord.java
@@ -0,0 +1,12 @@
+package org.magnoliavane.node.log;
+
+/**
+ * Holds one record of a stream.
+ *
+ * <p>Immutable and thread-safe as long as the data is not changed.
+ *
+ * @param offset the offset in its stream
+ * @param timestampMillis the time of the append by the clock of the log service, in milliseconds since 1970
+ * @param data the bytes that were appended
+ */
+public record LogRecord(long offset, long timestampMillis, byte[] data) {}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Access to the log service.
+ */
+package org.magnoliavane.node.log;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placement of model requests through the coordinator of their pool.
+ */
+package org.magnoliavane.node.placement;
