--- /dev/null
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/Launcher.java
@@ -0,0 +1,123 @@
+package org.magnoliavane.systemtest;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+
+/**
+ * Starts the programs of the project as processes with small heaps.
+ *
+ * <p>Thread-safe.
+ */
+public final class Launcher {
+    private static final String JAVA =
+            Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    private static final List<String> EMULATOR_JVM =
+            List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:CICompilerCount=1");
+    private static final List<String> NODE_JVM = List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC");
+
+    private final Path nodeJar;
+    private final Path emulatorsJar;
+    private final Path directory;
+    private final AtomicInteger clients = new AtomicInteger();
+
+    private Launcher(Path nodeJar, Path emulatorsJar, Path directory) {
+        this.nodeJar = nodeJar;
+        this.emulatorsJar = emulatorsJar;
+        this.directory = directory;
+    }
+
+    /**
+     * Creates a launcher for the jars of this build.
+     *
+     * @param root the root directory of the project
+     * @param directory the directory for settings and output files; is created
+     * @return the launcher
+     * @throws IOException when the directory cannot be created
+     */
+    public static Launcher of(Path root, Path directory) throws IOException {
+        Files.createDirectories(directory);
+        return new Launcher(
+                root.resolve("node/target/magnoliavane.jar"),
+                root.resolve("emulators/target/magnoliavane-emulators.jar"),
+                directory);
+    }
+
+    /**
+     * Gets the directory for settings and output files.
+     *
+     * @return the directory
+     */
+    public Path getDirectory() {
+        return directory;
+    }
+
+    /**
+     * Gets the settings file of a node.
+     *
+     * @param node the node id
+     * @return the file, which may not exist yet
+     */
+    public Path getSettingsFile(String node) {
+        return directory.resolve(node + ".toml");
+    }
+
+    /**
+     * Starts a node with its settings file.
+     *
+     * @param node the node id
+     * @return the process
+     * @throws IOException when it cannot be started
+     */
+    public ManagedProcess startNode(String node) throws IOException {
+        return start(
+                node,
+                NODE_JVM,
+                nodeJar,
+                List.of("node", "--settings", getSettingsFile(node).toString()));
+    }
+
+    /**
+     * Starts an emulator.
+     *
+     * @param id the name of the process
+     * @param command the command of the emulators' jar
+     * @param options the options
+     * @return the process
+     * @throws IOException when it cannot be started
+     */
+    public ManagedProcess startEmulator(String id, String command, String... options) throws IOException {
+        return start(
+                id,
+                EMULATOR_JVM,
+                emulatorsJar,
+                Stream.concat(Stream.of(command), Stream.of(options)).toList());
+    }
+
+    /**
+     * Starts the operators' client.
+     *
+     * @param name the name of its output file
+     * @param arguments the command line
+     * @return the process
+     * @throws IOException when it cannot be started
+     */
+    public ManagedProcess startClient(String name, String... arguments) throws IOException {
+        return start(name + "-" + clients.incrementAndGet(), EMULATOR_JVM, nodeJar, List.of(arguments));
+    }
+
+    private ManagedProcess start(String name, List<String> options, Path jar, List<String> arguments)
+            throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(JAVA);
+        command.addAll(options);
+        command.add("-jar");
+        command.add(jar.toString());
+        command.addAll(arguments);
+        return ManagedProcess.start(name, command, directory);
+    }
+}
--- /dev/null
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -0,0 +1,413 @@
+package org.magnoliavane.systemtest;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.http.HttpResponse;
+
+/**
+ * Runs a whole deployment as processes on the loopback interface: the outside systems, the backend servers and the nodes.
+ *
+ * <p>Thread-safe. Closing it kills every process that it started, by its id.
+ */
+public final class LocalDeployment implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final long START_MILLIS = 30_000;
+    private static final long POLL_MILLIS = 50;
+    private static final long LOG_RETENTION_MILLIS = 600_000;
+
+    private final DeploymentSize size;
+    private final Launcher launcher;
+    private final HttpClient client;
+    private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final Map<String, Endpoint> operators = new HashMap<>();
+    private final Map<String, Map<String, Object>> vms = new LinkedHashMap<>();
+
+    private LocalDeployment(DeploymentSize size, Launcher launcher) throws IOException {
+        this.size = size;
+        this.launcher = launcher;
+        this.client = HttpClient.open("deployment");
+    }
+
+    /**
+     * Starts a deployment, publishes the example configuration and waits until every node is ready.
+     *
+     * @param size the size
+     * @param launcher starts the programs
+     * @return the deployment
+     * @throws IOException when a process cannot be started
+     */
+    public static LocalDeployment start(DeploymentSize size, Launcher launcher) throws IOException {
+        LocalDeployment deployment = new LocalDeployment(size, launcher);
+        try {
+            deployment.startAll();
+            return deployment;
+        } catch (IOException | RuntimeException e) {
+            deployment.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Gets the size.
+     *
+     * @return the size
+     */
+    public DeploymentSize getSize() {
+        return size;
+    }
+
+    /**
+     * Gets the client that tests may use too.
+     *
+     * @return the client
+     */
+    public HttpClient getClient() {
+        return client;
+    }
+
+    /**
+     * Gets a process.
+     *
+     * @param id its VM id, or {@code log}, {@code vmlist}, {@code weights}
+     * @return the process
+     */
+    public synchronized ManagedProcess getProcess(String id) {
+        return processes.get(id);
+    }
+
+    /**
+     * Gets the endpoint of a process; for a node, the one for callers.
+     *
+     * @param id its VM id, or {@code log}, {@code vmlist}, {@code weights}
+     * @return the endpoint
+     */
+    public synchronized Endpoint getEndpoint(String id) {
+        return endpoints.get(id);
+    }
+
+    /**
+     * Gets the operators' endpoint of a node.
+     *
+     * @param node the node id
+     * @return the endpoint
+     */
+    public synchronized Endpoint getOperatorEndpoint(String node) {
+        return operators.get(node);
+    }
+
+    /**
+     * Gets the ids of the nodes that were started and not killed.
+     *
+     * @return the ids
+     */
+    public synchronized List<String> getNodes() {
+        return processes.keySet().stream()
+                .filter(id -> id.startsWith("entry-"))
+                .filter(id -> processes.get(id).isAlive())
+                .toList();
+    }
+
+    /**
+     * Gets the VM ids of the backend servers with a role.
+     *
+     * @param role {@code prefill}, {@code decode} or {@code plain}
+     * @return the ids
+     */
+    public synchronized List<String> getWorkers(String role) {
+        return vms.keySet().stream().filter(id -> id.startsWith(role + "-")).toList();
+    }
+
+    /**
+     * Kills a node and takes its VM off the list.
+     *
+     * @param node the node id
+     */
+    public void killNode(String node) {
+        getProcess(node).kill();
+        synchronized (this) {
+            vms.remove(node);
+        }
+        publishVms();
+    }
+
+    /**
+     * Starts a node again under its id, with the ports it had.
+     *
+     * @param node the node id
+     * @throws IOException when the process cannot be started
+     */
+    public void restartNode(String node) throws IOException {
+        int index = Integer.parseInt(node.substring("entry-".length())) - 1;
+        synchronized (this) {
+            processes.put(node, launcher.startNode(node));
+            vms.put(node, describeNode(index));
+        }
+        publishVms();
+        awaitReady(node);
+    }
+
+    /**
+     * Marks a VM as leaving in the VM list.
+     *
+     * @param id the VM id
+     */
+    public void markLeaving(String id) {
+        synchronized (this) {
+            vms.get(id).put("state", "leaving");
+        }
+        publishVms();
+    }
+
+    /**
+     * Publishes a configuration text with the operators' client.
+     *
+     * @param file the text
+     * @return the exit status of the client
+     * @throws IOException when the client cannot be started
+     */
+    public int publish(Path file) throws IOException {
+        ManagedProcess process = launcher.startClient(
+                "publish",
+                "publish",
+                file.toString(),
+                "--log",
+                getEndpoint("log").getUrl());
+        return process.awaitEnd(START_MILLIS).orElseThrow();
+    }
+
+    /**
+     * Reads the version of the configuration that a node has in force.
+     *
+     * @param node the node id
+     * @return the version, or empty when the node does not answer
+     */
+    public Optional<Long> findVersion(String node) {
+        try {
+            JsonNode status = getOperatorEndpoint(node).get("/operator/status");
+            return Optional.of(status.path("configuration_version").asLong());
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Waits until a node is ready to serve callers.
+     *
+     * @param node the node id
+     */
+    public void awaitReady(String node) {
+        long deadline = System.nanoTime() + START_MILLIS * 1_000_000;
+        while (System.nanoTime() < deadline) {
+            if (isReady(node)) {
+                return;
+            }
+            if (!getProcess(node).isAlive()) {
+                break;
+            }
+            ManagedProcess.sleep(POLL_MILLIS);
+        }
+        throw new IllegalStateException(node + " is not ready; see its log in " + launcher.getDirectory());
+    }
+
+    @Override
+    public synchronized void close() {
+        processes.values().forEach(ManagedProcess::close);
+        processes.values().forEach(p -> p.awaitEnd(START_MILLIS));
+        try {
+            client.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private boolean isReady(String node) {
+        try {
+            Endpoint endpoint = getEndpoint(node);
+            HttpResponse response =
+                    endpoint.send(endpoint.request("GET", "/readyz").withTimeoutMillis(1000));
+            return response.status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void startAll() throws IOException {
+        startEmulator("log", "log", "--retain-millis", Long.toString(LOG_RETENTION_MILLIS));
+        startEmulator("vmlist", "vmlist", "--lag-millis", "200");
+        startEmulator("weights", "weights");
+        awaitEmulators(List.of("log", "vmlist", "weights"));
+        for (int i = 0; i < size.prefillWorkers(); i++) {
+            startEngine("prefill-" + (i + 1), "prefill");
+        }
+        for (int i = 0; i < size.decodeWorkers(); i++) {
+            startEngine("decode-" + (i + 1), "decode");
+        }
+        for (int i = 0; i < size.plainWorkers(); i++) {
+            startEmulator("plain-" + (i + 1), "booking");
+        }
+        for (int i = 0; i < size.nodes(); i++) {
+            startNode(i);
+        }
+        awaitEmulators(Stream.of("prefill", "decode", "plain")
+                .flatMap(r -> processes.keySet().stream().filter(id -> id.startsWith(r + "-")))
+                .toList());
+        describeWorkers();
+        publishVms();
+        int status = publish(Path.of("examples", size.name() + ".toml"));
+        if (status != 0) {
+            throw new IllegalStateException("publishing the example failed with status " + status);
+        }
+        getNodes().forEach(this::awaitReady);
+    }
+
+    private void startEngine(String id, String role) throws IOException {
+        startEmulator(
+                id,
+                "engine",
+                "--role",
+                role,
+                "--models",
+                String.join(",", size.models()),
+                "--weights",
+                endpoints.get("weights").getUrl());
+    }
+
+    private void startEmulator(String id, String command, String... options) throws IOException {
+        processes.put(id, launcher.startEmulator(id, command, options));
+    }
+
+    private void awaitEmulators(List<String> ids) {
+        for (String id : ids) {
+            String[] address = processes
+                    .get(id)
+                    .awaitLine("listening ", START_MILLIS)
+                    .trim()
+                    .split(" ");
+            endpoints.put(id, new Endpoint(client, address[0], Integer.parseInt(address[1])));
+        }
+    }
+
+    private void startNode(int index) throws IOException {
+        String id = "entry-" + (index + 1);
+        List<Integer> ports = findFreePorts(3);
+        endpoints.put(id, new Endpoint(client, HOST, ports.get(0)));
+        operators.put(id, new Endpoint(client, HOST, ports.get(2)));
+        vms.put(id, describeNode(index, ports.get(1)));
+        Files.writeString(launcher.getSettingsFile(id), settingsOf(id, size.getZone(index), ports));
+        processes.put(id, launcher.startNode(id));
+    }
+
+    private String settingsOf(String id, String zone, List<Integer> ports) {
+        return String.join(
+                "\n",
+                "[node]",
+                "id = \"" + id + "\"",
+                "zone = \"" + zone + "\"",
+                "cluster = \"" + size.name() + "\"",
+                "[listen]",
+                "host = \"" + HOST + "\"",
+                "caller_port = " + ports.get(0),
+                "peer_port = " + ports.get(1),
+                "operator_port = " + ports.get(2),
+                "[platform]",
+                "log = \"" + endpoints.get("log").getUrl() + "\"",
+                "vm_list = \"" + endpoints.get("vmlist").getUrl() + "\"",
+                "log_retention_millis = " + LOG_RETENTION_MILLIS,
+                "vm_list_poll_millis = 300",
+                "[logging]",
+                "level = \"info\"",
+                "format = \"text\"",
+                "");
+    }
+
+    private Map<String, Object> describeNode(int index, int peerPort) {
+        String id = "entry-" + (index + 1);
+        return describe(
+                id,
+                size.getZone(index),
+                Map.of(
+                        "role",
+                        "entry",
+                        "caller_port",
+                        Integer.toString(endpoints.get(id).getPort()),
+                        "peer_port",
+                        Integer.toString(peerPort),
+                        "operator_port",
+                        Integer.toString(operators.get(id).getPort())));
+    }
+
+    private Map<String, Object> describeNode(int index) throws IOException {
+        String id = "entry-" + (index + 1);
+        String line = Files.readAllLines(launcher.getSettingsFile(id)).stream()
+                .filter(l -> l.startsWith("peer_port"))
+                .findFirst()
+                .orElseThrow();
+        return describeNode(index, Integer.parseInt(line.substring(line.indexOf('=') + 2)));
+    }
+
+    private void describeWorkers() {
+        for (String role : List.of("prefill", "decode", "plain")) {
+            String service = role.equals("plain") ? size.plainService() : size.modelService();
+            List<String> ids = processes.keySet().stream()
+                    .filter(id -> id.startsWith(role + "-"))
+                    .toList();
+            for (int i = 0; i < ids.size(); i++) {
+                String port = Integer.toString(endpoints.get(ids.get(i)).getPort());
+                Map<String, String> tags =
+                        Map.of("role", "backend", "service", service, "port", port, "worker_role", role);
+                vms.put(ids.get(i), describe(ids.get(i), size.getZone(i), tags));
+            }
+        }
+    }
+
+    private static Map<String, Object> describe(String id, String zone, Map<String, String> tags) {
+        Map<String, Object> vm = new LinkedHashMap<>();
+        vm.put("id", id);
+        vm.put("address", HOST);
+        vm.put("zone", zone);
+        vm.put("state", "live");
+        vm.put("tags", tags);
+        return vm;
+    }
+
+    private synchronized void publishVms() {
+        try {
+            HttpResponse response = endpoints
+                    .get("vmlist")
+                    .send("PUT", "/control/vms", Map.of("vms", new ArrayList<>(vms.values())), Map.of());
+            if (response.status() >= 300) {
+                throw new IllegalStateException("VM list gave " + response.status() + ": " + response.getText());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static List<Integer> findFreePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0));
+            }
+            return sockets.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+}
