Add emulators of the log service, the VM list and the plain service

Ruled out: handlers that block a server thread for delays and long polls; a few of them would hold all threads of the server. Every call is suspended and answered from a timer or from the call that ends the wait.

Change: a small layer over Grizzly (routes, JSON bodies, event streams, connections that go silent), the three emulators with their faults, and the command line. Control bodies with unknown fields are refused, so that a misspelt fault cannot pass unnoticed.

--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/booking/BookingEmulator.java
@@ -0,0 +1,183 @@
+package org.magnoliavane.emulator.booking;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.magnoliavane.emulator.Crash;
+import org.magnoliavane.emulator.Emulator;
+import org.magnoliavane.emulator.ServerOptions;
+import org.magnoliavane.emulator.http.Call;
+import org.magnoliavane.emulator.http.EmulatorServer;
+import org.magnoliavane.emulator.http.Routes;
+import org.magnoliavane.emulator.http.Timers;
+
+/**
+ * Emulates the plain service. It counts how often each {@code Idempotency-Key} ran and keeps the counts in memory.
+ *
+ * <p>Thread-safe.
+ */
+public final class BookingEmulator implements Emulator {
+    private static final int OK = 200;
+    private static final int CREATED = 201;
+    private static final String NO_KEY = "";
+
+    private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final AtomicLong numbers = new AtomicLong();
+    private final Timers timers = Timers.start("booking-emulator-timers");
+    private final long workMillis;
+    private final Crash crash;
+    private final EmulatorServer server;
+    private volatile Settings settings;
+
+    private BookingEmulator(BookingOptions options, Optional<Crash> crash) throws IOException {
+        this.crash = crash.orElse(Crash.of(this::close));
+        workMillis = options.getWorkMillis();
+        settings = new Settings(0, false, 0, BookingFaults.NONE, options.getCrashMarker(), options.getCrashPhase());
+        Routes routes = new Routes()
+                .on("POST", "/bookings", call -> run(call, "booking"))
+                .on("POST", "/payments", call -> run(call, "payment"))
+                .on("GET", "/schedule", call -> lookUp(call, new Schedule(List.of("09:00", "11:00", "14:00"))))
+                .on("GET", "/status", call -> lookUp(call, new Status("open", numbers.get())))
+                .on("GET", "/control/runs", call -> call.answer(OK, getRuns()))
+                .on("POST", "/control", this::control);
+        server = EmulatorServer.start("booking-emulator", options.getHost(), options.getPort(), routes);
+    }
+
+    /**
+     * Starts the emulator in a process of its own, which a crash fault halts.
+     *
+     * @param options the options
+     * @return the emulator
+     * @throws IOException when the address cannot be bound
+     */
+    public static BookingEmulator start(BookingOptions options) throws IOException {
+        return new BookingEmulator(options, Optional.of(Crash.HALT));
+    }
+
+    /**
+     * Starts the emulator inside another process; a crash fault closes it.
+     *
+     * @param arguments the options as on the command line
+     * @return the emulator
+     * @throws IOException when the address cannot be bound
+     */
+    public static BookingEmulator start(String... arguments) throws IOException {
+        return new BookingEmulator(ServerOptions.parse(new BookingOptions(), arguments), Optional.empty());
+    }
+
+    @Override
+    public int getPort() {
+        return server.getPort();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        timers.close();
+    }
+
+    /**
+     * Gets how often each key ran.
+     *
+     * @return the number of runs by key; calls without a key count under the empty key
+     */
+    public Map<String, Integer> getRuns() {
+        return new TreeMap<>(runs);
+    }
+
+    private void run(Call call, String kind) {
+        Settings now = takeSettings();
+        Optional<String> crashPhase = now.findCrash(call.getBody());
+        if (crashPhase.filter(BookingFaults.BEFORE::equals).isPresent()) {
+            crash.crash();
+            return;
+        }
+        String key = call.findHeader("Idempotency-Key").orElse(NO_KEY);
+        int count = runs.merge(key, 1, Integer::sum);
+        String id = kind + "-" + numbers.incrementAndGet();
+        if (crashPhase.isPresent()) {
+            crash.crash();
+            return;
+        }
+        finish(call, now, CREATED, new Receipt(id, kind, key, count));
+    }
+
+    private void lookUp(Call call, Object answer) {
+        finish(call, takeSettings(), OK, answer);
+    }
+
+    private void finish(Call call, Settings now, int status, Object answer) {
+        Runnable end = now.isDropped() ? call::drop : () -> call.answer(status, answer);
+        timers.after(workMillis + now.delayMillis, end);
+    }
+
+    /** Gets the settings and counts down the faults that hold for a number of calls. */
+    private synchronized Settings takeSettings() {
+        Settings now = settings;
+        settings = now.withNextDropped(Math.max(0, now.dropNext - 1));
+        return now;
+    }
+
+    private void control(Call call) throws IOException {
+        BookingFaults faults = call.parseStrictly(BookingFaults.class);
+        synchronized (this) {
+            settings = settings.with(faults);
+        }
+        call.answer(OK, faults);
+        if (Boolean.TRUE.equals(faults.silent())) {
+            server.silenceOpenConnections();
+        }
+        if (Boolean.TRUE.equals(faults.crash())) {
+            timers.after(Crash.ANSWER_MILLIS, crash::crash);
+        }
+    }
+
+    private record Receipt(String id, String kind, String key, int runs) {}
+
+    private record Schedule(List<String> slots) {}
+
+    private record Status(String state, long runs) {}
+
+    /** Faults in force. */
+    private record Settings(
+            long delayMillis,
+            boolean dropAnswers,
+            int dropNext,
+            String crashNext,
+            String crashMarker,
+            String crashPhase) {
+
+        boolean isDropped() {
+            return dropAnswers || dropNext > 0;
+        }
+
+        Optional<String> findCrash(byte[] body) {
+            if (!crashNext.equals(BookingFaults.NONE)) {
+                return Optional.of(crashNext);
+            }
+            boolean marked = crashMarker != null
+                    && !crashMarker.isEmpty()
+                    && new String(body, java.nio.charset.StandardCharsets.UTF_8).contains(crashMarker);
+            return marked ? Optional.of(crashPhase) : Optional.empty();
+        }
+
+        Settings withNextDropped(int next) {
+            return new Settings(delayMillis, dropAnswers, next, crashNext, crashMarker, crashPhase);
+        }
+
+        Settings with(BookingFaults faults) {
+            return new Settings(
+                    Optional.ofNullable(faults.delayMillis()).orElse(delayMillis),
+                    Optional.ofNullable(faults.dropAnswers()).orElse(dropAnswers),
+                    Optional.ofNullable(faults.dropNext()).orElse(dropNext),
+                    Optional.ofNullable(faults.crashNext()).orElse(crashNext),
+                    Optional.ofNullable(faults.crashMarker()).orElse(crashMarker),
+                    Optional.ofNullable(faults.crashPhase()).orElse(crashPhase));
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/CallHandler.java
@@ -0,0 +1,18 @@
+package org.magnoliavane.emulator.http;
+
+import java.io.IOException;
+
+/**
+ * Handles the calls of one route. It may answer later, from another thread.
+ */
+@FunctionalInterface
+public interface CallHandler {
+
+    /**
+     * Handles a call.
+     *
+     * @param call the call
+     * @throws IOException when the body is malformed
+     */
+    void handle(Call call) throws IOException;
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/EmulatorServer.java
@@ -0,0 +1,124 @@
+package org.magnoliavane.emulator.http;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * Serves the routes of one emulator. Every call is asynchronous, so that delays hold no thread.
+ *
+ * <p>Thread-safe.
+ */
+public final class EmulatorServer implements AutoCloseable {
+    private static final int WORKER_THREADS = 4;
+    private static final int NOT_FOUND = 404;
+
+    private final HttpServer server;
+    private final NetworkListener listener;
+    private final SilentConnections silent;
+
+    private EmulatorServer(HttpServer server, NetworkListener listener, SilentConnections silent) {
+        this.server = server;
+        this.listener = listener;
+        this.silent = silent;
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param name the name of its threads
+     * @param host the address to listen on
+     * @param port the port to listen on; 0 picks a free one
+     * @param routes the routes
+     * @return the server
+     * @throws IOException when the address cannot be bound
+     */
+    public static EmulatorServer start(String name, String host, int port, Routes routes) throws IOException {
+        HttpServer server = new HttpServer();
+        NetworkListener listener = new NetworkListener(name, host, port);
+        SilentConnections silent = new SilentConnections();
+        TCPNIOTransport transport = listener.getTransport();
+        transport.setSelectorRunnersCount(1);
+        transport.setTcpNoDelay(true);
+        transport.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                .setPoolName(name)
+                .setDaemon(true)
+                .setCorePoolSize(WORKER_THREADS)
+                .setMaxPoolSize(WORKER_THREADS));
+        transport.getConnectionMonitoringConfig().addProbes(silent);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new RoutingHandler(routes, silent), "/");
+        server.start();
+        return new EmulatorServer(server, listener, silent);
+    }
+
+    /**
+     * Gets the port that is bound.
+     *
+     * @return the TCP port
+     */
+    public int getPort() {
+        return listener.getPort();
+    }
+
+    /** Silences every connection that is open now; new ones work. */
+    public void silenceOpenConnections() {
+        silent.silence();
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+
+    /** Reads the body of a request and hands the call to its route. */
+    private static final class RoutingHandler extends HttpHandler {
+        private static final System.Logger LOGGER = System.getLogger(EmulatorServer.class.getName());
+
+        private final Routes routes;
+        private final SilentConnections silent;
+
+        RoutingHandler(Routes routes, SilentConnections silent) {
+            this.routes = routes;
+            this.silent = silent;
+        }
+
+        @Override
+        public void service(Request request, Response response) throws IOException {
+            byte[] body = request.getInputStream().readAllBytes();
+            String method = request.getMethod().getMethodString();
+            Optional<Routes.Match> match = routes.find(method, request.getRequestURI());
+            Call call = new Call(
+                    request,
+                    response,
+                    silent,
+                    body,
+                    match.map(Routes.Match::pathValues).orElse(java.util.Map.of()));
+            response.suspend();
+            if (match.isEmpty()) {
+                String message = "no route for " + method + " " + request.getRequestURI();
+                call.refuse(new Refusal(NOT_FOUND, "not_found", message));
+                return;
+            }
+            handle(match.get().handler(), call);
+        }
+
+        private static void handle(CallHandler handler, Call call) {
+            try {
+                handler.handle(call);
+            } catch (IOException | IllegalArgumentException e) {
+                call.refuse(Refusal.badRequest(e.getMessage()));
+            } catch (RuntimeException e) {
+                LOGGER.log(System.Logger.Level.WARNING, "emulator failed to handle a call", e);
+                call.refuse(new Refusal(500, "internal", e.toString()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/EventStream.java
@@ -0,0 +1,89 @@
+package org.magnoliavane.emulator.http;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * Writes server-sent events without blocking.
+ *
+ * <p>Events must be written by one thread at a time.
+ */
+public final class EventStream {
+    private final Response response;
+    private final NIOOutputStream output;
+    private final BooleanSupplier silent;
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    EventStream(Response response, BooleanSupplier silent) {
+        this.response = response;
+        this.silent = silent;
+        response.setStatus(200);
+        response.setContentType("text/event-stream");
+        response.setHeader("Cache-Control", "no-cache");
+        output = response.getNIOOutputStream();
+    }
+
+    /**
+     * Says whether the reader keeps up, so that an event can be written without piling up.
+     *
+     * @return true when an event may be written
+     */
+    public boolean canWrite() {
+        return !closed.get() && (silent.getAsBoolean() || output.canWrite());
+    }
+
+    /**
+     * Writes an event without an id.
+     *
+     * @param event the event type
+     * @param data the value written as JSON
+     */
+    public void write(String event, Object data) {
+        writeText("event: " + event + "\ndata: " + Json.toText(data) + "\n\n");
+    }
+
+    /**
+     * Writes an event.
+     *
+     * @param id the event id
+     * @param event the event type
+     * @param data the value written as JSON
+     */
+    public void write(long id, String event, Object data) {
+        writeText("id: " + id + "\nevent: " + event + "\ndata: " + Json.toText(data) + "\n\n");
+    }
+
+    /** Writes a comment line, which tells the reader that the connection is alive. */
+    public void writeComment() {
+        writeText(": alive\n\n");
+    }
+
+    /** Ends the stream; does nothing when it has ended or its connection is closed. */
+    public void end() {
+        if (closed.compareAndSet(false, true) && !silent.getAsBoolean()) {
+            response.resume();
+        }
+    }
+
+    boolean markClosed() {
+        return closed.compareAndSet(false, true);
+    }
+
+    private void writeText(String text) {
+        if (closed.get() || silent.getAsBoolean()) {
+            return;
+        }
+        try {
+            output.write(text.getBytes(StandardCharsets.UTF_8));
+            output.flush();
+        } catch (IOException e) {
+            // The close listener of the connection reports the loss.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/SilentConnections.java
@@ -0,0 +1,36 @@
+package org.magnoliavane.emulator.http;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.ConnectionProbe;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+
+/**
+ * Emulates connections that go silent for good while new ones work. Nothing more is written to a silent connection,
+ * and it stays open.
+ *
+ * <p>Thread-safe.
+ */
+final class SilentConnections extends ConnectionProbe.Adapter {
+    private static final Attribute<Long> GENERATION =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.emulator.generation");
+
+    private final AtomicLong generation = new AtomicLong();
+
+    @Override
+    public void onAcceptEvent(Connection serverConnection, Connection clientConnection) {
+        GENERATION.set(clientConnection, generation.get());
+    }
+
+    /** Silences every connection that is open now. */
+    void silence() {
+        generation.incrementAndGet();
+    }
+
+    boolean isSilent(Connection<?> connection) {
+        Long opened = GENERATION.get(connection);
+        return opened != null && opened < generation.get();
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/Timers.java
@@ -0,0 +1,53 @@
+package org.magnoliavane.emulator.http;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Runs delayed actions on one daemon thread.
+ *
+ * <p>Thread-safe.
+ */
+public final class Timers implements AutoCloseable {
+    private final ScheduledThreadPoolExecutor executor;
+
+    private Timers(ScheduledThreadPoolExecutor executor) {
+        this.executor = executor;
+    }
+
+    /**
+     * Starts timers.
+     *
+     * @param name the name of the thread
+     * @return the timers
+     */
+    public static Timers start(String name) {
+        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.setRemoveOnCancelPolicy(true);
+        executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+        return new Timers(executor);
+    }
+
+    /**
+     * Runs an action later, or at once on the calling thread when there is no delay.
+     *
+     * @param millis the delay in milliseconds
+     * @param action the action
+     */
+    public void after(long millis, Runnable action) {
+        if (millis <= 0) {
+            action.run();
+            return;
+        }
+        executor.schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small HTTP server layer of the emulators over Grizzly: routes, JSON bodies, event streams and connection faults.
+ */
+package org.magnoliavane.emulator.http;
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/log/AppendLimit.java
@@ -0,0 +1,40 @@
+package org.magnoliavane.emulator.log;
+
+/**
+ * Limits the rate of appends by a token bucket that holds a tenth of a second's worth.
+ *
+ * <p>Not thread-safe.
+ */
+final class AppendLimit {
+    private static final double BURST_SECONDS = 0.1;
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private double perSecond;
+    private double tokens;
+    private long lastMillis;
+
+    AppendLimit(double perSecond, long nowMillis) {
+        this.lastMillis = nowMillis;
+        setPerSecond(perSecond);
+        this.tokens = getBurst();
+    }
+
+    void setPerSecond(double value) {
+        perSecond = value;
+    }
+
+    boolean tryTake(long nowMillis) {
+        long elapsed = Math.max(0, nowMillis - lastMillis);
+        tokens = Math.min(getBurst(), tokens + elapsed * perSecond / MILLIS_PER_SECOND);
+        lastMillis = nowMillis;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    private double getBurst() {
+        return Math.max(1, perSecond * BURST_SECONDS);
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Emulator of the append-only log service.
+ */
+package org.magnoliavane.emulator.log;
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/vm/Vm.java
@@ -0,0 +1,38 @@
+package org.magnoliavane.emulator.vm;
+
+import java.util.Map;
+
+/**
+ * Describes one VM of the list.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param id the id
+ * @param address the IP address
+ * @param zone the availability zone
+ * @param state {@code live} or {@code leaving}
+ * @param tags the tags
+ */
+public record Vm(String id, String address, String zone, String state, Map<String, String> tags) {
+
+    /**
+     * Fills in absent values: state {@code live}, no tags.
+     *
+     * @param id the id
+     * @param address the IP address
+     * @param zone the availability zone
+     * @param state {@code live} or {@code leaving}
+     * @param tags the tags
+     */
+    public Vm {
+        state = state == null ? "live" : state;
+        tags = tags == null ? Map.of() : Map.copyOf(tags);
+        if (!state.equals("live") && !state.equals("leaving")) {
+            throw new IllegalArgumentException("state must be live or leaving, got " + state);
+        }
+    }
+
+    Vm withId(String other) {
+        return new Vm(other, address, zone, state, tags);
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/vm/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Emulator of the VM list.
+ */
+package org.magnoliavane.emulator.vm;
