Add the emulator of the model engine

Ruled out: a thread for each stream. The time model is plain state that moves from event to event; one thread per engine advances it and answers all calls, so tests drive it with a clock of their own.

Change: prefill queue with prefix cache and lapse, a rate-limited link for KV transfers, continuous batching with memory in pieces and stalls, resume and cancel, lagged load reports, late and gappy cache events, orders with fencing numbers, and the faults of POST /control. A prompt may name the hash that its tokens carry (check=<8 hex digits>), because a caller does not know how the router renders a prompt.

--- a/emulators/src/main/java/org/magnoliavane/emulator/Main.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/Main.java
@@ -10,6 +10,8 @@
 import com.beust.jcommander.ParameterException;
 import org.magnoliavane.emulator.booking.BookingEmulator;
 import org.magnoliavane.emulator.booking.BookingOptions;
+import org.magnoliavane.emulator.engine.EngineEmulator;
+import org.magnoliavane.emulator.engine.EngineOptions;
 import org.magnoliavane.emulator.log.LogEmulator;
 import org.magnoliavane.emulator.log.LogOptions;
 import org.magnoliavane.emulator.vm.VmListEmulator;
@@ -25,6 +27,7 @@
 
     private static final Map<String, Command<?>> COMMANDS = new TreeMap<>(Map.of(
             "booking", new Command<>(BookingOptions::new, BookingEmulator::start),
+            "engine", new Command<>(EngineOptions::new, EngineEmulator::start),
             "log", new Command<>(LogOptions::new, LogEmulator::start),
             "vmlist", new Command<>(VmListOptions::new, VmListEmulator::start)));
 
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/CacheEvents.java
@@ -0,0 +1,64 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Publishes the changes of the prefix cache late and with gaps. A dropped event uses up its number.
+ *
+ * <p>Not thread-safe.
+ */
+final class CacheEvents {
+    static final String STORED = "stored";
+    static final String EVICTED = "evicted";
+
+    private static final int MOST_KEPT = 10_000;
+
+    private final SplittableRandom random;
+    private final Deque<Late> events = new ArrayDeque<>();
+    private long delayMicros;
+    private double dropShare;
+    private long lastSequence;
+
+    CacheEvents(long seed, long delayMicros, double dropShare) {
+        this.random = new SplittableRandom(seed);
+        this.delayMicros = delayMicros;
+        this.dropShare = dropShare;
+    }
+
+    void setDropShare(double share) {
+        dropShare = share;
+    }
+
+    void setDelayMicros(long micros) {
+        delayMicros = micros;
+    }
+
+    void add(String kind, long hash, long nowMicros) {
+        lastSequence++;
+        if (random.nextDouble() < dropShare) {
+            return;
+        }
+        events.addLast(new Late(nowMicros + delayMicros, new Event(lastSequence, kind, String.format("%016x", hash))));
+        if (events.size() > MOST_KEPT) {
+            events.removeFirst();
+        }
+    }
+
+    Page getAfter(long sequence, long nowMicros) {
+        return new Page(events.stream()
+                .filter(late -> late.event.seq() > sequence && late.seenMicros <= nowMicros)
+                .map(Late::event)
+                .toList());
+    }
+
+    /** Answer to a query. */
+    record Page(List<Event> events) {}
+
+    /** One change of the cache. */
+    record Event(long seq, String kind, String prefix) {}
+
+    private record Late(long seenMicros, Event event) {}
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/DecodeStream.java
@@ -0,0 +1,96 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Optional;
+
+import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
+
+/**
+ * Holds one decode stream from its arrival until it is read to its end or cancelled.
+ *
+ * <p>Not thread-safe.
+ */
+final class DecodeStream {
+    /** Order in which streams get into a decode step and get memory: higher priority first, then by arrival. */
+    static final Comparator<DecodeStream> QUEUE_ORDER = Comparator.<DecodeStream>comparingInt(
+                    stream -> -stream.priority)
+            .thenComparingLong(stream -> stream.sequence);
+
+    /** States of a stream. */
+    enum State {
+        /** The KV cache is on its way. */
+        TRANSFERRING,
+        /** No place in the decode step yet. */
+        QUEUED,
+        /** Gets a token in each step. */
+        DECODING,
+        /** Waits for a free piece of memory. */
+        STALLED,
+        /** All tokens are generated; some may be unread. */
+        FINISHED,
+        /** Ended by an error; holds no memory. */
+        FAILED;
+
+        String toWire() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+
+        boolean isEnd() {
+            return this == FINISHED || this == FAILED;
+        }
+    }
+
+    final String attempt;
+    final String caller;
+    final int priority;
+    final long sequence;
+    final int maxTokens;
+    final int reservePieces;
+    final long arrivalMicros;
+    String owner;
+    State state = State.TRANSFERRING;
+    int pieces;
+    int promptTokens;
+    int outputTokens;
+    int position;
+    String finishReason;
+    String check;
+    String errorKind;
+    String errorMessage;
+    boolean delivered;
+    long forgetMicros = Micros.NEVER;
+    Reader reader;
+    Runnable abortFetch = () -> {};
+
+    DecodeStream(DecodeRequest request, long sequence, int pieces, long arrivalMicros) {
+        this.attempt = request.attempt();
+        this.caller = request.caller() == null ? "" : request.caller();
+        this.owner = request.owner() == null ? "" : request.owner();
+        this.priority = request.priority();
+        this.sequence = sequence;
+        this.maxTokens = request.maxTokens();
+        this.reservePieces = request.reservePieces();
+        this.pieces = pieces;
+        this.arrivalMicros = arrivalMicros;
+    }
+
+    Optional<Reader> findReader() {
+        return Optional.ofNullable(reader);
+    }
+
+    /** Attached connection and the position up to which it has been written. */
+    static final class Reader {
+        final StreamOutput output;
+        int sent;
+        boolean importedSent;
+        long lastWriteMicros;
+
+        Reader(StreamOutput output, int sent, boolean importedSent, long nowMicros) {
+            this.output = output;
+            this.sent = sent;
+            this.importedSent = importedSent;
+            this.lastWriteMicros = nowMicros;
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/DecodeUnit.java
@@ -0,0 +1,282 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.magnoliavane.emulator.engine.DecodeStream.Reader;
+import org.magnoliavane.emulator.engine.DecodeStream.State;
+import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
+import org.magnoliavane.emulator.engine.EngineRequests.KvCache;
+import org.magnoliavane.emulator.http.Refusal;
+
+/**
+ * Decodes streams by continuous batching: a step takes the base time plus a time for each stream in it, and gives each
+ * of them one token.
+ *
+ * <p>Not thread-safe.
+ */
+final class DecodeUnit {
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final long SLOW_READER_RETRY_MICROS = Micros.ofMillis(20);
+
+    private final EngineOptions options;
+    private final PieceMemory memory;
+    private final Counters counters;
+    private final Consumer<String> starts;
+    private final Map<String, DecodeStream> streams = new LinkedHashMap<>();
+    private final List<DecodeStream> step = new ArrayList<>();
+    private long stepEndMicros = Micros.NEVER;
+    private long sequence;
+
+    DecodeUnit(EngineOptions options, PieceMemory memory, Counters counters, Consumer<String> starts) {
+        this.options = options;
+        this.memory = memory;
+        this.counters = counters;
+        this.starts = starts;
+    }
+
+    /** Takes memory for a stream, whose KV cache must then be fetched. */
+    Either<Refusal, DecodeStream> offer(DecodeRequest request, long nowMicros) {
+        if (streams.containsKey(request.attempt())) {
+            return Either.left(new Refusal(CONFLICT, "duplicate_attempt", "use a new attempt id for each attempt"));
+        }
+        int pieces = Math.max(1, request.reservePieces());
+        if (!memory.tryTake(pieces)) {
+            counters.memoryRefusals++;
+            String message = "the stream reserves " + pieces + " pieces, " + memory.getFree() + " are free";
+            return Either.left(new Refusal(CONFLICT, "memory_full", message));
+        }
+        DecodeStream stream = new DecodeStream(request, ++sequence, pieces, nowMicros);
+        streams.put(stream.attempt, stream);
+        return Either.right(stream);
+    }
+
+    /** Makes a connection the only reader of a stream, after a position. */
+    Either<Refusal, DecodeStream> attach(String attempt, int from, Optional<String> owner) {
+        DecodeStream stream = streams.get(attempt);
+        if (stream == null) {
+            return Either.left(new Refusal(NOT_FOUND, "unknown_attempt", "the attempt has ended or never ran here"));
+        }
+        if (from < 0 || from > stream.position) {
+            String message = "from must be in 0 to " + stream.position + ", got " + from;
+            return Either.left(new Refusal(BAD_REQUEST, "bad_request", message));
+        }
+        stream.findReader().ifPresent(reader -> reader.output.end());
+        stream.reader = null;
+        owner.ifPresent(name -> stream.owner = name);
+        return Either.right(stream);
+    }
+
+    Reader setReader(DecodeStream stream, StreamOutput output, int from, long nowMicros) {
+        Reader reader = new Reader(output, from, stream.state != State.TRANSFERRING, nowMicros);
+        stream.reader = reader;
+        output.writeComment();
+        pump(stream, nowMicros);
+        return reader;
+    }
+
+    /** Notes that a connection is gone; the stream goes on without a reader. */
+    void detach(DecodeStream stream, Reader reader) {
+        if (stream.reader == reader) {
+            stream.reader = null;
+        }
+    }
+
+    void importKv(DecodeStream stream, KvCache cache, long nowMicros) {
+        if (streams.get(stream.attempt) != stream || stream.state != State.TRANSFERRING) {
+            return;
+        }
+        starts.accept(cache.prompt());
+        int needed = Math.max(stream.reservePieces, memory.piecesOf(cache.promptTokens()));
+        if (!grow(stream, needed)) {
+            counters.memoryRefusals++;
+            fail(stream, "memory_full", "the prompt needs " + needed + " pieces", nowMicros);
+            return;
+        }
+        stream.promptTokens = cache.promptTokens();
+        stream.check = TokenText.checkOf(cache.prompt());
+        OptionalInt asked = TokenText.findMaxOutput(cache.prompt());
+        stream.outputTokens = Math.min(stream.maxTokens, asked.orElse(stream.maxTokens));
+        stream.finishReason = asked.isPresent() && asked.getAsInt() <= stream.maxTokens ? "stop" : "length";
+        stream.state = State.QUEUED;
+        counters.decodesStarted++;
+        stream.findReader().ifPresent(reader -> {
+            reader.importedSent = true;
+            reader.lastWriteMicros = nowMicros;
+            reader.output.writeImported(Micros.toMillis(nowMicros - stream.arrivalMicros));
+        });
+        startStep(nowMicros);
+    }
+
+    void fail(DecodeStream stream, String kind, String message, long nowMicros) {
+        if (streams.get(stream.attempt) != stream || stream.state.isEnd()) {
+            return;
+        }
+        counters.decodesFailed++;
+        stream.errorKind = kind;
+        stream.errorMessage = message;
+        stream.state = State.FAILED;
+        release(stream);
+        stream.forgetMicros = nowMicros + options.getFinishedRetainMicros();
+        pump(stream, nowMicros);
+        startStep(nowMicros);
+    }
+
+    /** Cancels a stream and frees its memory; false when there is nothing left to cancel. */
+    boolean cancel(String attempt, long nowMicros) {
+        DecodeStream stream = streams.remove(attempt);
+        if (stream == null || stream.delivered || stream.state == State.FAILED) {
+            return false;
+        }
+        counters.decodesCancelled++;
+        stream.abortFetch.run();
+        release(stream);
+        step.remove(stream);
+        stream.findReader().ifPresent(reader -> {
+            reader.output.writeError("cancelled", "the attempt was cancelled");
+            reader.output.end();
+        });
+        startStep(nowMicros);
+        return true;
+    }
+
+    void advance(long nowMicros) {
+        while (stepEndMicros <= nowMicros) {
+            finishStep();
+        }
+        startStep(nowMicros);
+        for (DecodeStream stream : List.copyOf(streams.values())) {
+            if (stream.forgetMicros <= nowMicros) {
+                streams.remove(stream.attempt);
+                continue;
+            }
+            pump(stream, nowMicros);
+            keepAlive(stream, nowMicros);
+        }
+    }
+
+    long getNextMicros(long nowMicros) {
+        long next = stepEndMicros;
+        for (DecodeStream stream : streams.values()) {
+            next = Math.min(next, stream.forgetMicros);
+            Reader reader = stream.reader;
+            if (reader != null) {
+                next = Math.min(next, reader.lastWriteMicros + options.getKeepAliveMicros());
+                boolean behind = reader.sent < stream.position || stream.state.isEnd();
+                next = behind ? Math.min(next, nowMicros + SLOW_READER_RETRY_MICROS) : next;
+            }
+        }
+        return next;
+    }
+
+    Optional<DecodeStream> find(String attempt) {
+        return Optional.ofNullable(streams.get(attempt));
+    }
+
+    Collection<DecodeStream> getAll() {
+        return streams.values();
+    }
+
+    private void startStep(long nowMicros) {
+        if (stepEndMicros != Micros.NEVER) {
+            return;
+        }
+        streams.values().stream()
+                .filter(stream -> stream.state != State.TRANSFERRING && !stream.state.isEnd())
+                .sorted(DecodeStream.QUEUE_ORDER)
+                .forEach(this::join);
+        if (!step.isEmpty()) {
+            stepEndMicros = nowMicros + options.getStepBaseMicros() + step.size() * options.getStepStreamMicros();
+        }
+    }
+
+    private void join(DecodeStream stream) {
+        if (step.size() >= options.getMaxRunning()) {
+            stream.state = State.QUEUED;
+            return;
+        }
+        if (!grow(stream, memory.piecesOf(stream.promptTokens + stream.position + 1))) {
+            stream.state = State.STALLED;
+            return;
+        }
+        stream.state = State.DECODING;
+        step.add(stream);
+    }
+
+    private void finishStep() {
+        long endMicros = stepEndMicros;
+        stepEndMicros = Micros.NEVER;
+        List<DecodeStream> done = List.copyOf(step);
+        step.clear();
+        for (DecodeStream stream : done) {
+            stream.position++;
+            counters.tokensGenerated++;
+            if (stream.position >= stream.outputTokens) {
+                stream.state = State.FINISHED;
+                counters.decodesFinished++;
+            }
+            pump(stream, endMicros);
+        }
+        startStep(endMicros);
+    }
+
+    private boolean grow(DecodeStream stream, int pieces) {
+        int more = Math.max(0, pieces - stream.pieces);
+        if (!memory.tryTake(more)) {
+            return false;
+        }
+        stream.pieces += more;
+        return true;
+    }
+
+    /** Writes what the reader has not got yet, as far as it keeps up. */
+    private void pump(DecodeStream stream, long nowMicros) {
+        Reader reader = stream.reader;
+        if (reader == null) {
+            return;
+        }
+        while (reader.sent < stream.position && reader.output.canWrite()) {
+            reader.sent++;
+            reader.lastWriteMicros = nowMicros;
+            reader.output.writeToken(reader.sent, TokenText.of(reader.sent, stream.check));
+        }
+        if (reader.sent == stream.position && stream.state.isEnd() && reader.output.canWrite()) {
+            end(stream, reader, nowMicros);
+        }
+    }
+
+    private void end(DecodeStream stream, Reader reader, long nowMicros) {
+        if (stream.state == State.FINISHED) {
+            reader.output.writeDone(stream.finishReason, stream.promptTokens, stream.position);
+        } else {
+            reader.output.writeError(stream.errorKind, stream.errorMessage);
+        }
+        reader.output.end();
+        stream.reader = null;
+        stream.delivered = true;
+        stream.forgetMicros = nowMicros + options.getFinishedRetainMicros();
+        release(stream);
+    }
+
+    private void keepAlive(DecodeStream stream, long nowMicros) {
+        Reader reader = stream.reader;
+        if (reader != null && reader.lastWriteMicros + options.getKeepAliveMicros() <= nowMicros) {
+            reader.lastWriteMicros = nowMicros;
+            reader.output.writeComment();
+        }
+    }
+
+    private void release(DecodeStream stream) {
+        memory.release(stream.pieces);
+        stream.pieces = 0;
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/EngineEmulator.java
@@ -0,0 +1,258 @@
+package org.magnoliavane.emulator.engine;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vavr.control.Either;
+import org.magnoliavane.emulator.Crash;
+import org.magnoliavane.emulator.Emulator;
+import org.magnoliavane.emulator.ServerOptions;
+import org.magnoliavane.emulator.engine.DecodeStream.Reader;
+import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
+import org.magnoliavane.emulator.engine.EngineRequests.Faults;
+import org.magnoliavane.emulator.engine.EngineRequests.Order;
+import org.magnoliavane.emulator.engine.EngineRequests.PrefillRequest;
+import org.magnoliavane.emulator.http.Call;
+import org.magnoliavane.emulator.http.CallHandler;
+import org.magnoliavane.emulator.http.EmulatorServer;
+import org.magnoliavane.emulator.http.EventStream;
+import org.magnoliavane.emulator.http.Refusal;
+import org.magnoliavane.emulator.http.Routes;
+import org.magnoliavane.emulator.http.Timers;
+import org.magnoliavane.http.HttpClient;
+
+/**
+ * Emulates a model engine with a prefill or a decode role. One thread runs the time model and answers every call.
+ *
+ * <p>Thread-safe.
+ */
+public final class EngineEmulator implements Emulator {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final EngineThread thread = new EngineThread();
+    private final Timers timers = Timers.start("engine-emulator-timers");
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final HttpClient http;
+    private final KvFetcher fetcher;
+    private final ModelLoader loader;
+    private final EngineModel model;
+    private final Crash crash;
+    private final EmulatorServer server;
+
+    private EngineEmulator(EngineOptions options, Optional<Crash> crash) throws IOException {
+        this.crash = crash.orElse(Crash.of(this::close));
+        http = HttpClient.open("engine-emulator-client");
+        fetcher = new KvFetcher(http);
+        loader = new ModelLoader(http, timers, options.getWeights(), options.getModelLoadMillis());
+        String idPrefix = String.format("%08x-", ThreadLocalRandom.current().nextInt());
+        model = new EngineModel(options, idPrefix, System::currentTimeMillis, this::crashNow);
+        server = EmulatorServer.start("engine-emulator", options.getHost(), options.getPort(), routes());
+        thread.start(model);
+    }
+
+    /**
+     * Starts the emulator in a process of its own, which a crash fault halts.
+     *
+     * @param options the options
+     * @return the emulator
+     * @throws IOException when the address cannot be bound
+     */
+    public static EngineEmulator start(EngineOptions options) throws IOException {
+        return new EngineEmulator(options, Optional.of(Crash.HALT));
+    }
+
+    /**
+     * Starts the emulator inside another process; a crash fault closes it.
+     *
+     * @param arguments the options as on the command line
+     * @return the emulator
+     * @throws IOException when the address cannot be bound
+     */
+    public static EngineEmulator start(String... arguments) throws IOException {
+        return new EngineEmulator(ServerOptions.parse(new EngineOptions(), arguments), Optional.empty());
+    }
+
+    @Override
+    public int getPort() {
+        return server.getPort();
+    }
+
+    @Override
+    public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
+        server.close();
+        thread.close();
+        timers.close();
+        try {
+            http.close();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private Routes routes() {
+        return new Routes()
+                .on("POST", "/v1/prefills", onThread(this::prefill))
+                .on("GET", "/v1/prefills/{id}/kv", onThread(this::sendKv))
+                .on("POST", "/v1/decodes", onThread(this::decode))
+                .on("GET", "/v1/decodes/{attempt}", onThread(this::describe))
+                .on("GET", "/v1/decodes/{attempt}/events", onThread(this::resume))
+                .on("DELETE", "/v1/attempts/{attempt}", onThread(this::cancel))
+                .on("GET", "/v1/load", onThread((call, now) -> call.answer(OK, model.getLoad(now))))
+                .on("GET", "/v1/cache-events", onThread(this::cacheEvents))
+                .on("POST", "/v1/orders", onThread(this::order))
+                .on("POST", "/control", onThread(this::control))
+                .on("GET", "/control/counters", onThread((call, now) -> call.answer(OK, model.getCounters())));
+    }
+
+    private void prefill(Call call, long nowMicros) throws IOException {
+        PrefillRequest request = call.parse(PrefillRequest.class);
+        Either<Refusal, Prefill> offered =
+                model.prefill(request, done -> call.answer(OK, PrefillDone.of(done)), nowMicros);
+        offered.peekLeft(call::refuse);
+        offered.peek(prefill ->
+                call.onClose(() -> thread.submit(now -> model.getPrefills().cancelUnfinished(prefill, now))));
+    }
+
+    private void sendKv(Call call, long nowMicros) {
+        String id = call.getPathValue("id");
+        AtomicReference<Prefill> sending = new AtomicReference<>();
+        model.getPrefills().findFinished(id).ifPresent(sending::set);
+        Either<Refusal, KvLink.Transfer> started =
+                model.sendKv(id, sent -> finishKv(call, sending.get(), sent), nowMicros);
+        started.peekLeft(call::refuse);
+        started.peek(transfer ->
+                call.onClose(() -> thread.submit(now -> model.getLink().abort(transfer, now))));
+    }
+
+    private static void finishKv(Call call, Prefill prefill, boolean sent) {
+        if (sent) {
+            call.answer(OK, prefill.toKvCache());
+            return;
+        }
+        call.refuse(new Refusal(NOT_FOUND, "prefill_lapsed", "the prefill was cancelled during the transfer"));
+    }
+
+    private void decode(Call call, long nowMicros) throws IOException {
+        DecodeRequest request = call.parse(DecodeRequest.class);
+        Either<Refusal, DecodeStream> offered = model.decode(request, nowMicros);
+        if (offered.isLeft()) {
+            call.refuse(offered.getLeft());
+            return;
+        }
+        DecodeStream stream = offered.get();
+        attach(call, stream, 0, nowMicros);
+        stream.abortFetch = fetcher.fetch(
+                request.prefill(),
+                cache -> thread.submit(now -> model.getDecodes().importKv(stream, cache, now)),
+                (kind, message) -> thread.submit(now -> model.getDecodes().fail(stream, kind, message, now)));
+    }
+
+    private void resume(Call call, long nowMicros) {
+        int from = (int) call.getLong("from", 0);
+        Either<Refusal, DecodeStream> found =
+                model.getDecodes().attach(call.getPathValue("attempt"), from, call.findParameter("owner"));
+        found.peekLeft(call::refuse);
+        found.peek(stream -> attach(call, stream, from, nowMicros));
+    }
+
+    private void attach(Call call, DecodeStream stream, int from, long nowMicros) {
+        AtomicReference<Reader> reader = new AtomicReference<>();
+        EventStream events =
+                call.startEvents(() -> thread.submit(now -> model.getDecodes().detach(stream, reader.get())));
+        reader.set(model.getDecodes().setReader(stream, new EventStreamOutput(events), from, nowMicros));
+    }
+
+    private void describe(Call call, long nowMicros) {
+        Optional<DecodeStream> found = model.getDecodes().find(call.getPathValue("attempt"));
+        if (found.isEmpty()) {
+            call.refuse(new Refusal(NOT_FOUND, "unknown_attempt", "the attempt has ended or never ran here"));
+            return;
+        }
+        call.answer(OK, StreamState.of(found.get()));
+    }
+
+    private void cancel(Call call, long nowMicros) {
+        call.answer(OK, new Cancelled(model.cancel(call.getPathValue("attempt"), nowMicros)));
+    }
+
+    private void cacheEvents(Call call, long nowMicros) {
+        call.answer(OK, model.getCacheEvents(call.getLong("after", 0), nowMicros));
+    }
+
+    private void order(Call call, long nowMicros) throws IOException {
+        Order order = call.parse(Order.class);
+        Optional<Refusal> refusal = model.order(order, nowMicros);
+        if (refusal.isPresent()) {
+            call.refuse(refusal.get());
+            return;
+        }
+        if (order.kind().startsWith("load_")) {
+            loader.load(
+                    order.model(),
+                    order.version(),
+                    loaded -> thread.submit(now -> model.finishLoading(order.model(), order.version(), loaded)));
+        }
+        call.answer(OK, new Accepted(true));
+    }
+
+    private void control(Call call, long nowMicros) throws IOException {
+        Faults faults = call.parseStrictly(Faults.class);
+        model.setFaults(faults, nowMicros);
+        call.answer(OK, faults);
+        if (Boolean.TRUE.equals(faults.silent())) {
+            server.silenceOpenConnections();
+        }
+        if (faults.freezeMillis() != null) {
+            thread.freeze(faults.freezeMillis());
+        }
+        if (Boolean.TRUE.equals(faults.crash())) {
+            timers.after(Crash.ANSWER_MILLIS, crash::crash);
+        }
+    }
+
+    private void crashNow() {
+        crash.crash();
+        throw new EngineThread.CrashedException();
+    }
+
+    private CallHandler onThread(TimedHandler handler) {
+        return call -> thread.submit(now -> {
+            try {
+                handler.handle(call, now);
+            } catch (IOException | IllegalArgumentException e) {
+                call.refuse(Refusal.badRequest(String.valueOf(e.getMessage())));
+            }
+        });
+    }
+
+    /** Handles a call on the engine's thread. */
+    @FunctionalInterface
+    private interface TimedHandler {
+        void handle(Call call, long nowMicros) throws IOException;
+    }
+
+    private record PrefillDone(String prefill, int promptTokens, int cachedTokens, long expiresInMillis) {
+        static PrefillDone of(Prefill done) {
+            long lapseMillis = Micros.toMillis(done.expiresMicros - done.endMicros);
+            return new PrefillDone(done.id, done.promptTokens, done.cachedTokens, lapseMillis);
+        }
+    }
+
+    private record StreamState(String attempt, String owner, String caller, int position, String state, int pieces) {
+        static StreamState of(DecodeStream stream) {
+            return new StreamState(
+                    stream.attempt, stream.owner, stream.caller, stream.position, stream.state.toWire(), stream.pieces);
+        }
+    }
+
+    private record Cancelled(boolean cancelled) {}
+
+    private record Accepted(boolean accepted) {}
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/EngineModel.java
@@ -0,0 +1,268 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.vavr.control.Either;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
+import org.magnoliavane.emulator.engine.EngineRequests.Faults;
+import org.magnoliavane.emulator.engine.EngineRequests.Order;
+import org.magnoliavane.emulator.engine.EngineRequests.PrefillRequest;
+import org.magnoliavane.emulator.http.Refusal;
+
+/**
+ * Holds the whole state of an engine and moves it through time. Times are microseconds of a clock that its user chooses
+ * and that never goes back.
+ *
+ * <p>Not thread-safe.
+ */
+final class EngineModel {
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+
+    private final LongSupplier epochMillis;
+    private final Runnable crash;
+    private final PieceMemory memory;
+    private final CacheEvents cacheEvents;
+    private final PrefixCache cache;
+    private final Counters counters = new Counters();
+    private final PrefillUnit prefills;
+    private final KvLink link;
+    private final DecodeUnit decodes;
+    private final OrderGate orders;
+    private final LaggedReports reports;
+    private final Map<String, String> models = new TreeMap<>();
+    private final TreeSet<String> loading = new TreeSet<>();
+    private WorkerRole role;
+    private String crashMarker;
+    private WorkerRole crashPhase;
+    private boolean failTransfers;
+    private boolean stallTransfers;
+
+    EngineModel(EngineOptions options, String idPrefix, LongSupplier epochMillis, Runnable crash) {
+        this.epochMillis = epochMillis;
+        this.crash = crash;
+        role = options.getRole();
+        crashMarker = options.getCrashMarker();
+        crashPhase = options.getCrashPhase();
+        options.getModels().forEach(model -> models.put(model, ""));
+        memory = new PieceMemory(options.getPieces(), options.getPieceTokens());
+        cacheEvents = new CacheEvents(
+                options.getSeed(), options.getCacheEventDelayMicros(), options.getCacheEventDropShare());
+        cache = new PrefixCache(options.getCachePieces(), cacheEvents);
+        prefills = new PrefillUnit(options, idPrefix, memory, cache, counters, startsOf(WorkerRole.PREFILL));
+        link = new KvLink(options.getLinkTokensPerSecond(), prefills);
+        decodes = new DecodeUnit(options, memory, counters, startsOf(WorkerRole.DECODE));
+        orders = new OrderGate(options.isCheckFencing());
+        reports = new LaggedReports(this::toReport, options.getLoadLagMicros());
+    }
+
+    void advance(long nowMicros) {
+        link.advance(nowMicros);
+        prefills.advance(nowMicros);
+        decodes.advance(nowMicros);
+        reports.advance(nowMicros);
+    }
+
+    /** Gets the time at which {@link #advance} must be called at the latest. */
+    long getNextMicros(long nowMicros) {
+        long units = Math.min(prefills.getNextMicros(), decodes.getNextMicros(nowMicros));
+        return Math.min(units, Math.min(link.getNextMicros(), reports.getNextMicros()));
+    }
+
+    Either<Refusal, Prefill> prefill(PrefillRequest request, Consumer<Prefill> whenFinished, long nowMicros) {
+        Optional<Refusal> refusal = checkServed(WorkerRole.PREFILL, request.model());
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
+        return prefills.offer(request, whenFinished, nowMicros);
+    }
+
+    Either<Refusal, KvLink.Transfer> sendKv(String id, Consumer<Boolean> whenEnded, long nowMicros) {
+        if (failTransfers) {
+            return Either.left(new Refusal(500, "transfer_failed", "transfers fail by order of the control interface"));
+        }
+        Optional<Prefill> prefill = prefills.findFinished(id);
+        if (prefill.isEmpty()) {
+            return Either.left(new Refusal(NOT_FOUND, "prefill_lapsed", "prefill " + id + " has lapsed or is taken"));
+        }
+        return Either.right(link.send(prefill.get(), whenEnded, nowMicros));
+    }
+
+    Either<Refusal, DecodeStream> decode(DecodeRequest request, long nowMicros) {
+        Optional<Refusal> refusal = checkServed(WorkerRole.DECODE, request.model());
+        if (refusal.isPresent()) {
+            return Either.left(refusal.get());
+        }
+        return decodes.offer(request, nowMicros);
+    }
+
+    boolean cancel(String attempt, long nowMicros) {
+        boolean prefill = prefills.cancel(attempt, nowMicros);
+        boolean decode = decodes.cancel(attempt, nowMicros);
+        return prefill || decode;
+    }
+
+    /** Checks an order and carries it out, except for the loading of a model, which its user then starts. */
+    Optional<Refusal> order(Order order, long nowMicros) {
+        Optional<Refusal> refusal = checkOrder(order).or(() -> orders.check(order, epochMillis.getAsLong()));
+        if (refusal.isPresent()) {
+            counters.ordersRefused++;
+            return refusal;
+        }
+        counters.ordersAccepted++;
+        switch (order.kind()) {
+            case "set_role":
+                setRole(WorkerRole.parse(order.role()).orElseThrow(), nowMicros);
+                break;
+            case "unload_model":
+                models.remove(order.model());
+                break;
+            default:
+                loading.add(order.model());
+                break;
+        }
+        return Optional.empty();
+    }
+
+    void finishLoading(String model, String version, boolean loaded) {
+        if (loading.remove(model) && loaded) {
+            models.put(model, version == null ? "" : version);
+        }
+    }
+
+    void setFaults(Faults faults, long nowMicros) {
+        crashMarker = Optional.ofNullable(faults.crashMarker()).orElse(crashMarker);
+        Optional.ofNullable(faults.crashPhase()).ifPresent(phase -> crashPhase = parseRole("crash_phase", phase));
+        failTransfers = Optional.ofNullable(faults.failTransfers()).orElse(failTransfers);
+        stallTransfers = Optional.ofNullable(faults.stallTransfers()).orElse(stallTransfers);
+        link.setStalled(stallTransfers, nowMicros);
+        Optional.ofNullable(faults.loadLagMillis()).map(Micros::ofMillis).ifPresent(reports::setLagMicros);
+        Optional.ofNullable(faults.cacheEventDelayMillis())
+                .map(Micros::ofMillis)
+                .ifPresent(cacheEvents::setDelayMicros);
+        Optional.ofNullable(faults.cacheEventDropShare()).ifPresent(cacheEvents::setDropShare);
+        Optional.ofNullable(faults.checkFencing()).ifPresent(orders::setChecked);
+    }
+
+    PrefillUnit getPrefills() {
+        return prefills;
+    }
+
+    KvLink getLink() {
+        return link;
+    }
+
+    DecodeUnit getDecodes() {
+        return decodes;
+    }
+
+    CacheEvents.Page getCacheEvents(long after, long nowMicros) {
+        return cacheEvents.getAfter(after, nowMicros);
+    }
+
+    LoadReport getLoad(long nowMicros) {
+        return reports.get(nowMicros);
+    }
+
+    Counters.View getCounters() {
+        Map<String, Integer> byState = new TreeMap<>();
+        toAttempts().forEach(attempt -> byState.merge(attempt.phase(), 1, Integer::sum));
+        return counters.toView(memory.getUsed(), memory.getTotal(), byState);
+    }
+
+    private LoadReport toReport() {
+        int active = 0;
+        int waiting = 0;
+        for (DecodeStream stream : decodes.getAll()) {
+            active += stream.state == DecodeStream.State.DECODING ? 1 : 0;
+            waiting += stream.state.isEnd() || stream.state == DecodeStream.State.DECODING ? 0 : 1;
+        }
+        return new LoadReport(
+                epochMillis.getAsLong(),
+                role.toWire(),
+                memory.getTotal(),
+                memory.getFree(),
+                active + (prefills.isRunning() ? 1 : 0),
+                waiting + prefills.getQueued(),
+                prefills.getQueuedTokens(),
+                List.copyOf(models.keySet()),
+                new TreeMap<>(models),
+                List.copyOf(loading),
+                toAttempts().stream().filter(attempt -> attempt.pieces() > 0).toList());
+    }
+
+    private List<LoadReport.Attempt> toAttempts() {
+        List<LoadReport.Attempt> attempts = new ArrayList<>();
+        for (Prefill prefill : prefills.getAll()) {
+            attempts.add(new LoadReport.Attempt(
+                    prefill.attempt, "", prefill.state.toWire(), prefill.pieces, 0, prefill.isAwaited()));
+        }
+        for (DecodeStream stream : decodes.getAll()) {
+            attempts.add(new LoadReport.Attempt(
+                    stream.attempt,
+                    stream.owner,
+                    stream.state.toWire(),
+                    stream.pieces,
+                    stream.position,
+                    stream.reader != null));
+        }
+        return attempts;
+    }
+
+    private Consumer<String> startsOf(WorkerRole phase) {
+        return prompt -> {
+            if (crashPhase == phase && !crashMarker.isEmpty() && prompt.contains(crashMarker)) {
+                crash.run();
+            }
+        };
+    }
+
+    private Optional<Refusal> checkServed(WorkerRole wanted, String model) {
+        if (role != wanted) {
+            return Optional.of(new Refusal(CONFLICT, "wrong_role", "the role of this engine is " + role.toWire()));
+        }
+        if (!models.containsKey(model)) {
+            String message = "model " + model + " is not loaded; loaded are " + models.keySet();
+            return Optional.of(new Refusal(NOT_FOUND, "unknown_model", message));
+        }
+        return Optional.empty();
+    }
+
+    private void setRole(WorkerRole next, long nowMicros) {
+        if (next != role) {
+            cache.clear(nowMicros);
+        }
+        role = next;
+    }
+
+    private static Optional<Refusal> checkOrder(Order order) {
+        switch (order.kind()) {
+            case "load_model", "load_adapter", "unload_model":
+                return order.model() == null ? refuse("model is missing") : Optional.empty();
+            case "set_role":
+                boolean known = "prefill".equals(order.role()) || "decode".equals(order.role());
+                return known ? Optional.empty() : refuse("role must be prefill or decode, got " + order.role());
+            default:
+                return refuse("kind must be load_model, load_adapter, unload_model or set_role, got " + order.kind());
+        }
+    }
+
+    private static Optional<Refusal> refuse(String message) {
+        return Optional.of(new Refusal(BAD_REQUEST, "bad_request", message));
+    }
+
+    private static WorkerRole parseRole(String name, String text) {
+        return WorkerRole.parse(text)
+                .filter(parsed -> parsed != WorkerRole.PLAIN)
+                .orElseThrow(() -> new IllegalArgumentException(name + " must be prefill or decode, got " + text));
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/EngineRequests.java
@@ -0,0 +1,93 @@
+package org.magnoliavane.emulator.engine;
+
+/** Bodies of the requests to an engine. */
+final class EngineRequests {
+    /** Priority of a request that names none; 9 goes first. */
+    static final int DEFAULT_PRIORITY = 5;
+
+    private static final int HIGHEST_PRIORITY = 9;
+
+    private EngineRequests() {}
+
+    /** Body of {@code POST /v1/prefills}. */
+    record PrefillRequest(String attempt, String model, String prompt, Integer priority) {
+        PrefillRequest {
+            require("attempt", attempt);
+            require("model", model);
+            require("prompt", prompt);
+            priority = checkPriority(priority);
+        }
+    }
+
+    /** Names a prefill on its worker. */
+    record PrefillReference(String host, int port, String id) {
+        PrefillReference {
+            require("prefill.host", host);
+            require("prefill.id", id);
+        }
+    }
+
+    /** Body of {@code POST /v1/decodes}. */
+    record DecodeRequest(
+            String attempt,
+            String model,
+            PrefillReference prefill,
+            int maxTokens,
+            Integer priority,
+            int reservePieces,
+            String owner,
+            String caller) {
+        DecodeRequest {
+            require("attempt", attempt);
+            require("model", model);
+            require("prefill", prefill);
+            priority = checkPriority(priority);
+            if (maxTokens < 1) {
+                throw new IllegalArgumentException("max_tokens must be at least 1, got " + maxTokens);
+            }
+            if (reservePieces < 0) {
+                throw new IllegalArgumentException("reserve_pieces must be at least 0, got " + reservePieces);
+            }
+        }
+    }
+
+    /** Body of {@code POST /v1/orders}; valid until 0 means for ever. */
+    record Order(String kind, String model, String version, String role, long fencing, long validUntilMillis) {
+        Order {
+            require("kind", kind);
+        }
+    }
+
+    /** Answer to {@code GET /v1/prefills/{id}/kv}. */
+    record KvCache(String attempt, String model, String prompt, int promptTokens, int cachedTokens) {}
+
+    /** Body of {@code POST /control}; an absent value leaves the setting as it is. */
+    record Faults(
+            Boolean crash,
+            String crashMarker,
+            String crashPhase,
+            Boolean stallTransfers,
+            Boolean failTransfers,
+            Long loadLagMillis,
+            Long cacheEventDelayMillis,
+            Double cacheEventDropShare,
+            Boolean silent,
+            Long freezeMillis,
+            Boolean checkFencing) {}
+
+    private static void require(String name, Object value) {
+        if (value == null) {
+            throw new IllegalArgumentException(name + " is missing");
+        }
+    }
+
+    private static int checkPriority(Integer priority) {
+        if (priority == null) {
+            return DEFAULT_PRIORITY;
+        }
+        if (priority < 0 || priority > HIGHEST_PRIORITY) {
+            throw new IllegalArgumentException("priority must be in 0 to 9, got " + priority);
+        }
+        return priority;
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/KvFetcher.java
@@ -0,0 +1,66 @@
+package org.magnoliavane.emulator.engine;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import org.magnoliavane.emulator.engine.EngineRequests.KvCache;
+import org.magnoliavane.emulator.engine.EngineRequests.PrefillReference;
+import org.magnoliavane.emulator.http.Json;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.http.HttpResponse;
+
+/**
+ * Fetches KV caches from prefill workers.
+ *
+ * <p>Thread-safe.
+ */
+final class KvFetcher {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final HttpClient http;
+
+    KvFetcher(HttpClient http) {
+        this.http = http;
+    }
+
+    /**
+     * Starts to fetch a KV cache.
+     *
+     * @param from the prefill
+     * @param arrived receives the KV cache
+     * @param failed receives the kind and the message of a failure
+     * @return aborts the transfer
+     */
+    Runnable fetch(PrefillReference from, Consumer<KvCache> arrived, BiConsumer<String, String> failed) {
+        HttpRequest request = HttpRequest.of("GET", from.host(), from.port(), "/v1/prefills/" + from.id() + "/kv");
+        CompletableFuture<HttpResponse> response = http.send(request);
+        response.whenComplete((found, cause) -> {
+            if (cause != null) {
+                failed.accept("transfer_failed", String.valueOf(cause.getMessage()));
+            } else {
+                take(found, arrived, failed);
+            }
+        });
+        return () -> response.cancel(true);
+    }
+
+    private static void take(HttpResponse response, Consumer<KvCache> arrived, BiConsumer<String, String> failed) {
+        if (response.status() == NOT_FOUND) {
+            failed.accept("prefill_lapsed", "the prefill worker has no such result");
+            return;
+        }
+        if (response.status() != OK) {
+            failed.accept("transfer_failed", "the prefill worker answered " + response.status());
+            return;
+        }
+        try {
+            arrived.accept(Json.parse(response.body(), KvCache.class));
+        } catch (IOException e) {
+            failed.accept("transfer_failed", "the KV cache is malformed: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/KvLink.java
@@ -0,0 +1,109 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/**
+ * Sends KV caches one after the other over the outgoing link of a prefill worker. A result that is queued on the link
+ * does not lapse.
+ *
+ * <p>Not thread-safe.
+ */
+final class KvLink {
+    private final double tokensPerSecond;
+    private final PrefillUnit prefills;
+    private final Deque<Transfer> queue = new ArrayDeque<>();
+    private boolean stalled;
+    private long headEndMicros = Micros.NEVER;
+    private long headLeftMicros;
+
+    KvLink(double tokensPerSecond, PrefillUnit prefills) {
+        this.tokensPerSecond = tokensPerSecond;
+        this.prefills = prefills;
+    }
+
+    /**
+     * Queues a transfer.
+     *
+     * @param whenEnded receives whether the KV cache was sent; it is not when the prefill was cancelled meanwhile
+     */
+    Transfer send(Prefill prefill, Consumer<Boolean> whenEnded, long nowMicros) {
+        prefill.state = Prefill.State.SENDING;
+        Transfer transfer = new Transfer(prefill, whenEnded);
+        queue.addLast(transfer);
+        if (queue.size() == 1) {
+            startHead(nowMicros);
+        }
+        return transfer;
+    }
+
+    /** Takes back a transfer whose receiver is gone; the result can be fetched again until it lapses. */
+    void abort(Transfer transfer, long nowMicros) {
+        boolean head = queue.peekFirst() == transfer;
+        if (!queue.remove(transfer)) {
+            return;
+        }
+        if (prefills.isKnown(transfer.prefill)) {
+            transfer.prefill.state = Prefill.State.FINISHED;
+        }
+        if (head) {
+            startHead(nowMicros);
+        }
+    }
+
+    void setStalled(boolean value, long nowMicros) {
+        if (value == stalled) {
+            return;
+        }
+        stalled = value;
+        if (queue.isEmpty()) {
+            return;
+        }
+        if (stalled) {
+            headLeftMicros = headEndMicros - nowMicros;
+            headEndMicros = Micros.NEVER;
+        } else {
+            headEndMicros = nowMicros + headLeftMicros;
+        }
+    }
+
+    void advance(long nowMicros) {
+        while (!queue.isEmpty() && headEndMicros <= nowMicros) {
+            long endMicros = headEndMicros;
+            Transfer transfer = queue.removeFirst();
+            startHead(endMicros);
+            boolean known = prefills.isKnown(transfer.prefill);
+            if (known) {
+                prefills.completeTransfer(transfer.prefill);
+            }
+            transfer.whenEnded.accept(known);
+        }
+    }
+
+    long getNextMicros() {
+        return headEndMicros;
+    }
+
+    private void startHead(long nowMicros) {
+        headEndMicros = Micros.NEVER;
+        if (queue.isEmpty()) {
+            return;
+        }
+        headLeftMicros = Micros.ofWork(queue.peekFirst().prefill.promptTokens, tokensPerSecond);
+        if (!stalled) {
+            headEndMicros = nowMicros + headLeftMicros;
+        }
+    }
+
+    /** Transfer that is queued or under way; compared by identity. */
+    static final class Transfer {
+        private final Prefill prefill;
+        private final Consumer<Boolean> whenEnded;
+
+        Transfer(Prefill prefill, Consumer<Boolean> whenEnded) {
+            this.prefill = prefill;
+            this.whenEnded = whenEnded;
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/PieceMemory.java
@@ -0,0 +1,49 @@
+package org.magnoliavane.emulator.engine;
+
+/**
+ * Counts the pieces of an engine's memory.
+ *
+ * <p>Not thread-safe.
+ */
+final class PieceMemory {
+    private final int total;
+    private final int pieceTokens;
+    private int used;
+
+    PieceMemory(int total, int pieceTokens) {
+        this.total = total;
+        this.pieceTokens = pieceTokens;
+    }
+
+    int getTotal() {
+        return total;
+    }
+
+    int getUsed() {
+        return used;
+    }
+
+    int getFree() {
+        return total - used;
+    }
+
+    /** Gets the pieces that a number of tokens takes. */
+    int piecesOf(int tokens) {
+        return (tokens + pieceTokens - 1) / pieceTokens;
+    }
+
+    boolean tryTake(int pieces) {
+        if (pieces > getFree()) {
+            return false;
+        }
+        used += pieces;
+        return true;
+    }
+
+    void release(int pieces) {
+        if (pieces > used) {
+            throw new IllegalStateException("released " + pieces + " pieces of " + used + " used");
+        }
+        used -= pieces;
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/Prefill.java
@@ -0,0 +1,86 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.magnoliavane.emulator.engine.EngineRequests.KvCache;
+import org.magnoliavane.emulator.engine.EngineRequests.PrefillRequest;
+
+/**
+ * Holds one prefill from its arrival until its result is transferred or lost.
+ *
+ * <p>Not thread-safe.
+ */
+final class Prefill {
+    /** Order in which waiting prefills start: higher priority first, then by arrival. */
+    static final Comparator<Prefill> QUEUE_ORDER = Comparator.<Prefill>comparingInt(prefill -> -prefill.priority)
+            .thenComparingLong(prefill -> prefill.sequence);
+
+    /** States of a prefill. */
+    enum State {
+        QUEUED("prefill_queued"),
+        RUNNING("prefilling"),
+        FINISHED("prefilled"),
+        SENDING("sending");
+
+        private final String wire;
+
+        State(String wire) {
+            this.wire = wire;
+        }
+
+        String toWire() {
+            return wire;
+        }
+    }
+
+    final String id;
+    final String attempt;
+    final String model;
+    final String prompt;
+    final int priority;
+    final long sequence;
+    final int promptTokens;
+    final int pieces;
+    final List<Long> hashes;
+    final Consumer<Prefill> whenFinished;
+    State state = State.QUEUED;
+    int cachedTokens;
+    long startMicros;
+    long endMicros;
+    long expiresMicros = Micros.NEVER;
+
+    Prefill(
+            String id,
+            PrefillRequest request,
+            long sequence,
+            int promptTokens,
+            int pieces,
+            List<Long> hashes,
+            Consumer<Prefill> whenFinished) {
+        this.id = id;
+        this.attempt = request.attempt();
+        this.model = request.model();
+        this.prompt = request.prompt();
+        this.priority = request.priority();
+        this.sequence = sequence;
+        this.promptTokens = promptTokens;
+        this.pieces = pieces;
+        this.hashes = hashes;
+        this.whenFinished = whenFinished;
+    }
+
+    /** Says whether a connection waits for the result or for the transfer. */
+    boolean isAwaited() {
+        return state != State.FINISHED;
+    }
+
+    int getComputedTokens() {
+        return promptTokens - cachedTokens;
+    }
+
+    KvCache toKvCache() {
+        return new KvCache(attempt, model, prompt, promptTokens, cachedTokens);
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/PrefixCache.java
@@ -0,0 +1,63 @@
+package org.magnoliavane.emulator.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Keeps the most recently used prompt prefixes of whole pieces.
+ *
+ * <p>Not thread-safe.
+ */
+final class PrefixCache {
+    private final int limit;
+    private final CacheEvents events;
+    private final Set<Long> prefixes = new LinkedHashSet<>();
+
+    PrefixCache(int limit, CacheEvents events) {
+        this.limit = limit;
+        this.events = events;
+    }
+
+    /** Counts the leading pieces that are cached, and marks them as used. */
+    int countCached(List<Long> hashes) {
+        int cached = 0;
+        while (cached < hashes.size() && prefixes.contains(hashes.get(cached))) {
+            cached++;
+        }
+        touch(hashes.subList(0, cached));
+        return cached;
+    }
+
+    void store(List<Long> hashes, long nowMicros) {
+        List<Long> kept = hashes.subList(0, Math.min(hashes.size(), limit));
+        for (Long hash : kept) {
+            if (prefixes.add(hash)) {
+                events.add(CacheEvents.STORED, hash, nowMicros);
+            }
+        }
+        touch(kept);
+        evictTo(limit, nowMicros);
+    }
+
+    void clear(long nowMicros) {
+        evictTo(0, nowMicros);
+    }
+
+    /** Moves prefixes to the end of the eviction order; a shorter prefix outlives the longer ones built on it. */
+    private void touch(List<Long> hashes) {
+        for (int i = hashes.size() - 1; i >= 0; i--) {
+            prefixes.remove(hashes.get(i));
+            prefixes.add(hashes.get(i));
+        }
+    }
+
+    private void evictTo(int size, long nowMicros) {
+        Iterator<Long> oldest = prefixes.iterator();
+        while (prefixes.size() > size) {
+            events.add(CacheEvents.EVICTED, oldest.next(), nowMicros);
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Emulator of the model engine: prefill, transfer of KV caches, decoding by continuous batching, memory in pieces, and
+ * faults. The time model has neither threads nor sockets; one thread advances it.
+ */
+package org.magnoliavane.emulator.engine;
