--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/pool/DecodeState.java
@@ -0,0 +1,54 @@
+package org.magnoliavane.pool;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Tracks the memory of one decode worker. Not thread-safe.
+ */
+final class DecodeState {
+    final Map<String, StartedAttempt> held = new LinkedHashMap<>();
+    PoolWorker worker;
+    int totalPieces;
+    int reservedPieces;
+    /** The pieces that the engine holds for attempts that this scheduler does not know. */
+    int foreignPieces;
+
+    long linkFreeMicros;
+    long avoidUntilMicros;
+    /** The attempt that has this worker to itself; null when none has. */
+    String isolated;
+
+    DecodeState(PoolWorker worker, int totalPieces) {
+        this.worker = worker;
+        this.totalPieces = totalPieces;
+    }
+
+    boolean isOpen(long now) {
+        return !worker.leaving() && isolated == null && avoidUntilMicros <= now;
+    }
+
+    int freePieces() {
+        return totalPieces - reservedPieces - foreignPieces;
+    }
+
+    int streams() {
+        return held.size();
+    }
+
+    void add(StartedAttempt attempt) {
+        held.put(attempt.attempt(), attempt);
+        reservedPieces += attempt.pieces;
+    }
+
+    void remove(StartedAttempt attempt) {
+        if (held.remove(attempt.attempt(), attempt)) {
+            reservedPieces -= attempt.pieces;
+        }
+    }
+
+    void grow(StartedAttempt attempt, int pieces) {
+        attempt.pieces += pieces;
+        reservedPieces += pieces;
+    }
+}
--- a/core/src/main/java/org/magnoliavane/pool/PoolScheduler.java
+++ b/core/src/main/java/org/magnoliavane/pool/PoolScheduler.java
@@ -57,7 +57,7 @@
      *
      * @param request the request, as it was offered
      * @param start the decision of the other scheduler
-     * @param progress the newest report on the attempt
+     * @param progress the newest report on the attempt; its phase is null while the prefill is not done
      * @param nowMicros the current time
      */
     void adopt(PlacementRequest request, SchedulerDecision.Start start, AttemptProgress progress, long nowMicros);
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/pool/PrefillState.java
@@ -0,0 +1,50 @@
+package org.magnoliavane.pool;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Tracks the prefills that were sent to one prefill worker. Not thread-safe.
+ */
+final class PrefillState {
+    final Deque<StartedAttempt> sent = new ArrayDeque<>();
+    PoolWorker worker;
+    long headStartMicros;
+    long linkFreeMicros;
+    long avoidUntilMicros;
+    /** The attempt that has this worker to itself; null when none has. */
+    String isolated;
+
+    PrefillState(PoolWorker worker) {
+        this.worker = worker;
+    }
+
+    boolean isOpen(long now) {
+        return !worker.leaving() && isolated == null && avoidUntilMicros <= now;
+    }
+
+    /** Estimates when the prefills that were sent are done. */
+    long freeMicros(long now) {
+        long free = now;
+        boolean head = true;
+        for (StartedAttempt each : sent) {
+            free = head ? Math.max(now, headStartMicros + each.prefillMicros) : free + each.prefillMicros;
+            head = false;
+        }
+        return free;
+    }
+
+    void add(StartedAttempt attempt, long startMicros) {
+        if (sent.isEmpty()) {
+            headStartMicros = startMicros;
+        }
+        sent.addLast(attempt);
+    }
+
+    void remove(StartedAttempt attempt, long now) {
+        boolean head = sent.peekFirst() == attempt;
+        if (sent.remove(attempt) && head) {
+            headStartMicros = now;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/pool/WorkModel.java
@@ -0,0 +1,58 @@
+package org.magnoliavane.pool;
+
+import org.magnoliavane.config.ModelSettings;
+
+/**
+ * Estimates durations and memory from the settings of the engines.
+ *
+ * <p>Immutable and thread-safe. Times are in microseconds.
+ */
+final class WorkModel {
+    private static final long MICROS = 1_000_000L;
+
+    private final ModelSettings settings;
+    private final SchedulerTuning tuning;
+
+    WorkModel(ModelSettings settings, SchedulerTuning tuning) {
+        this.settings = settings;
+        this.tuning = tuning;
+    }
+
+    int decodePieces() {
+        return settings.decodePieces();
+    }
+
+    int pieceTokens() {
+        return settings.pieceTokens();
+    }
+
+    long prefillMicros(int tokens) {
+        return tuning.prefillOverheadMicros() + tokens * MICROS / settings.prefillTokensPerSecond();
+    }
+
+    long transferMicros(int tokens) {
+        return tokens * MICROS / settings.transferTokensPerSecond();
+    }
+
+    long lifetimeMicros() {
+        return settings.prefillLifetimeMillis() * 1000;
+    }
+
+    long stepMicros(int streams) {
+        return tuning.stepBaseMicros() + tuning.stepPerStreamMicros() * streams;
+    }
+
+    long usualStepMicros() {
+        return (long) (settings.decodeStepMillis() * 1000);
+    }
+
+    int pieces(int tokens) {
+        return Math.max(1, (tokens + settings.pieceTokens() - 1) / settings.pieceTokens());
+    }
+
+    /** Gets the pieces to reserve, which never exceed what the longest possible answer needs. */
+    int piecesToReserve(PlacementRequest request) {
+        int output = (int) Math.min(request.maxOutputTokens(), request.expectedOutputTokens() * tuning.outputMargin());
+        return pieces(request.promptTokens() + Math.max(1, output));
+    }
+}
