Add a virtual-clock benchmark of the pool scheduler and a bound on goodput

Cause: no change to the scheduling rules could be judged without a repeatable measurement. Ruled out: a simulator of whole deployments; the engines' time model and message delays suffice for placement.

--- /dev/null
+++ b/bench/src/main/java/org/magnoliavane/bench/GoodputBound.java
@@ -0,0 +1,149 @@
+package org.magnoliavane.bench;
+
+import java.util.List;
+
+import org.magnoliavane.config.ModelSettings;
+
+/**
+ * Computes an upper bound on the number of good answers of any policy, even one that knows all arrivals and lengths.
+ *
+ * <p>Time is cut into buckets. Each request that a policy answers in time puts its least prefill work into buckets
+ * between its arrival and its due time, and its least decode work into buckets between its earliest import and the
+ * latest end that the target between tokens permits. The work in a bucket cannot exceed the time of the workers. The
+ * best choice under these two constraints alone, with requests taken in fractions, split and run in parallel, is a
+ * linear program. By weak duality every set of prices of the buckets gives a bound:
+ *
+ * <pre>
+ * sum over buckets of price x capacity + sum over requests of max(0, 1 - work x lowest price in its window)
+ * </pre>
+ *
+ * <p>Subgradient steps look for prices with a low bound; where they stop affects how tight the bound is, not whether
+ * it holds.
+ */
+final class GoodputBound {
+    private static final long BUCKET = 500_000;
+    private static final int ROUNDS = 400;
+
+    private final int buckets;
+    private final int size;
+    private final double[] prefillWork;
+    private final double[] decodeWork;
+    private final int[][] windows;
+    private final double prefillCapacity;
+    private final double decodeCapacity;
+
+    private GoodputBound(Deployment deployment, List<Job> jobs) {
+        ModelSettings settings = deployment.settings();
+        size = jobs.size();
+        prefillWork = new double[size];
+        decodeWork = new double[size];
+        windows = new int[size][];
+        prefillCapacity = (double) deployment.prefillWorkers() * BUCKET;
+        decodeCapacity = (double) deployment.decodeWorkers() * BUCKET;
+        int last = 0;
+        for (int i = 0; i < size; i++) {
+            Job job = jobs.get(i);
+            long prefill = EngineTimes.leastPrefill(settings, job);
+            long transfer = EngineTimes.transfer(settings, job.promptTokens());
+            long due = job.dueMicros() - EngineTimes.step(1);
+            prefillWork[i] = prefill;
+            decodeWork[i] = EngineTimes.leastDecode(settings, job);
+            if (job.arrivalMicros() + prefill + transfer > due) {
+                windows[i] = new int[0];
+                continue;
+            }
+            long prefillEnd = due - transfer;
+            long decodeStart = job.arrivalMicros() + prefill + transfer;
+            long decodeEnd = job.dueMicros()
+                    + (job.outputTokens() - 1) * job.priceClass().tbtMillis() * 1000;
+            windows[i] =
+                    new int[] {bucket(job.arrivalMicros()), bucket(prefillEnd), bucket(decodeStart), bucket(decodeEnd)};
+            last = Math.max(last, windows[i][3]);
+        }
+        buckets = last + 1;
+    }
+
+    /** Computes the bound on the number of good answers. */
+    static double of(Deployment deployment, List<Job> jobs) {
+        return new GoodputBound(deployment, jobs).minimise();
+    }
+
+    private static int bucket(long micros) {
+        return (int) (micros / BUCKET);
+    }
+
+    private double minimise() {
+        double[] prefillPrice = new double[buckets];
+        double[] decodePrice = new double[buckets];
+        double best = Double.MAX_VALUE;
+        double meanPrefill = mean(prefillWork);
+        double meanDecode = mean(decodeWork);
+        for (int round = 0; round < ROUNDS; round++) {
+            double[] prefillUse = new double[buckets];
+            double[] decodeUse = new double[buckets];
+            double value = sum(prefillPrice) * prefillCapacity + sum(decodePrice) * decodeCapacity;
+            for (int i = 0; i < size; i++) {
+                value += assign(i, prefillPrice, decodePrice, prefillUse, decodeUse);
+            }
+            best = Math.min(best, value);
+            double step = 0.3 / Math.sqrt(1 + round);
+            adjust(prefillPrice, prefillUse, prefillCapacity, step / meanPrefill);
+            adjust(decodePrice, decodeUse, decodeCapacity, step / meanDecode);
+        }
+        return best;
+    }
+
+    /** Adds a request to the cheapest buckets of its windows if it is worth their prices; returns its surplus. */
+    private double assign(int i, double[] prefillPrice, double[] decodePrice, double[] prefillUse, double[] decodeUse) {
+        int[] window = windows[i];
+        if (window.length == 0) {
+            return 0;
+        }
+        double prefillLow = lowest(prefillPrice, window[0], window[1]);
+        double decodeLow = lowest(decodePrice, window[2], window[3]);
+        double surplus = 1 - prefillWork[i] * prefillLow - decodeWork[i] * decodeLow;
+        if (surplus <= 0) {
+            return 0;
+        }
+        spread(prefillUse, prefillPrice, prefillLow, window[0], window[1], prefillWork[i]);
+        spread(decodeUse, decodePrice, decodeLow, window[2], window[3], decodeWork[i]);
+        return surplus;
+    }
+
+    private static double lowest(double[] prices, int from, int to) {
+        double low = prices[from];
+        for (int b = from + 1; b <= to; b++) {
+            low = Math.min(low, prices[b]);
+        }
+        return low;
+    }
+
+    private static void spread(double[] use, double[] prices, double low, int from, int to, double work) {
+        double limit = low * 1.02 + 1e-15;
+        int count = 0;
+        for (int b = from; b <= to; b++) {
+            count += prices[b] <= limit ? 1 : 0;
+        }
+        for (int b = from; b <= to; b++) {
+            use[b] += prices[b] <= limit ? work / count : 0;
+        }
+    }
+
+    private static void adjust(double[] prices, double[] use, double capacity, double step) {
+        for (int b = 0; b < prices.length; b++) {
+            prices[b] = Math.max(0, prices[b] + step * (use[b] - capacity) / capacity);
+        }
+    }
+
+    private static double mean(double[] values) {
+        return Math.max(1, sum(values) / Math.max(1, values.length));
+    }
+
+    private static double sum(double[] values) {
+        double sum = 0;
+        for (double each : values) {
+            sum += each;
+        }
+        return sum;
+    }
+}
--- a/bench/src/main/java/org/magnoliavane/bench/Main.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Main.java
@@ -1,9 +1,21 @@
 package org.magnoliavane.bench;
 
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import com.beust.jcommander.JCommander;
+import org.magnoliavane.config.PriceClass;
+
 /**
  * Entry point of the benchmark.
  */
 public final class Main {
+    static final List<Double> LOADS = List.of(0.5, 0.9, 1.0, 1.2, 2.0);
+
+    private static final PrintStream OUT = System.out;
+
     private Main() {}
 
     /**
@@ -12,6 +24,105 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        throw new UnsupportedOperationException("no command yet");
+        Arguments parsed = new Arguments();
+        JCommander commander = JCommander.newBuilder()
+                .addObject(parsed)
+                .programName("magnoliavane-bench")
+                .build();
+        commander.parse(arguments);
+        if (parsed.help) {
+            commander.usage();
+            return;
+        }
+        Deployment deployment = Deployment.parse(parsed.deployment)
+                .orElseThrow(() -> new IllegalArgumentException(
+                        "--deployment " + parsed.deployment + " is unknown; use wellenbund or failte"));
+        table(deployment, parsed);
+    }
+
+    private static void table(Deployment deployment, Arguments arguments) {
+        int seconds = arguments.seconds == 0 ? deployment.seconds() : arguments.seconds;
+        OUT.printf(
+                Locale.ROOT,
+                "deployment %s, capacity %.2f requests/s, %d s, faults %s%n",
+                deployment.name(),
+                Workload.capacityPerSecond(deployment),
+                seconds,
+                arguments.faults);
+        OUT.println("policy          load seed offered  good bound ratio wasted% refused  price jain  past mem lapse"
+                + " end held  p50us  p99us");
+        for (double load : loads(arguments.load)) {
+            for (long seed = arguments.seed; seed < arguments.seed + arguments.seeds; seed++) {
+                List<Job> jobs = Workload.draw(deployment, load, seed, seconds);
+                double bound = GoodputBound.of(deployment, jobs);
+                for (Policy policy : policies(arguments.policy)) {
+                    RunResult result = new Simulation(deployment, policy, jobs, seed, seconds, arguments.faults).run();
+                    line(policy, load, seed, bound, result);
+                    if (arguments.classes) {
+                        classLines(deployment, result);
+                    }
+                }
+            }
+        }
+    }
+
+    private static void line(Policy policy, double load, long seed, double bound, RunResult result) {
+        long refused = result.outcomes().stream().filter(Outcome::isRefused).count();
+        OUT.printf(
+                Locale.ROOT,
+                "%-15s %4.1f %4d %7d %5d %5.0f %5.3f %7.3f %7d %6.1f %5.3f %4d %3d %5d %3d %4d %6.1f %6.1f%n",
+                policy.name(),
+                load,
+                seed,
+                result.outcomes().size(),
+                result.good(),
+                bound,
+                result.good() / Math.max(1, bound),
+                100 * result.wastedShare(),
+                refused,
+                result.price(),
+                result.fairness(),
+                result.pastBound(),
+                result.memoryRefusals(),
+                result.lapses(),
+                result.ends(),
+                result.heldPieces(),
+                result.decisionNanos().getValueAtPercentile(50) / 1000.0,
+                result.decisionNanos().getValueAtPercentile(99) / 1000.0);
+    }
+
+    private static void classLines(Deployment deployment, RunResult result) {
+        for (PriceClass each : deployment.classes()) {
+            String name = each.name();
+            OUT.printf(
+                    Locale.ROOT,
+                    "  %-10s offered %5d good %5d refused %5d after p50/p99 %.0f/%.0f ms, wait p50/p99/max"
+                            + " %.0f/%.0f/%.0f ms of %d%n",
+                    name,
+                    result.offered(name),
+                    result.good(name),
+                    result.refused(name),
+                    result.refusalMillis(name, 50),
+                    result.refusalMillis(name, 99),
+                    result.waitMillis(name, 50),
+                    result.waitMillis(name, 99),
+                    result.waitMillis(name, 100),
+                    each.maxWaitMillis());
+        }
+    }
+
+    private static List<Double> loads(String text) {
+        return text.equals("all")
+                ? LOADS
+                : Arrays.stream(text.split(",")).map(Double::valueOf).toList();
+    }
+
+    private static List<Policy> policies(String text) {
+        if (text.equals("all")) {
+            return Policies.all();
+        }
+        return List.of(Policies.parse(text)
+                .orElseThrow(() -> new IllegalArgumentException("--policy " + text + " is unknown; use all or one of "
+                        + Policies.all().stream().map(Policy::name).toList())));
     }
 }
--- /dev/null
+++ b/bench/src/main/java/org/magnoliavane/bench/RunResult.java
@@ -0,0 +1,136 @@
+package org.magnoliavane.bench;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+import org.HdrHistogram.Histogram;
+
+/**
+ * Holds what a run measured.
+ *
+ * @param deployment the deployment
+ * @param outcomes the outcome of each request
+ * @param workedMicros the time that prefill workers worked
+ * @param wastedMicros the part of it whose result was discarded before its first use
+ * @param memoryRefusals the transfers refused by a full decode engine
+ * @param lapses the prefill results that lapsed
+ * @param ends the running answers that the scheduler ended
+ * @param heldPieces the decode memory still held at the end, which must be 0
+ * @param decisionNanos the real time of each decision; not deterministic
+ */
+record RunResult(
+        Deployment deployment,
+        List<Outcome> outcomes,
+        long workedMicros,
+        long wastedMicros,
+        int memoryRefusals,
+        int lapses,
+        int ends,
+        int heldPieces,
+        Histogram decisionNanos) {
+
+    long good() {
+        return count(Outcome::isGood);
+    }
+
+    long good(String priceClass) {
+        return count(each -> each.isGood() && isOf(each, priceClass));
+    }
+
+    long offered(String priceClass) {
+        return count(each -> isOf(each, priceClass));
+    }
+
+    long refused(String priceClass) {
+        return count(each -> each.isRefused() && isOf(each, priceClass));
+    }
+
+    /** Gets the time from arrival to refusal at a percentile, in milliseconds. */
+    double refusalMillis(String priceClass, double percentile) {
+        return percentile(each -> each.isRefused() && isOf(each, priceClass), percentile, true);
+    }
+
+    /** Gets the time from arrival to the start of the prefill at a percentile, in milliseconds. */
+    double waitMillis(String priceClass, double percentile) {
+        return percentile(each -> each.waitedMicros >= 0 && isOf(each, priceClass), percentile, false);
+    }
+
+    long pastBound() {
+        return count(Outcome::waitedPastBound);
+    }
+
+    double wastedShare() {
+        return workedMicros == 0 ? 0 : (double) wastedMicros / workedMicros;
+    }
+
+    /** Gets the price of all good answers, in currency units. */
+    double price() {
+        return outcomes.stream()
+                        .filter(Outcome::isGood)
+                        .mapToLong(each -> each.job.price())
+                        .sum()
+                / 1e6;
+    }
+
+    /**
+     * Computes Jain's index over the partners' good work, each divided by its max-min fair share of the good work of
+     * all; 1 is fair.
+     */
+    double fairness() {
+        Map<String, Double> wanted = new LinkedHashMap<>();
+        Map<String, Double> got = new LinkedHashMap<>();
+        for (Outcome each : outcomes) {
+            double work = EngineTimes.prefill(deployment.settings(), each.job.promptTokens());
+            wanted.merge(each.job.partner(), work, Double::sum);
+            got.merge(each.job.partner(), each.isGood() ? work : 0, Double::sum);
+        }
+        Map<String, Double> fair =
+                fairShares(wanted, got.values().stream().mapToDouble(w -> w).sum());
+        double sum = 0;
+        double squares = 0;
+        for (Map.Entry<String, Double> each : got.entrySet()) {
+            double ratio = each.getValue() / Math.max(1, fair.get(each.getKey()));
+            sum += ratio;
+            squares += ratio * ratio;
+        }
+        return squares == 0 ? 1 : sum * sum / (got.size() * squares);
+    }
+
+    private static Map<String, Double> fairShares(Map<String, Double> wanted, double total) {
+        Map<String, Double> shares = new LinkedHashMap<>();
+        double left = total;
+        int open = wanted.size();
+        List<Map.Entry<String, Double>> sorted =
+                wanted.entrySet().stream().sorted(Map.Entry.comparingByValue()).toList();
+        for (Map.Entry<String, Double> each : sorted) {
+            double share = Math.min(each.getValue(), left / open);
+            shares.put(each.getKey(), share);
+            left -= share;
+            open--;
+        }
+        return shares;
+    }
+
+    private long count(Predicate<Outcome> which) {
+        return outcomes.stream().filter(which).count();
+    }
+
+    private double percentile(Predicate<Outcome> which, double percentile, boolean refusal) {
+        long[] values = outcomes.stream()
+                .filter(which)
+                .mapToLong(each -> refusal ? each.refusedMicros : each.waitedMicros)
+                .sorted()
+                .toArray();
+        if (values.length == 0) {
+            return 0;
+        }
+        int index = (int) Math.ceil(percentile / 100 * values.length) - 1;
+        return values[Math.max(0, index)] / 1000.0;
+    }
+
+    private static boolean isOf(Outcome outcome, String priceClass) {
+        return outcome.job.priceClass().name().equals(priceClass);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/magnoliavane/bench/Workload.java
@@ -0,0 +1,123 @@
+package org.magnoliavane.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.magnoliavane.config.PriceClass;
+
+/**
+ * Draws the requests of a run. The same arguments give the same requests.
+ */
+final class Workload {
+    private static final int SAMPLE = 20_000;
+    private static final long SAMPLE_SEED = 1;
+    private static final double ON_FACTOR = 1.6;
+    private static final double OFF_FACTOR = 0.6;
+    private static final double ON_SECONDS = 4;
+    private static final double OFF_SECONDS = 6;
+    private static final double SHARED = 0.3;
+    private static final int PREFIXES_PER_PARTNER = 5;
+    private static final int MIN_PROMPT = 30;
+    private static final double OUTPUT_SIGMA = 0.6;
+    private static final double ESTIMATE_SIGMA = 0.25;
+
+    private final Deployment deployment;
+    private final Random random;
+    private int next;
+
+    private Workload(Deployment deployment, long seed) {
+        this.deployment = deployment;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Computes the arrival rate at which the busier pool has just enough time for the work of all requests, with
+     * every shared prefix cached and decode memory full.
+     */
+    static double capacityPerSecond(Deployment deployment) {
+        Workload sample = new Workload(deployment, SAMPLE_SEED);
+        double prefill = 0;
+        double decode = 0;
+        for (int i = 0; i < SAMPLE; i++) {
+            Job job = sample.draw(0);
+            prefill += EngineTimes.leastPrefill(deployment.settings(), job);
+            decode += EngineTimes.leastDecode(deployment.settings(), job);
+        }
+        double byPrefill = deployment.prefillWorkers() * 1e6 * SAMPLE / prefill;
+        double byDecode = deployment.decodeWorkers() * 1e6 * SAMPLE / decode;
+        return Math.min(byPrefill, byDecode);
+    }
+
+    /** Draws the arrivals of a run whose rate alternates between bursts and quiet times. */
+    static List<Job> draw(Deployment deployment, double load, long seed, int seconds) {
+        double rate = load * capacityPerSecond(deployment);
+        Workload workload = new Workload(deployment, seed);
+        List<Job> jobs = new ArrayList<>();
+        boolean on = false;
+        double start = 0;
+        while (start < seconds) {
+            on = !on;
+            double length = workload.exponential(on ? ON_SECONDS : OFF_SECONDS);
+            double end = Math.min(seconds, start + length);
+            double factor = on ? ON_FACTOR : OFF_FACTOR;
+            double at = start + workload.exponential(1 / (rate * factor));
+            while (at < end) {
+                jobs.add(workload.draw((long) (at * 1e6)));
+                at += workload.exponential(1 / (rate * factor));
+            }
+            start = end;
+        }
+        return jobs;
+    }
+
+    private Job draw(long arrival) {
+        int kind = pick(deployment.classShares());
+        PriceClass priceClass = deployment.classes().get(kind);
+        int partner = pick(deployment.partnerShares());
+        double length = deployment.medianPrompt() * Math.exp(deployment.promptSigma() * random.nextGaussian());
+        int prompt = (int) Math.max(MIN_PROMPT, Math.min(deployment.promptCaps()[kind], length));
+        double mean = deployment.settings().expectedOutputTokens();
+        double drawn = mean * Math.exp(OUTPUT_SIGMA * random.nextGaussian() - OUTPUT_SIGMA * OUTPUT_SIGMA / 2);
+        int expected = (int) Math.max(10, Math.min(deployment.settings().maxOutputTokens() / 2, drawn));
+        int max = expected * 2;
+        int output = (int) (expected * Math.exp(ESTIMATE_SIGMA * random.nextGaussian()));
+        int pieces = prompt / deployment.settings().pieceTokens();
+        boolean shares = random.nextDouble() < SHARED;
+        int prefix = random.nextInt(PREFIXES_PER_PARTNER);
+        int shared = shares ? Math.min(pieces, 1 + prefix % deployment.maxSharedPieces()) : 0;
+        int id = next++;
+        List<Long> hashes = new ArrayList<>();
+        for (int i = 0; i < pieces; i++) {
+            long base = i < shared ? 1_000 + partner * 100L + prefix * 10L : (id + 1) * 1_000_000L;
+            hashes.add(base * 64 + i);
+        }
+        return new Job(
+                id,
+                arrival,
+                random.nextInt(deployment.nodes()),
+                "partner-" + partner,
+                priceClass,
+                prompt,
+                expected,
+                max,
+                Math.max(1, Math.min(max, output)),
+                List.copyOf(hashes),
+                shared);
+    }
+
+    private int pick(double[] shares) {
+        double left = random.nextDouble();
+        for (int i = 0; i < shares.length - 1; i++) {
+            left -= shares[i];
+            if (left < 0) {
+                return i;
+            }
+        }
+        return shares.length - 1;
+    }
+
+    private double exponential(double mean) {
+        return -mean * Math.log(1 - random.nextDouble());
+    }
+}
