Parse and check the operators' text and the node settings

Cause: operators had no text to publish and a node no settings to start from. Ruled out: binding TOML to records with Jackson, because it stops at the first fault and does not know ranges; and a TOML reader of our own for line numbers, because the path of a key is enough to find it. Change: TomlTable reads a table and collects every fault with path, value, allowed range and remedy; ConfigurationText and NodeSettings are built on it.

--- a/core/src/main/java/org/magnoliavane/config/Configuration.java
+++ b/core/src/main/java/org/magnoliavane/config/Configuration.java
@@ -28,6 +28,18 @@
         Set<String> drainedNodes,
         Set<String> drainedWorkers) {
 
+    private static final Configuration EMPTY =
+            new Configuration(0, Map.of(), Map.of(), "", Map.of(), Limits.DEFAULT, Set.of(), Set.of());
+
+    /**
+     * Gets the configuration that holds before anything has been published.
+     *
+     * @return version 0, which has no services and no callers
+     */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
     /**
      * Finds the model service that serves a model.
      *
--- a/core/src/main/java/org/magnoliavane/config/Limits.java
+++ b/core/src/main/java/org/magnoliavane/config/Limits.java
@@ -16,4 +16,8 @@
         int maxPromptTokens,
         long addressLifetimeSeconds,
         long resumeWindowMillis,
-        int retryBudgetPercent) {}
+        int retryBudgetPercent) {
+
+    /** The limits of a text that sets none. */
+    public static final Limits DEFAULT = new Limits(4_194_304, 65_536, 30, 5000, 10);
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/settings/Logging.java
@@ -0,0 +1,96 @@
+package org.magnoliavane.node.settings;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.lang.System.Logger.Level;
+import java.time.Instant;
+import java.util.Map;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Sets up the {@code java.util.logging} backend of {@link System.Logger} and of SLF4J, so that each event is one line on
+ * the standard error.
+ */
+public final class Logging {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String OWN_PACKAGE = "org.magnoliavane";
+    private static final Map<Level, java.util.logging.Level> LEVELS = Map.of(
+            Level.ERROR, java.util.logging.Level.SEVERE,
+            Level.WARNING, java.util.logging.Level.WARNING,
+            Level.INFO, java.util.logging.Level.INFO,
+            Level.DEBUG, java.util.logging.Level.FINE,
+            Level.TRACE, java.util.logging.Level.FINER);
+    // The log manager keeps loggers by weak reference; without this one the level would be lost.
+    private static final Logger OWN = Logger.getLogger(OWN_PACKAGE);
+
+    private Logging() {}
+
+    /**
+     * Replaces the handlers of the process. Levels below INFO hold for this program's own loggers only.
+     *
+     * @param level the least level that is logged
+     * @param format the format of the lines
+     */
+    public static void configure(Level level, LogFormat format) {
+        LogManager.getLogManager().reset();
+        java.util.logging.Level least = LEVELS.get(level);
+        Handler handler = new ConsoleHandler();
+        handler.setLevel(java.util.logging.Level.ALL);
+        handler.setFormatter(format == LogFormat.JSON ? new JsonLines() : new TextLines());
+        Logger root = Logger.getLogger("");
+        root.addHandler(handler);
+        root.setLevel(
+                least.intValue() > java.util.logging.Level.INFO.intValue() ? least : java.util.logging.Level.INFO);
+        OWN.setLevel(least);
+    }
+
+    private static String toLevelName(java.util.logging.Level level) {
+        for (Map.Entry<Level, java.util.logging.Level> entry : LEVELS.entrySet()) {
+            if (entry.getValue().equals(level)) {
+                return entry.getKey().getName();
+            }
+        }
+        return level.getName();
+    }
+
+    private static String toStackTrace(Throwable thrown) {
+        StringWriter text = new StringWriter();
+        thrown.printStackTrace(new PrintWriter(text));
+        return text.toString();
+    }
+
+    /** Formats events as text. Line ends inside a message are escaped, so that a message cannot look like two events. */
+    static final class TextLines extends Formatter {
+        @Override
+        public String format(LogRecord event) {
+            String line = Instant.ofEpochMilli(event.getMillis()) + " " + toLevelName(event.getLevel()) + " "
+                    + event.getLoggerName() + " - "
+                    + formatMessage(event).replace("\r", "\\r").replace("\n", "\\n") + "\n";
+            return event.getThrown() == null ? line : line + toStackTrace(event.getThrown());
+        }
+    }
+
+    /** Formats events as JSON lines. */
+    static final class JsonLines extends Formatter {
+        @Override
+        public String format(LogRecord event) {
+            ObjectNode line = MAPPER.createObjectNode();
+            line.put("time", Instant.ofEpochMilli(event.getMillis()).toString());
+            line.put("level", toLevelName(event.getLevel()));
+            line.put("logger", event.getLoggerName());
+            line.put("message", formatMessage(event));
+            if (event.getThrown() != null) {
+                line.put("error", toStackTrace(event.getThrown()));
+            }
+            return line + "\n";
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/settings/NodeSettings.java
@@ -0,0 +1,158 @@
+package org.magnoliavane.node.settings;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Either;
+import org.magnoliavane.config.TextProblem;
+import org.magnoliavane.config.TomlTable;
+
+/**
+ * Holds the settings of one node, which are read once at its start.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param id the node id, which is the id of its VM in the VM list
+ * @param zone the availability zone
+ * @param cluster the name of the cluster; nodes of another cluster are refused as peers
+ * @param host the IP address on which the node listens and by which others reach it
+ * @param callerPort the TCP port for callers
+ * @param peerPort the TCP port for other nodes
+ * @param operatorPort the TCP port for operators
+ * @param log the log service
+ * @param vmList the VM list
+ * @param logRetentionMillis the time for which the log service keeps a record
+ * @param vmListPollMillis the time between two queries of the VM list
+ * @param logLevel the least level that is logged
+ * @param logFormat the format of log lines
+ */
+public record NodeSettings(
+        String id,
+        String zone,
+        String cluster,
+        String host,
+        int callerPort,
+        int peerPort,
+        int operatorPort,
+        HttpEndpoint log,
+        HttpEndpoint vmList,
+        long logRetentionMillis,
+        long vmListPollMillis,
+        Level logLevel,
+        LogFormat logFormat) {
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9_-]{0,62}");
+    private static final String NAME_FORM = "1 to 63 letters, digits, - or _, not - or _ first";
+    private static final Pattern ANY = Pattern.compile(".*", Pattern.DOTALL);
+    private static final List<String> LEVELS = List.of("error", "warning", "info", "debug", "trace");
+    private static final int MAX_PORT = 65_535;
+    private static final long MIN_RETENTION_MILLIS = 1000;
+    private static final long MAX_RETENTION_MILLIS = 31_622_400_000L;
+    private static final long DEFAULT_RETENTION_MILLIS = 604_800_000;
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @param file the file
+     * @return the settings, or all problems
+     */
+    public static Either<List<TextProblem>, NodeSettings> read(Path file) {
+        try {
+            return parse(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            return Either.left(List.of(new TextProblem(
+                    file.toString(),
+                    "cannot be read (" + e + ")",
+                    "a TOML file in UTF-8",
+                    "name a file that exists and that this user may read")));
+        }
+    }
+
+    /**
+     * Parses and checks the text of a settings file.
+     *
+     * @param text the text
+     * @return the settings, or all problems
+     */
+    public static Either<List<TextProblem>, NodeSettings> parse(String text) {
+        List<TextProblem> problems = new ArrayList<>();
+        TomlTable root = TomlTable.parse(text, problems);
+        if (!problems.isEmpty()) {
+            return Either.left(List.copyOf(problems));
+        }
+        NodeSettings settings = read(root);
+        return problems.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(problems));
+    }
+
+    private static NodeSettings read(TomlTable root) {
+        TomlTable node = root.getTable("node");
+        TomlTable listen = root.getTable("listen");
+        TomlTable platform = root.getTable("platform");
+        TomlTable logging = root.getTable("logging");
+        NodeSettings settings = new NodeSettings(
+                node.getText("id", NAME, NAME_FORM),
+                node.getText("zone", NAME, NAME_FORM),
+                node.getText("cluster", NAME, NAME_FORM, "magnoliavane"),
+                readHost(listen),
+                (int) listen.getLong("caller_port", 1, MAX_PORT),
+                (int) listen.getLong("peer_port", 1, MAX_PORT),
+                (int) listen.getLong("operator_port", 1, MAX_PORT),
+                readEndpoint(platform, "log"),
+                readEndpoint(platform, "vm_list"),
+                platform.getLong(
+                        "log_retention_millis", MIN_RETENTION_MILLIS, MAX_RETENTION_MILLIS, DEFAULT_RETENTION_MILLIS),
+                platform.getLong("vm_list_poll_millis", 50, 60_000, 500),
+                toLevel(logging.getWord("level", LEVELS, "info")),
+                logging.getWord("format", List.of("text", "json"), "text").equals("json")
+                        ? LogFormat.JSON
+                        : LogFormat.TEXT);
+        checkPorts(listen, settings);
+        List.of(node, listen, platform, logging, root).forEach(TomlTable::rejectUnknown);
+        return settings;
+    }
+
+    private static String readHost(TomlTable listen) {
+        String host = listen.getText("host", ANY, "IP address by which others reach this node");
+        if (!host.isEmpty() && !HttpEndpoint.isAddress(host)) {
+            listen.addProblem(
+                    "host",
+                    '"' + host + '"',
+                    "IP address of this node, not a name and not the wildcard",
+                    "write the address by which callers and other nodes reach it");
+        }
+        return host;
+    }
+
+    private static HttpEndpoint readEndpoint(TomlTable platform, String key) {
+        String url = platform.getText(key, ANY, HttpEndpoint.FORM);
+        return HttpEndpoint.parse(url).orElseGet(() -> {
+            if (!url.isEmpty()) {
+                platform.addProblem(key, '"' + url + '"', HttpEndpoint.FORM, "write the IP address in place of a name");
+            }
+            return new HttpEndpoint("", 0);
+        });
+    }
+
+    private static void checkPorts(TomlTable listen, NodeSettings settings) {
+        checkDifferent(listen, "peer_port", settings.peerPort, "caller_port", settings.callerPort);
+        checkDifferent(listen, "operator_port", settings.operatorPort, "caller_port", settings.callerPort);
+        checkDifferent(listen, "operator_port", settings.operatorPort, "peer_port", settings.peerPort);
+    }
+
+    private static void checkDifferent(TomlTable listen, String key, int port, String other, int otherPort) {
+        if (port == otherPort && listen.has(key) && listen.has(other)) {
+            listen.addProblem(key, String.valueOf(port), "a port other than " + other, "choose another port");
+        }
+    }
+
+    private static Level toLevel(String word) {
+        return word.isEmpty() ? Level.INFO : Level.valueOf(word.toUpperCase(Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of one node, and its logging.
+ */
+package org.magnoliavane.node.settings;
