--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/config/StreamRecord.java
@@ -0,0 +1,11 @@
+package org.magnoliavane.config;
+
+/**
+ * Holds one record of a stream with its offset.
+ *
+ * <p>Immutable and thread-safe as long as the data is not changed.
+ *
+ * @param offset the offset
+ * @param data the bytes of the record
+ */
+public record StreamRecord(long offset, byte[] data) {}
