Follow the configuration stream and repeat the current version

Cause: nodes need the current version through outages of the log service, and new nodes need it after retention has removed the publications.

--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
@@ -0,0 +1,254 @@
+package org.magnoliavane.node.configuration;
+
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import java.util.random.RandomGenerator;
+
+import org.magnoliavane.config.AcceptedText;
+import org.magnoliavane.config.Configuration;
+import org.magnoliavane.config.ConfigurationFold;
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.config.FoldCounts;
+import org.magnoliavane.config.FoldOutcome;
+import org.magnoliavane.config.StreamRecord;
+import org.magnoliavane.node.log.LogPage;
+import org.magnoliavane.node.log.LogRecord;
+import org.magnoliavane.node.log.LogService;
+
+/**
+ * Keeps the configuration in force up to date: follows the stream {@code configuration}, takes versions of peers, and
+ * repeats the current version as a snapshot before retention removes what a new node needs. While the log service
+ * cannot be reached, the version that is known stays in force.
+ *
+ * <p>Thread-safe.
+ */
+public final class ConfigurationController implements ConfigurationExchange, Supplier<Configuration>, AutoCloseable {
+    private static final System.Logger LOGGER = System.getLogger(ConfigurationController.class.getName());
+    private static final int PAGE_RECORDS = 50;
+    // A poll on a silent connection ends soon enough for a change to be in force within 3 s.
+    private static final long WAIT_MILLIS = 1000;
+    private static final long MAX_READ_MILLIS = 60_000;
+    // Bounds the rate of polls when the log service answers an empty page without waiting.
+    private static final long EMPTY_PAGE_PAUSE_MILLIS = 100;
+
+    private final LogService log;
+    private final Backoff backoff;
+    private final SnapshotSchedule snapshots;
+    private final AtomicReference<ConfigurationFold> fold = new AtomicReference<>(ConfigurationFold.start());
+    private final AtomicReference<Configuration> current = new AtomicReference<>(Configuration.empty());
+    private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
+    private final Thread thread = new Thread(this::run, "configuration");
+    private volatile boolean closed;
+    private volatile boolean reachable = true;
+
+    /**
+     * Creates a controller that follows nothing until {@link #start} is called.
+     *
+     * @param log the log service
+     * @param logRetentionMillis the time for which the log service keeps a record
+     * @param random the source of random delays
+     */
+    public ConfigurationController(LogService log, long logRetentionMillis, RandomGenerator random) {
+        this.log = log;
+        backoff = new Backoff(random);
+        snapshots = new SnapshotSchedule(logRetentionMillis, random, nowMillis());
+        thread.setDaemon(true);
+    }
+
+    /** Starts to follow the stream. */
+    public void start() {
+        thread.start();
+    }
+
+    /**
+     * Adds a listener that gets each new version in order, from now on. It must return soon and must not block.
+     *
+     * @param listener the listener
+     */
+    public void addListener(Consumer<Configuration> listener) {
+        listeners.add(listener);
+    }
+
+    @Override
+    public Configuration get() {
+        return current.get();
+    }
+
+    @Override
+    public Optional<VersionedText> findCurrent() {
+        ConfigurationFold state = fold.get();
+        return state.findCurrent()
+                .map(c -> new VersionedText(c.configuration().version(), state.getDecidedOffset(), c.text()));
+    }
+
+    @Override
+    public void offer(VersionedText text) {
+        advance(state -> state.withPeerState(text.version(), text.offset(), text.text()));
+    }
+
+    /**
+     * Gets the numbers of records of the stream by outcome.
+     *
+     * @return the counts since the start
+     */
+    public FoldCounts getCounts() {
+        return fold.get().getCounts();
+    }
+
+    /**
+     * Says whether the version in force takes every record read so far into account.
+     *
+     * @return false while records are missing that retention has removed
+     */
+    public boolean isComplete() {
+        return fold.get().isComplete();
+    }
+
+    /**
+     * Says whether the last read of the stream succeeded.
+     *
+     * @return false during an outage of the log service
+     */
+    public boolean isLogReachable() {
+        return reachable;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        while (!closed) {
+            try {
+                follow();
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void follow() throws InterruptedException {
+        try {
+            long started = nowMillis();
+            LogPage page = readPage();
+            take(page);
+            noteReachable();
+            appendSnapshotWhenDue();
+            if (page.records().isEmpty() && nowMillis() - started < EMPTY_PAGE_PAUSE_MILLIS) {
+                Thread.sleep(EMPTY_PAGE_PAUSE_MILLIS);
+            }
+        } catch (ExecutionException | TimeoutException | RuntimeException e) {
+            noteFailure(e instanceof ExecutionException ? e.getCause() : e);
+            Thread.sleep(backoff.nextMillis());
+        }
+    }
+
+    private LogPage readPage() throws InterruptedException, ExecutionException, TimeoutException {
+        return log.read(ConfigurationRecord.STREAM, fold.get().getNextOffset(), PAGE_RECORDS, WAIT_MILLIS)
+                .toCompletableFuture()
+                .get(MAX_READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void take(LogPage page) {
+        List<StreamRecord> records = page.records().stream()
+                .map(r -> new StreamRecord(r.offset(), r.data()))
+                .toList();
+        for (LogRecord record : page.records()) {
+            snapshots.addRecord(record.offset(), record.timestampMillis(), nowMillis(), System.currentTimeMillis());
+        }
+        boolean before = isComplete();
+        advance(state -> state.withPage(page.firstOffset(), records, this::note));
+        if (before && !isComplete()) {
+            LOGGER.log(
+                    Level.WARNING,
+                    "configuration records before offset " + page.firstOffset()
+                            + " have been removed unread; waiting for a snapshot or a peer");
+        }
+    }
+
+    /** Pages and offers come from several threads; the lock keeps versions and listeners in order. */
+    private synchronized void advance(UnaryOperator<ConfigurationFold> change) {
+        ConfigurationFold before = fold.get();
+        ConfigurationFold after = change.apply(before);
+        fold.set(after);
+        if (after.getVersion() <= before.getVersion()) {
+            return;
+        }
+        Configuration next =
+                after.findCurrent().map(AcceptedText::configuration).orElseThrow();
+        current.set(next);
+        LOGGER.log(Level.INFO, "configuration version " + next.version() + " is in force");
+        listeners.forEach(listener -> notify(listener, next));
+    }
+
+    private static void notify(Consumer<Configuration> listener, Configuration next) {
+        try {
+            listener.accept(next);
+        } catch (RuntimeException e) {
+            LOGGER.log(Level.ERROR, "a listener of the configuration failed at version " + next.version(), e);
+        }
+    }
+
+    private void note(FoldOutcome outcome) {
+        boolean wrong = outcome.kind() == FoldOutcome.Kind.REJECTED || outcome.kind() == FoldOutcome.Kind.UNREADABLE;
+        LOGGER.log(wrong ? Level.WARNING : Level.DEBUG, outcome.toString());
+        if (outcome.kind() == FoldOutcome.Kind.SNAPSHOT
+                && outcome.record().orElse(null) instanceof ConfigurationRecord.Snapshot snapshot) {
+            snapshots.addSnapshot(snapshot.asOf(), nowMillis(), System.currentTimeMillis());
+        }
+    }
+
+    private void appendSnapshotWhenDue() {
+        ConfigurationFold state = fold.get();
+        Optional<AcceptedText> known = state.findCurrent();
+        if (known.isEmpty() || !state.isComplete() || !snapshots.isDue(nowMillis())) {
+            return;
+        }
+        snapshots.addTry(nowMillis());
+        long asOf = state.getDecidedOffset() - 1;
+        byte[] record = new ConfigurationRecord.Snapshot(
+                        state.getVersion(), asOf, known.get().text())
+                .toBytes();
+        // Whether a failed append took effect is seen when the stream is read.
+        log.append(ConfigurationRecord.STREAM, record).whenComplete((offset, cause) -> {
+            String what = "snapshot of configuration version " + state.getVersion() + " as of offset " + asOf;
+            if (cause == null) {
+                LOGGER.log(Level.INFO, what + " appended at offset " + offset);
+            } else {
+                LOGGER.log(Level.WARNING, what + " failed: " + cause.getMessage());
+            }
+        });
+    }
+
+    private void noteReachable() {
+        backoff.reset();
+        if (!reachable) {
+            reachable = true;
+            LOGGER.log(Level.INFO, "log service reached again; configuration " + fold.get());
+        }
+    }
+
+    private void noteFailure(Throwable cause) {
+        if (reachable) {
+            reachable = false;
+            LOGGER.log(
+                    Level.WARNING,
+                    "configuration stream cannot be read; " + fold.get() + " stays in force: " + cause.getMessage());
+        }
+    }
+
+    private static long nowMillis() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/configuration/SnapshotSchedule.java
@@ -0,0 +1,80 @@
+package org.magnoliavane.node.configuration;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when this node appends a snapshot. A new node can start from the log service as long as the stream still has
+ * its first record, or a snapshot and every record after the offset that the snapshot covers. A snapshot is due at a
+ * third of the retention time after the oldest record needed for that. Each node adds a random delay, and a snapshot of
+ * another node postpones its own, so that usually one node appends.
+ *
+ * <p>Not thread-safe. Times named {@code now} come from a monotonic clock; timestamps come from the log service.
+ */
+final class SnapshotSchedule {
+    private static final int MAX_REMEMBERED = 10_000;
+
+    private final long retentionMillis;
+    private final RandomGenerator random;
+    private final Deque<Seen> seen = new ArrayDeque<>();
+    private long forgottenOffset = -1;
+    private long dueMillis;
+    private long earliestMillis = Long.MIN_VALUE;
+
+    SnapshotSchedule(long retentionMillis, RandomGenerator random, long nowMillis) {
+        this.retentionMillis = retentionMillis;
+        this.random = random;
+        // What the stream needs is not known yet. Nodes that are often replaced must append all the same.
+        dueMillis = nowMillis + draw(retentionMillis / 3);
+    }
+
+    /** Takes note of a record that was read. */
+    void addRecord(long offset, long timestampMillis, long nowMillis, long wallMillis) {
+        if (!seen.isEmpty() && seen.getLast().offset >= offset) {
+            return;
+        }
+        seen.addLast(new Seen(offset, timestampMillis));
+        if (offset == 0) {
+            postpone(timestampMillis, nowMillis, wallMillis);
+        }
+        if (seen.size() > MAX_REMEMBERED) {
+            forgottenOffset = seen.removeFirst().offset;
+        }
+    }
+
+    /** Takes note of a snapshot by which a new node can start, after its own record was added. */
+    void addSnapshot(long asOf, long nowMillis, long wallMillis) {
+        while (!seen.isEmpty() && seen.getFirst().offset <= asOf) {
+            seen.removeFirst();
+        }
+        if (asOf >= forgottenOffset && !seen.isEmpty()) {
+            postpone(seen.getFirst().timestampMillis, nowMillis, wallMillis);
+        }
+    }
+
+    /** Takes note that this node tries to append; the next try comes after a while also when the clocks differ. */
+    void addTry(long nowMillis) {
+        earliestMillis = nowMillis + retentionMillis / 12;
+        dueMillis = Math.max(dueMillis, earliestMillis + draw(retentionMillis / 12));
+    }
+
+    boolean isDue(long nowMillis) {
+        return nowMillis >= dueMillis && nowMillis >= earliestMillis;
+    }
+
+    private void postpone(long neededTimestampMillis, long nowMillis, long wallMillis) {
+        long age = Math.max(0, wallMillis - neededTimestampMillis);
+        long rest = Math.max(0, retentionMillis / 3 - age);
+        // The delay is short when little of the retention time is left.
+        long spread = age > retentionMillis / 2 ? retentionMillis / 60 : retentionMillis / 6;
+        dueMillis = nowMillis + rest + draw(spread);
+    }
+
+    private long draw(long boundMillis) {
+        return random.nextLong(boundMillis + 1);
+    }
+
+    /** Offset and time of a record. */
+    private record Seen(long offset, long timestampMillis) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/log/HttpLogService.java
@@ -0,0 +1,153 @@
+package org.magnoliavane.node.log;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.http.HttpResponse;
+import org.magnoliavane.node.settings.HttpEndpoint;
+
+/**
+ * Speaks the HTTP protocol of the log service. Each exchange has its own connection and a time limit, so that a
+ * connection that has gone silent delays one exchange only.
+ *
+ * <p>Thread-safe.
+ */
+public final class HttpLogService implements LogService {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long APPEND_TIMEOUT_MILLIS = 3000;
+    // The least margin makes a silent connection cost little; it grows while the log service is slow for all.
+    private static final long MIN_READ_MARGIN_MILLIS = 1000;
+    private static final long MAX_READ_MARGIN_MILLIS = 16_000;
+    private static final int MAX_REDIRECTIONS = 3;
+    private static final String REMEDY = "; check the log service, then try again";
+
+    private final HttpClient client;
+    private final HttpEndpoint endpoint;
+    private final AtomicLong readMarginMillis = new AtomicLong(MIN_READ_MARGIN_MILLIS);
+
+    /**
+     * Creates the access to a log service.
+     *
+     * @param client the HTTP client, which stays open when this object is dropped
+     * @param endpoint the log service
+     */
+    public HttpLogService(HttpClient client, HttpEndpoint endpoint) {
+        this.client = client;
+        this.endpoint = endpoint;
+    }
+
+    @Override
+    public CompletionStage<Long> append(String stream, byte[] data) {
+        HttpRequest request = HttpRequest.of("POST", endpoint.host(), endpoint.port(), toPath(stream))
+                .withBody("application/octet-stream", data)
+                .withTimeoutMillis(APPEND_TIMEOUT_MILLIS);
+        return client.send(request).handle((response, cause) -> {
+            if (cause != null) {
+                throw failed("append to " + stream, cause, !(unwrap(cause) instanceof ConnectException));
+            }
+            return toOffset(stream, response);
+        });
+    }
+
+    private Long toOffset(String stream, HttpResponse response) {
+        int status = response.status();
+        if (status < 200 || status > 299) {
+            // These statuses say that the record was refused; any other server error may come after the append.
+            boolean refused = status == 429 || status == 503 || status < 500;
+            throw failed("append to " + stream, new IOException("status " + status), !refused);
+        }
+        JsonNode offset = parse(response).path("offset");
+        if (!offset.canConvertToLong() || !offset.isIntegralNumber()) {
+            throw failed("append to " + stream, new IOException("answer without \"offset\""), true);
+        }
+        return offset.longValue();
+    }
+
+    @Override
+    public CompletionStage<LogPage> read(String stream, long from, int limit, long waitMillis) {
+        return read(stream, from, limit, waitMillis, MAX_REDIRECTIONS);
+    }
+
+    private CompletableFuture<LogPage> read(String stream, long from, int limit, long waitMillis, int redirections) {
+        long margin = readMarginMillis.get();
+        String query = "?from=" + from + "&limit=" + limit + "&wait_millis=" + waitMillis;
+        HttpRequest request = HttpRequest.of("GET", endpoint.host(), endpoint.port(), toPath(stream) + query)
+                .withTimeoutMillis(waitMillis + margin);
+        return client.send(request)
+                .handle((response, cause) -> {
+                    if (cause != null) {
+                        adaptMargin(margin, unwrap(cause) instanceof SocketTimeoutException);
+                        throw failed("read of " + stream, cause, false);
+                    }
+                    adaptMargin(margin, false);
+                    if (response.status() == 410 && redirections > 0) {
+                        long first = parse(response).path("first_offset").asLong(-1);
+                        if (first > from) {
+                            return read(stream, first, limit, waitMillis, redirections - 1);
+                        }
+                    }
+                    return CompletableFuture.completedFuture(toPage(stream, response));
+                })
+                .thenCompose(page -> page);
+    }
+
+    private void adaptMargin(long margin, boolean timedOut) {
+        long next = timedOut ? Math.min(2 * margin, MAX_READ_MARGIN_MILLIS) : MIN_READ_MARGIN_MILLIS;
+        readMarginMillis.set(next);
+    }
+
+    private LogPage toPage(String stream, HttpResponse response) {
+        if (response.status() != 200) {
+            throw failed("read of " + stream, new IOException("status " + response.status()), false);
+        }
+        JsonNode body = parse(response);
+        List<LogRecord> records = new ArrayList<>();
+        try {
+            for (JsonNode record : body.path("records")) {
+                records.add(new LogRecord(
+                        record.required("offset").longValue(),
+                        record.path("timestamp_millis").asLong(),
+                        record.required("data").binaryValue()));
+            }
+            return new LogPage(
+                    body.required("first_offset").longValue(),
+                    body.required("next_offset").longValue(),
+                    List.copyOf(records));
+        } catch (IOException | IllegalArgumentException | NullPointerException e) {
+            throw failed("read of " + stream, e, false);
+        }
+    }
+
+    private static JsonNode parse(HttpResponse response) {
+        try {
+            return MAPPER.readTree(response.body());
+        } catch (IOException e) {
+            return MAPPER.missingNode();
+        }
+    }
+
+    private static String toPath(String stream) {
+        return "/v1/streams/" + stream + "/records";
+    }
+
+    private CompletionException failed(String action, Throwable cause, boolean outcomeUnknown) {
+        Throwable root = unwrap(cause);
+        String message = action + " at the log service " + endpoint + " failed: " + root.getMessage() + REMEDY;
+        return new CompletionException(new LogUnavailableException(message, outcomeUnknown, root));
+    }
+
+    private static Throwable unwrap(Throwable cause) {
+        return cause instanceof CompletionException && cause.getCause() != null ? cause.getCause() : cause;
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/configuration/ConfigurationControllerTest.java
@@ -0,0 +1,187 @@
+package org.magnoliavane.node.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.node.log.TestLog;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class ConfigurationControllerTest {
+    private static final long LONG_RETENTION_MILLIS = 3_600_000;
+    private static final long IN_FORCE_MILLIS = 3000;
+
+    private final List<ConfigurationController> controllers = new ArrayList<>();
+    private TestLog log;
+
+    @BeforeMethod
+    public void open() {
+        log = new TestLog();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() {
+        controllers.forEach(ConfigurationController::close);
+        controllers.clear();
+    }
+
+    @Test
+    public void eachNewVersionIsInForceWithin3SecondsAndToldToListenersInOrder() {
+        ConfigurationController node = start(LONG_RETENTION_MILLIS);
+        List<Long> versions = new CopyOnWriteArrayList<>();
+        node.addListener(c -> versions.add(c.version()));
+        assertEquals(node.get().version(), 0);
+        publish(0);
+        publish(0);
+        publish(1);
+        await(() -> node.get().version() == 2);
+        assertEquals(versions, List.of(1L, 2L));
+        await(() -> node.getCounts().rejected() == 1);
+        assertEquals(node.findCurrent().orElseThrow(), new VersionedText(2, 3, text(1)));
+    }
+
+    /** Guards against a backoff that has grown during the outage and delays the change. */
+    @Test
+    public void aChangeIsInForceWithin3SecondsAfterAnOutageAndTheOldOneUntilThen() throws InterruptedException {
+        ConfigurationController node = start(LONG_RETENTION_MILLIS);
+        publish(0);
+        await(() -> node.get().version() == 1);
+        log.setOutage(true);
+        await(() -> !node.isLogReachable());
+        Thread.sleep(2000);
+        assertEquals(node.get().version(), 1);
+        log.setOutage(false);
+        publish(1);
+        await(() -> node.get().version() == 2);
+    }
+
+    @Test
+    public void aNewNodeInAnOutageStartsFromAPeerAndGoesOnFromTheLog() {
+        publish(0);
+        publish(1);
+        log.setOutage(true);
+        ConfigurationController node = start(LONG_RETENTION_MILLIS);
+        await(() -> !node.isLogReachable());
+        node.offer(new VersionedText(1, 1, text(0)));
+        assertEquals(node.get().version(), 1);
+        node.offer(new VersionedText(1, 2, "# not newer"));
+        assertEquals(node.findCurrent().orElseThrow().text(), text(0));
+        log.setOutage(false);
+        await(() -> node.get().version() == 2);
+    }
+
+    /** Guards against a new node that takes a publication whose base it cannot know. */
+    @Test
+    public void aNewNodeOnATruncatedStreamWaitsForAPeer() {
+        publish(0);
+        publish(1);
+        publish(2);
+        log.removeBefore(2);
+        ConfigurationController node = start(LONG_RETENTION_MILLIS);
+        await(() -> !node.isComplete());
+        assertTrue(node.findCurrent().isEmpty());
+        node.offer(new VersionedText(2, 2, text(1)));
+        await(() -> node.get().version() == 3);
+        assertTrue(node.isComplete());
+    }
+
+    /** Guards against a fleet that loses its configuration when the log service removes the last publication. */
+    @Test
+    public void theVersionOutlivesRetentionAndUsuallyOneNodeOfSevenRepeatsIt() throws InterruptedException {
+        long retention = 6000;
+        for (int i = 0; i < 7; i++) {
+            start(retention);
+        }
+        publish(0);
+        log.loseAnswers(1);
+        await(() -> controllers.stream().allMatch(c -> c.get().version() == 1));
+        awaitMillis(retention, () -> log.getNextOffset() >= 2);
+        Thread.sleep(200);
+        assertTrue(log.getNextOffset() <= 4, "snapshots: " + (log.getNextOffset() - 1));
+        log.removeBefore(1);
+        ConfigurationController fresh = start(retention);
+        await(() -> fresh.get().version() == 1);
+        assertEquals(fresh.findCurrent().orElseThrow().text(), text(0));
+    }
+
+    @Test
+    public void aFailingListenerStopsNeitherTheOthersNorTheController() {
+        ConfigurationController node = start(LONG_RETENTION_MILLIS);
+        List<Long> versions = new CopyOnWriteArrayList<>();
+        node.addListener(c -> {
+            throw new IllegalStateException("test");
+        });
+        node.addListener(c -> versions.add(c.version()));
+        publish(0);
+        publish(1);
+        await(() -> versions.equals(List.of(1L, 2L)));
+    }
+
+    /** Guards against snapshots in a loop when the clocks of node and log service differ. */
+    @Test
+    public void aNodeWhoseClockIsAheadAppendsFewSnapshots() {
+        SnapshotSchedule schedule = new SnapshotSchedule(12_000, new SplittableRandom(1), 0);
+        schedule.addRecord(0, 0, 0, 1_000_000);
+        int tries = 0;
+        for (long now = 0; now < 12_000; now += 10) {
+            if (schedule.isDue(now)) {
+                schedule.addTry(now);
+                schedule.addRecord(++tries, now, now, 1_000_000 + now);
+                schedule.addSnapshot(tries - 1, now, 1_000_000 + now);
+            }
+        }
+        assertTrue(tries >= 2 && tries <= 12, "tries: " + tries);
+        assertFalse(schedule.isDue(0));
+    }
+
+    private ConfigurationController start(long retentionMillis) {
+        ConfigurationController node =
+                new ConfigurationController(log, retentionMillis, new SplittableRandom(controllers.size()));
+        controllers.add(node);
+        node.start();
+        return node;
+    }
+
+    private void publish(long base) {
+        log.append(
+                "configuration", new ConfigurationRecord.Publication(base, base + 1, text(base), "ann", "x").toBytes());
+    }
+
+    private static String text(long base) {
+        return "# on " + base + "\n" + """
+                [classes.standard]
+                micros_per_token = 10
+                ttft_millis = 500
+                [services.bookings]
+                kind = "plain"
+                routes = [{method = "POST", path = "/bookings"}]
+                [callers.ann]
+                key_sha256 = "%s"
+                """.formatted("0".repeat(64));
+    }
+
+    private static void await(BooleanSupplier condition) {
+        awaitMillis(IN_FORCE_MILLIS, condition);
+    }
+
+    private static void awaitMillis(long millis, BooleanSupplier condition) {
+        long end = System.nanoTime() + millis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "not within " + millis + " ms");
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
