--- /dev/null
+++ b/protocol/src/main/java/org/magnoliavane/protocol/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections between nodes.
+ */
+package org.magnoliavane.protocol;
