Add membership, placement through coordinators, and poison verdicts

Cause: nodes need one view of the deployment, and model requests need one queue for each pool. Ruled out: keeping results for nodes whose connection broke; a request that is sent again gets the decision that stands.

--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -0,0 +1,274 @@
+package org.magnoliavane.node.membership;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.magnoliavane.BackendServer;
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.config.Configuration;
+import org.magnoliavane.membership.ClusterView;
+import org.magnoliavane.membership.NodeAddress;
+import org.magnoliavane.node.peer.PeerNetwork;
+
+/**
+ * Keeps the view of the nodes and backend servers. The last VM list stays in force while the VM list cannot be read.
+ *
+ * <p>Thread-safe.
+ */
+public final class MembershipController implements Supplier<ClusterView>, RunDirectory, AutoCloseable {
+    /** The usual time between two reads of the VM list. */
+    public static final long POLL_MILLIS = 300;
+
+    private static final Logger LOG = System.getLogger(MembershipController.class.getName());
+
+    private final NodeAddress self;
+    private final VmList vmList;
+    private final PeerNetwork network;
+    private final Supplier<Configuration> configuration;
+    private final AtomicReference<ClusterView> view;
+    private final AtomicReference<List<Vm>> vms = new AtomicReference<>(List.of());
+    private final Set<String> everListed = ConcurrentHashMap.newKeySet();
+    private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private final AtomicBoolean fetching = new AtomicBoolean();
+    private final AtomicBoolean failing = new AtomicBoolean();
+    private final ScheduledThreadPoolExecutor executor;
+
+    private MembershipController(
+            NodeAddress self, VmList vmList, PeerNetwork network, Supplier<Configuration> configuration) {
+        this.self = self;
+        this.vmList = vmList;
+        this.network = network;
+        this.configuration = configuration;
+        view = new AtomicReference<>(new ClusterView(self, List.of(self), List.of()));
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "membership");
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
+    /**
+     * Starts a controller.
+     *
+     * @param self the address of this node
+     * @param vmList the VM list
+     * @param network the connections to the other nodes
+     * @param configuration provides the configuration in force
+     * @param pollMillis the time between two reads of the VM list
+     * @return the controller
+     */
+    public static MembershipController start(
+            NodeAddress self,
+            VmList vmList,
+            PeerNetwork network,
+            Supplier<Configuration> configuration,
+            long pollMillis) {
+        MembershipController controller = new MembershipController(self, vmList, network, configuration);
+        network.setOnChange(controller::refreshSoon);
+        controller.executor.scheduleWithFixedDelay(controller::poll, 0, pollMillis, TimeUnit.MILLISECONDS);
+        return controller;
+    }
+
+    @Override
+    public ClusterView get() {
+        return view.get();
+    }
+
+    /**
+     * Says whether the VM list was read at least once.
+     *
+     * @return true when the view rests on the VM list
+     */
+    public boolean isListed() {
+        return !everListed.isEmpty();
+    }
+
+    /**
+     * Adds a listener.
+     *
+     * @param listener receives each changed view on the thread of the controller; must not block
+     */
+    public void addListener(Consumer<ClusterView> listener) {
+        listeners.add(listener);
+    }
+
+    /** Marks this node as leaving, so that callers are no longer sent to it. */
+    public void leave() {
+        leaving.set(true);
+        refreshSoon();
+        network.beat();
+    }
+
+    @Override
+    public CompletionStage<RunState> getState(NodeRun run) {
+        if (run.node().equals(self.run().node())) {
+            return CompletableFuture.completedFuture(run.equals(self.run()) ? RunState.LIVE : RunState.GONE);
+        }
+        if (network.findRun(run.node()).filter(run::equals).isPresent()) {
+            return CompletableFuture.completedFuture(RunState.LIVE);
+        }
+        if (!isInVmList(run.node())) {
+            // A node that was never listed may be new: the VM list lags.
+            RunState state = everListed.contains(run.node()) ? RunState.GONE : RunState.UNREACHABLE;
+            return CompletableFuture.completedFuture(state);
+        }
+        return network.probe(run.node()).handle((found, cause) -> {
+            if (cause != null || !found.node().equals(run.node())) {
+                return RunState.UNREACHABLE;
+            }
+            return found.equals(run) ? RunState.LIVE : RunState.GONE;
+        });
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private boolean isInVmList(String node) {
+        return vms.get().stream().anyMatch(vm -> vm.id().equals(node));
+    }
+
+    private void refreshSoon() {
+        if (!executor.isShutdown()) {
+            executor.execute(this::refresh);
+        }
+    }
+
+    private void poll() {
+        refresh();
+        if (!fetching.compareAndSet(false, true)) {
+            return;
+        }
+        vmList.fetch().whenComplete((list, cause) -> {
+            fetching.set(false);
+            if (cause == null) {
+                take(list);
+            } else if (failing.compareAndSet(false, true)) {
+                LOG.log(
+                        Level.WARNING,
+                        "The VM list cannot be read; the last one stays in force. Remedy: check the VM list and the"
+                                + " network path to it. Cause: {0}",
+                        cause.getMessage());
+            }
+        });
+    }
+
+    private void take(List<Vm> list) {
+        if (failing.compareAndSet(true, false)) {
+            LOG.log(Level.INFO, "The VM list can be read again.");
+        }
+        vms.set(list);
+        list.forEach(vm -> everListed.add(vm.id()));
+        refreshSoon();
+    }
+
+    private void refresh() {
+        try {
+            List<Vm> list = vms.get();
+            network.setPeers(listPeers(list));
+            ClusterView next = build(list);
+            ClusterView previous = view.getAndSet(next);
+            if (!next.equals(previous)) {
+                listeners.forEach(listener -> listener.accept(next));
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "The view cannot be renewed; the last one stays in force.", e);
+        }
+    }
+
+    private List<NodeAddress> listPeers(List<Vm> list) {
+        List<NodeAddress> peers = new ArrayList<>();
+        for (Vm vm : list) {
+            if (!vm.id().equals(self.run().node())) {
+                toNode(vm).ifPresent(peers::add);
+            }
+        }
+        return peers;
+    }
+
+    private ClusterView build(List<Vm> list) {
+        Configuration current = configuration.get();
+        NodeAddress own = withLeaving(self, isSelfLeaving(list, current));
+        List<NodeAddress> nodes = new ArrayList<>();
+        nodes.add(own);
+        for (NodeAddress peer : listPeers(list)) {
+            network.findRun(peer.run().node()).ifPresent(run -> nodes.add(withRun(peer, run, current)));
+        }
+        List<BackendServer> servers = new ArrayList<>();
+        for (Vm vm : list) {
+            toServer(vm, current.drainedWorkers()).ifPresent(servers::add);
+        }
+        return new ClusterView(own, List.copyOf(nodes), List.copyOf(servers));
+    }
+
+    private boolean isSelfLeaving(List<Vm> list, Configuration current) {
+        String node = self.run().node();
+        return leaving.get()
+                || current.drainedNodes().contains(node)
+                || list.stream().anyMatch(vm -> vm.id().equals(node) && vm.isLeaving());
+    }
+
+    private NodeAddress withRun(NodeAddress peer, NodeRun run, Configuration current) {
+        boolean gone = peer.leaving()
+                || network.isLeaving(run.node())
+                || current.drainedNodes().contains(run.node());
+        return new NodeAddress(
+                run, peer.host(), peer.callerPort(), peer.peerPort(), peer.operatorPort(), peer.zone(), gone);
+    }
+
+    private static NodeAddress withLeaving(NodeAddress node, boolean leaving) {
+        return new NodeAddress(
+                node.run(), node.host(), node.callerPort(), node.peerPort(), node.operatorPort(), node.zone(), leaving);
+    }
+
+    private static Optional<NodeAddress> toNode(Vm vm) {
+        if (!"entry".equals(vm.tags().get("role")) || vm.findPort("peer_port").isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new NodeAddress(
+                new NodeRun(vm.id(), 0),
+                vm.address(),
+                vm.findPort("caller_port").orElse(0),
+                vm.findPort("peer_port").orElse(0),
+                vm.findPort("operator_port").orElse(0),
+                vm.zone(),
+                vm.isLeaving()));
+    }
+
+    private static Optional<BackendServer> toServer(Vm vm, Set<String> drained) {
+        String service = vm.tags().get("service");
+        Optional<WorkerRole> role =
+                Optional.ofNullable(vm.tags().get("worker_role")).flatMap(WorkerRole::parse);
+        if (!"backend".equals(vm.tags().get("role"))
+                || service == null
+                || role.isEmpty()
+                || vm.findPort("port").isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new BackendServer(
+                vm.id(),
+                service,
+                role.get(),
+                vm.address(),
+                vm.findPort("port").get(),
+                vm.zone(),
+                vm.isLeaving() || drained.contains(vm.id())));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/membership/VmListClient.java
@@ -0,0 +1,67 @@
+package org.magnoliavane.node.membership;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.http.HttpResponse;
+
+/**
+ * Reads the VM list over HTTP.
+ *
+ * <p>Thread-safe.
+ */
+public final class VmListClient implements VmList {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long TIMEOUT_MILLIS = 1000;
+
+    private final HttpClient http;
+    private final HttpRequest request;
+
+    private VmListClient(HttpClient http, HttpRequest request) {
+        this.http = http;
+        this.request = request;
+    }
+
+    /**
+     * Creates a client.
+     *
+     * @param http the HTTP client
+     * @param host the IP address of the VM list
+     * @param port the TCP port of the VM list
+     * @return the client
+     */
+    public static VmListClient of(HttpClient http, String host, int port) {
+        HttpRequest request = HttpRequest.of("GET", host, port, "/v1/vms").withTimeoutMillis(TIMEOUT_MILLIS);
+        return new VmListClient(http, request);
+    }
+
+    @Override
+    public CompletionStage<List<Vm>> fetch() {
+        return http.send(request).thenApply(VmListClient::parse);
+    }
+
+    private static List<Vm> parse(HttpResponse response) {
+        try {
+            if (response.status() != 200) {
+                throw new IOException("the VM list answered with status " + response.status());
+            }
+            Listing listing = MAPPER.readValue(response.body(), Listing.class);
+            if (listing.vms() == null) {
+                throw new IOException("the answer of the VM list lacks the field vms");
+            }
+            return List.copyOf(listing.vms());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Mirrors the answer. */
+    @JsonIgnoreProperties(ignoreUnknown = true)
+    private record Listing(List<Vm> vms) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -0,0 +1,299 @@
+package org.magnoliavane.node.peer;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
+
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.membership.NodeAddress;
+import org.magnoliavane.protocol.PeerClose;
+import org.magnoliavane.protocol.PeerConnection;
+import org.magnoliavane.protocol.PeerListener;
+import org.magnoliavane.protocol.PeerServer;
+import org.magnoliavane.protocol.PeerTransport;
+import org.magnoliavane.protocol.generated.Frame;
+import org.magnoliavane.protocol.generated.Heartbeat;
+import org.magnoliavane.protocol.generated.Hello;
+
+/**
+ * Keeps a connection to each other node, sends requests on it, and handles the requests of the others.
+ *
+ * <p>Thread-safe. Handlers are registered before {@link #listen}.
+ */
+public final class PeerNetwork implements Peers, AutoCloseable {
+    private static final Logger LOG = System.getLogger(PeerNetwork.class.getName());
+
+    private final PeerTransport transport;
+    private final String cluster;
+    private final NodeRun self;
+    private final String zone;
+    private final HeartbeatSource source;
+    private final ScheduledThreadPoolExecutor timers;
+    private final Map<Frame.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+    private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<PeerConnection, Long> verdictsSent = new ConcurrentHashMap<>();
+    private final Set<String> leaving = ConcurrentHashMap.newKeySet();
+    private final AtomicReference<Runnable> onChange = new AtomicReference<>(() -> {});
+    private final AtomicReference<BiConsumer<String, Long>> onVersion = new AtomicReference<>((node, version) -> {});
+    private final AtomicReference<PeerServer> server = new AtomicReference<>();
+
+    private PeerNetwork(PeerTransport transport, String cluster, NodeRun self, String zone, HeartbeatSource source) {
+        this.transport = transport;
+        this.cluster = cluster;
+        this.self = self;
+        this.zone = zone;
+        this.source = source;
+        timers = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "peer-timers");
+            thread.setDaemon(true);
+            return thread;
+        });
+        timers.setRemoveOnCancelPolicy(true);
+    }
+
+    /**
+     * Creates the network of a node.
+     *
+     * @param cluster the name of the cluster, which all nodes share
+     * @param self the run of this node
+     * @param zone the availability zone of this node
+     * @param source provides what heartbeats tell
+     * @return the network, which does not listen yet
+     */
+    public static PeerNetwork create(String cluster, NodeRun self, String zone, HeartbeatSource source) {
+        return new PeerNetwork(PeerTransport.open("peer-" + self.node()), cluster, self, zone, source);
+    }
+
+    /**
+     * Sets the handler of the frames of one kind.
+     *
+     * @param kind the kind
+     * @param handler the handler
+     */
+    public void handle(Frame.BodyCase kind, PeerHandler handler) {
+        handlers.put(kind, handler);
+    }
+
+    /**
+     * Sets what runs after a node has become reachable or unreachable, or has said that it is leaving.
+     *
+     * @param listener the listener; must not block
+     */
+    public void setOnChange(Runnable listener) {
+        onChange.set(listener);
+    }
+
+    /**
+     * Sets what receives the configuration versions of the peers.
+     *
+     * @param listener receives node id and version; must not block
+     */
+    public void setOnVersion(BiConsumer<String, Long> listener) {
+        onVersion.set(listener);
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @param host the IP address to bind
+     * @param port the TCP port; 0 selects a free one
+     * @return the port
+     */
+    public int listen(String host, int port) {
+        server.set(transport.listen(host, port, new Listener(Optional.empty())));
+        return server.get().getPort();
+    }
+
+    /**
+     * Replaces the list of the other nodes.
+     *
+     * @param peers the other nodes
+     */
+    public void setPeers(List<NodeAddress> peers) {
+        Set<String> wanted = new HashSet<>();
+        for (NodeAddress peer : peers) {
+            wanted.add(peer.run().node());
+            connect(peer);
+        }
+        for (String node : links.keySet()) {
+            if (!wanted.contains(node)) {
+                links.remove(node).stop();
+                leaving.remove(node);
+            }
+        }
+    }
+
+    /** Sends a heartbeat on each connection now. */
+    public void beat() {
+        verdictsSent.keySet().forEach(PeerConnection::beat);
+    }
+
+    /**
+     * Says whether a peer has said that it is leaving.
+     *
+     * @param node the node id
+     * @return true when it is leaving
+     */
+    public boolean isLeaving(String node) {
+        return leaving.contains(node);
+    }
+
+    /**
+     * Gets the number of connections that ended for a reason.
+     *
+     * @param reason the reason
+     * @return the number
+     */
+    public long getCount(PeerClose reason) {
+        return transport.getCount(reason);
+    }
+
+    @Override
+    public Optional<NodeRun> findRun(String node) {
+        return Optional.ofNullable(links.get(node)).flatMap(PeerLink::findRun);
+    }
+
+    @Override
+    public OptionalLong findConnection(String node) {
+        return find(node).map(c -> OptionalLong.of(c.getId())).orElse(OptionalLong.empty());
+    }
+
+    @Override
+    public CompletionStage<Frame> call(String node, Frame.Builder request, long timeoutMillis) {
+        return find(node)
+                .map(connection -> connection.call(request, timeoutMillis))
+                .orElseGet(() -> CompletableFuture.failedFuture(
+                        new IOException("there is no connection to node " + node + " at present")));
+    }
+
+    @Override
+    public void send(String node, Frame.Builder message) {
+        find(node).ifPresent(connection -> connection.send(message));
+    }
+
+    @Override
+    public CompletionStage<NodeRun> probe(String node) {
+        PeerLink link = links.get(node);
+        if (link == null) {
+            return CompletableFuture.failedFuture(new IOException("node " + node + " is not in the VM list"));
+        }
+        return connectTo(link).thenApply(connection -> {
+            NodeRun run = connection.getPeer();
+            connection.close();
+            return run;
+        });
+    }
+
+    @Override
+    public void close() {
+        setPeers(List.of());
+        Optional.ofNullable(server.get()).ifPresent(PeerServer::close);
+        timers.shutdownNow();
+        transport.close();
+    }
+
+    private void connect(NodeAddress peer) {
+        String node = peer.run().node();
+        PeerLink current = links.get(node);
+        if (current != null && current.isSameAddress(peer)) {
+            return;
+        }
+        if (current != null) {
+            current.stop();
+        }
+        PeerLink link =
+                new PeerLink(peer, this::connectTo, timers, () -> onChange.get().run());
+        links.put(node, link);
+        link.dial();
+    }
+
+    private CompletableFuture<PeerConnection> connectTo(PeerLink link) {
+        NodeAddress address = link.getAddress();
+        return transport.connect(address.host(), address.peerPort(), new Listener(Optional.of(link)));
+    }
+
+    private Optional<PeerConnection> find(String node) {
+        return Optional.ofNullable(links.get(node)).flatMap(PeerLink::findConnection);
+    }
+
+    private void handle(PeerConnection connection, Frame frame) {
+        if (frame.hasHeartbeat()) {
+            noteHeartbeat(connection, frame.getHeartbeat());
+        }
+        PeerHandler handler = handlers.get(frame.getBodyCase());
+        if (handler != null) {
+            handler.handle(connection.getPeer(), frame, reply -> connection.reply(frame, reply));
+        } else if (!frame.hasHeartbeat()) {
+            LOG.log(Level.WARNING, "No handler for {0} from {1}.", frame.getBodyCase(), connection);
+        }
+    }
+
+    private void noteHeartbeat(PeerConnection connection, Heartbeat beat) {
+        String node = connection.getPeer().node();
+        boolean changed = beat.getLeaving() ? leaving.add(node) : leaving.remove(node);
+        if (changed) {
+            onChange.get().run();
+        }
+        onVersion.get().accept(node, beat.getConfigurationVersion());
+    }
+
+    /** Receives the events of the connections of one link, or of all accepted ones. */
+    private final class Listener implements PeerListener {
+        private final Optional<PeerLink> link;
+
+        Listener(Optional<PeerLink> link) {
+            this.link = link;
+        }
+
+        @Override
+        public Hello createHello() {
+            return Hello.newBuilder()
+                    .setCluster(cluster)
+                    .setNode(self.node())
+                    .setRun(self.run())
+                    .setZone(zone)
+                    .setConfigurationVersion(source.getConfigurationVersion())
+                    .build();
+        }
+
+        @Override
+        public Heartbeat createHeartbeat(PeerConnection connection) {
+            long newest = source.getVerdictSequence();
+            Long sent = verdictsSent.put(connection, newest);
+            return Heartbeat.newBuilder()
+                    .setLeaving(source.isLeaving())
+                    .setConfigurationVersion(source.getConfigurationVersion())
+                    .setConfigurationHash(source.getConfigurationHash())
+                    .addAllVerdicts(source.getVerdictsAfter(sent == null ? 0 : sent))
+                    .build();
+        }
+
+        @Override
+        public void onOpen(PeerConnection connection) {
+            verdictsSent.put(connection, 0L);
+        }
+
+        @Override
+        public void onFrame(PeerConnection connection, Frame frame) {
+            handle(connection, frame);
+        }
+
+        @Override
+        public void onClose(PeerConnection connection, PeerClose reason) {
+            verdictsSent.remove(connection);
+            link.ifPresent(l -> l.onClosed(connection));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Connections to the other nodes, and the requests that travel on them.
+ */
+package org.magnoliavane.node.peer;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/placement/Grant.java
@@ -0,0 +1,24 @@
+package org.magnoliavane.node.placement;
+
+import org.magnoliavane.pool.SchedulerDecision;
+
+/**
+ * Holds a placement and the reason for it.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param placement the placement
+ * @param explanation the candidates and the reason
+ */
+record Grant(Placement placement, String explanation) {
+
+    SchedulerDecision.Start toStart() {
+        return new SchedulerDecision.Start(
+                placement.attempt(),
+                placement.prefillWorker().id(),
+                placement.decodeWorker().id(),
+                placement.pieces(),
+                placement.priority(),
+                explanation);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -0,0 +1,463 @@
+package org.magnoliavane.node.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+import org.magnoliavane.BackendServer;
+import org.magnoliavane.FaultKind;
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.config.Service;
+import org.magnoliavane.membership.ClusterView;
+import org.magnoliavane.poison.Standing;
+import org.magnoliavane.pool.AttemptPhase;
+import org.magnoliavane.pool.AttemptProgress;
+import org.magnoliavane.pool.PlacementRequest;
+import org.magnoliavane.pool.PoolScheduler;
+import org.magnoliavane.pool.PoolWorker;
+import org.magnoliavane.pool.SchedulerDecision;
+
+/**
+ * Coordinates one pool: feeds its scheduler, keeps suspects apart, and tells nodes what was decided.
+ *
+ * <p>Not thread-safe; all calls come from the thread of the coordinator. Times are microseconds of one monotonic clock.
+ */
+final class Pool {
+    /** Bounds the time for which a node may be out of reach before what it drives is given up. */
+    static final long NODE_GRACE_MICROS = 5_000_000;
+
+    private static final long RETRY_AFTER_MILLIS = 1000;
+    private static final int MAX_ENDED = 20_000;
+    private static final int MAX_ROUNDS = 4;
+
+    private final PoisonRegistry poison;
+    private final Function<Service, PoolScheduler> factory;
+    private final BiConsumer<PoolAttempt, Collection<BackendServer>> confirmer;
+    private final Map<String, PoolAttempt> attempts = new LinkedHashMap<>();
+    private final EndedAttempts ended = new EndedAttempts(MAX_ENDED);
+    private final Map<Long, Integer> tested = new HashMap<>();
+    private final Map<String, Long> downSince = new HashMap<>();
+    private final Map<String, Long> upSince = new HashMap<>();
+    private final Map<NodeRun, Long> missingSince = new HashMap<>();
+    private Service service;
+    private PoolScheduler scheduler;
+    private Map<String, BackendServer> servers = Map.of();
+    private List<PoolWorker> workers = List.of();
+
+    Pool(
+            Service service,
+            Function<Service, PoolScheduler> factory,
+            PoisonRegistry poison,
+            BiConsumer<PoolAttempt, Collection<BackendServer>> confirmer) {
+        this.service = service;
+        this.factory = factory;
+        this.poison = poison;
+        this.confirmer = confirmer;
+        scheduler = factory.apply(service);
+    }
+
+    boolean isIdle() {
+        return attempts.isEmpty();
+    }
+
+    Collection<BackendServer> getServers() {
+        return servers.values();
+    }
+
+    boolean isInWork(String attempt) {
+        return attempts.containsKey(attempt);
+    }
+
+    Optional<PoolAttempt> findEnded(String attempt) {
+        return ended.find(attempt);
+    }
+
+    OptionalLong nextWakeMicros() {
+        return scheduler.nextWakeMicros();
+    }
+
+    /** Takes a new request, or one that was sent again because the connection or the coordinator changed. */
+    void place(PlacementRequest request, NodeRun run, PlacementListener listener, long now) {
+        PoolAttempt known = attempts.get(request.attempt());
+        if (known == null) {
+            attempts.put(request.attempt(), new PoolAttempt(request, run, listener, now));
+            decide(now);
+            return;
+        }
+        known.listener = listener;
+        if (known.isStarted()) {
+            listener.onGrant(known.grant);
+        }
+    }
+
+    /** Takes over an attempt that another coordinator started. */
+    void adopt(
+            PlacementRequest request,
+            NodeRun run,
+            Grant grant,
+            Optional<AttemptProgress> progress,
+            PlacementListener listener,
+            long now) {
+        PoolAttempt known = attempts.get(request.attempt());
+        if (known != null && known.isStarted()) {
+            known.listener = listener;
+            progress.ifPresent(report -> progress(report, now));
+            return;
+        }
+        Optional<String> end = ended.findReason(request.attempt());
+        if (end.isPresent()) {
+            listener.onEnd(end.get());
+            return;
+        }
+        if (known != null) {
+            withdraw(request.attempt(), now);
+        }
+        PoolAttempt adopted = new PoolAttempt(request, run, listener, now);
+        adopted.state = PoolAttempt.State.STARTED;
+        adopted.isolated = request.isolated();
+        adopted.grant = grant;
+        adopted.progress = progress.orElse(null);
+        attempts.put(request.attempt(), adopted);
+        scheduler.adopt(request, grant.toStart(), progress.orElse(null), now);
+        decide(now);
+    }
+
+    /**
+     * Forgets what a run no longer names. The attempts may go on: another coordinator may have them, or another node
+     * may resume them.
+     */
+    void retain(NodeRun run, Set<String> named, long now) {
+        List<String> dropped = attempts.values().stream()
+                .filter(a -> a.run.equals(run) && !named.contains(a.getId()))
+                .map(PoolAttempt::getId)
+                .toList();
+        for (String attempt : dropped) {
+            attempts.remove(attempt);
+            scheduler.withdraw(attempt, now);
+        }
+        decide(now);
+    }
+
+    void withdraw(String attempt, long now) {
+        PoolAttempt known = attempts.remove(attempt);
+        if (known == null) {
+            return;
+        }
+        if (known.isInWork()) {
+            scheduler.withdraw(attempt, now);
+        }
+        if (known.isStarted()) {
+            known.progress = new AttemptProgress(attempt, AttemptPhase.CANCELLED, 0, 0);
+            ended.add(known, now);
+        }
+        decide(now);
+    }
+
+    /** Takes a report and returns the worker whose crash it may show. */
+    List<BackendServer> progress(AttemptProgress report, long now) {
+        PoolAttempt known = attempts.get(report.attempt());
+        if (known == null || !known.isStarted()) {
+            return List.of();
+        }
+        known.progress = report;
+        scheduler.progress(report, now);
+        List<BackendServer> suspects = List.of();
+        if (report.phase().isEnd()) {
+            attempts.remove(report.attempt());
+            ended.add(known, now);
+            suspects = listFailing(known);
+        }
+        if (report.phase() == AttemptPhase.COMPLETED && known.request.contentHash() != 0) {
+            poison.completed(known.request.contentHash(), known.isolated);
+        }
+        return suspects;
+    }
+
+    /** Keeps the contents that were on a worker from being started until {@link #endTest}. */
+    Set<Long> beginTest(String worker, long now) {
+        Set<Long> contents = contentsOf(listOn(worker, now));
+        contents.forEach(content -> tested.merge(content, 1, Integer::sum));
+        return contents;
+    }
+
+    void endTest(Set<Long> contents, long now) {
+        contents.forEach(content -> tested.computeIfPresent(content, (key, count) -> count > 1 ? count - 1 : null));
+        decide(now);
+    }
+
+    /** Takes the refusal of a connection by a worker; the first one after it was up counts as a crash. */
+    void workerRefused(String worker, long now) {
+        if (downSince.putIfAbsent(worker, now) != null) {
+            return;
+        }
+        List<PoolAttempt> victims = listOn(worker, now);
+        Optional<Long> isolated =
+                findAlone(victims).map(attempt -> attempt.request.contentHash()).filter(content -> content != 0);
+        Set<Long> contents = isolated.map(Set::of).orElseGet(() -> contentsOf(victims));
+        if (!contents.isEmpty()) {
+            poison.crashed(contents, isolated);
+        }
+        updateWorkers(now);
+        decide(now);
+    }
+
+    void workerAnswered(String worker, EngineReport report, long ageMillis, long now) {
+        if (downSince.remove(worker) != null) {
+            upSince.put(worker, now);
+            updateWorkers(now);
+        }
+        if (servers.containsKey(worker)) {
+            scheduler.load(report.toLoad(worker, ageMillis), now);
+        }
+        decide(now);
+    }
+
+    /** Takes the answer to the question whether the workers of an isolated attempt are up. */
+    void confirmed(PoolAttempt attempt, Set<String> refused, long now) {
+        if (attempts.get(attempt.getId()) != attempt || attempt.state != PoolAttempt.State.CONFIRMING) {
+            return;
+        }
+        if (refused.isEmpty()) {
+            attempt.state = PoolAttempt.State.STARTED;
+            attempt.grantedMicros = now;
+            attempt.listener.onGrant(attempt.grant);
+            return;
+        }
+        attempt.state = PoolAttempt.State.HELD;
+        attempt.grant = null;
+        scheduler.withdraw(attempt.getId(), now);
+        refused.forEach(worker -> workerRefused(worker, now));
+        decide(now);
+    }
+
+    /** Takes the view and the configuration in force. */
+    void update(ClusterView view, Service current, long now) {
+        if (!current.equals(service)) {
+            rebuild(current, now);
+        }
+        Map<String, BackendServer> next = new LinkedHashMap<>();
+        for (BackendServer server : view.servers()) {
+            if (server.service().equals(service.name()) && server.role() != WorkerRole.PLAIN) {
+                next.put(server.id(), server);
+            }
+        }
+        servers = next;
+        downSince.keySet().retainAll(next.keySet());
+        upSince.keySet().retainAll(next.keySet());
+        updateWorkers(now);
+        dropLostRuns(view, now);
+        refuseOverdue(now);
+        ended.forgetBefore(now);
+        decide(now);
+    }
+
+    void decide(long now) {
+        for (int round = 0; round < MAX_ROUNDS; round++) {
+            releaseHeld(now);
+            List<SchedulerDecision> decisions = scheduler.decide(now);
+            if (decisions.isEmpty()) {
+                return;
+            }
+            decisions.forEach(decision -> apply(decision, now));
+        }
+    }
+
+    private void apply(SchedulerDecision decision, long now) {
+        PoolAttempt attempt = attempts.get(decision.attempt());
+        if (attempt == null) {
+            scheduler.withdraw(decision.attempt(), now);
+            return;
+        }
+        if (decision instanceof SchedulerDecision.Start start) {
+            start(attempt, start, now);
+        } else if (decision instanceof SchedulerDecision.Refuse refusal) {
+            attempts.remove(attempt.getId());
+            attempt.listener.onRefusal(refusal);
+        } else {
+            ended.addReason(attempt.getId(), decision.explanation());
+            attempt.listener.onEnd(decision.explanation());
+        }
+    }
+
+    private void start(PoolAttempt attempt, SchedulerDecision.Start start, long now) {
+        BackendServer prefill = servers.get(start.prefillWorker());
+        BackendServer decode = servers.get(start.decodeWorker());
+        if (prefill == null || decode == null || !mayStart(attempt)) {
+            scheduler.withdraw(attempt.getId(), now);
+            attempt.state = PoolAttempt.State.HELD;
+            return;
+        }
+        Placement placement = new Placement(attempt.getId(), prefill, decode, start.pieces(), start.priority());
+        attempt.grant = new Grant(placement, start.explanation());
+        attempt.grantedMicros = now;
+        if (attempt.isolated) {
+            attempt.state = PoolAttempt.State.CONFIRMING;
+            confirmer.accept(attempt, List.of(prefill, decode));
+            return;
+        }
+        attempt.state = PoolAttempt.State.STARTED;
+        attempt.listener.onGrant(attempt.grant);
+    }
+
+    /** Says whether what became known of the content since the offer still allows the start. */
+    private boolean mayStart(PoolAttempt attempt) {
+        long content = attempt.request.contentHash();
+        if (content == 0 || attempt.isolated) {
+            return true;
+        }
+        return !tested.containsKey(content) && poison.getStanding(content) == Standing.CLEARED;
+    }
+
+    private void releaseHeld(long now) {
+        Set<Long> inWork = new HashSet<>();
+        boolean held = false;
+        for (PoolAttempt attempt : attempts.values()) {
+            if (attempt.isInWork()) {
+                inWork.add(attempt.request.contentHash());
+            } else {
+                held = true;
+            }
+        }
+        if (!held) {
+            return;
+        }
+        for (PoolAttempt attempt : new ArrayList<>(attempts.values())) {
+            if (!attempt.isInWork()) {
+                release(attempt, inWork, now);
+            }
+        }
+    }
+
+    private void release(PoolAttempt attempt, Set<Long> inWork, long now) {
+        long content = attempt.request.contentHash();
+        Standing standing = content == 0 ? Standing.CLEARED : poison.getStanding(content);
+        if (standing == Standing.CONVICTED) {
+            refuse(attempt, FaultKind.POISON, "the content crashed a worker that it had to itself");
+            return;
+        }
+        // One copy at a time until the content has been answered once: copies that run side by side could crash more
+        // workers than the two that a conviction costs.
+        boolean alone = content != 0 && !poison.isProven(content);
+        if (tested.containsKey(content) || alone && inWork.contains(content)) {
+            return;
+        }
+        inWork.add(content);
+        attempt.isolated = attempt.request.isolated() || standing == Standing.SUSPECTED;
+        attempt.state = PoolAttempt.State.OFFERED;
+        scheduler.offer(attempt.toOffer(now), now);
+    }
+
+    private void refuse(PoolAttempt attempt, FaultKind kind, String explanation) {
+        attempts.remove(attempt.getId());
+        attempt.listener.onRefusal(
+                new SchedulerDecision.Refuse(attempt.getId(), kind, RETRY_AFTER_MILLIS, explanation));
+    }
+
+    private void refuseOverdue(long now) {
+        for (PoolAttempt attempt : new ArrayList<>(attempts.values())) {
+            long waited = (now - attempt.arrivedMicros) / 1000;
+            if (!attempt.isInWork() && waited > attempt.request.maxWaitMillis()) {
+                refuse(attempt, FaultKind.OVERLOADED, "the same content was in work or under test for too long");
+            }
+        }
+    }
+
+    private void rebuild(Service current, long now) {
+        service = current;
+        scheduler = factory.apply(current);
+        workers = List.of();
+        updateWorkers(now);
+        for (PoolAttempt attempt : attempts.values()) {
+            if (attempt.isStarted()) {
+                scheduler.adopt(attempt.request, attempt.grant.toStart(), attempt.progress, now);
+            } else {
+                attempt.state = PoolAttempt.State.HELD;
+                attempt.grant = null;
+            }
+        }
+    }
+
+    private void updateWorkers(long now) {
+        List<PoolWorker> next = servers.values().stream()
+                .filter(s -> !downSince.containsKey(s.id()))
+                .map(s -> new PoolWorker(s.id(), s.role(), s.zone(), s.leaving()))
+                .toList();
+        if (!next.equals(workers)) {
+            workers = next;
+            scheduler.workers(next, now);
+        }
+    }
+
+    private void dropLostRuns(ClusterView view, long now) {
+        Set<NodeRun> runs = new HashSet<>();
+        attempts.values().forEach(attempt -> runs.add(attempt.run));
+        missingSince.keySet().retainAll(runs);
+        for (NodeRun run : runs) {
+            Optional<NodeRun> current = view.findNode(run.node()).map(node -> node.run());
+            if (current.filter(run::equals).isPresent()) {
+                missingSince.remove(run);
+                continue;
+            }
+            long since = missingSince.computeIfAbsent(run, key -> now);
+            if (current.isPresent() || now - since > NODE_GRACE_MICROS) {
+                retain(run, Set.of(), now);
+            }
+        }
+    }
+
+    private List<PoolAttempt> listOn(String worker, long now) {
+        List<PoolAttempt> result = new ArrayList<>();
+        for (PoolAttempt attempt : attempts.values()) {
+            if (attempt.isOn(worker) && attempt.isStarted()) {
+                result.add(attempt);
+            }
+        }
+        result.addAll(ended.listOn(worker, upSince.getOrDefault(worker, Long.MIN_VALUE), now));
+        return result;
+    }
+
+    /** Finds the isolated attempt among the victims of a crash if all others had ended before it was placed. */
+    private static Optional<PoolAttempt> findAlone(List<PoolAttempt> victims) {
+        List<PoolAttempt> isolated = victims.stream().filter(v -> v.isolated).toList();
+        if (isolated.isEmpty()) {
+            return Optional.empty();
+        }
+        PoolAttempt last = isolated.get(0);
+        for (PoolAttempt attempt : isolated) {
+            last = attempt.grantedMicros > last.grantedMicros ? attempt : last;
+        }
+        for (PoolAttempt other : victims) {
+            if (other != last && other.endedMicros > last.grantedMicros) {
+                return Optional.empty();
+            }
+        }
+        return Optional.of(last);
+    }
+
+    private static List<BackendServer> listFailing(PoolAttempt attempt) {
+        Placement placement = attempt.grant.placement();
+        return switch (attempt.progress.phase()) {
+            case PREFILL_FAILED -> List.of(placement.prefillWorker());
+            case DECODE_FAILED -> List.of(placement.decodeWorker());
+            case TRANSFER_FAILED -> List.of(placement.prefillWorker(), placement.decodeWorker());
+            default -> List.of();
+        };
+    }
+
+    private static Set<Long> contentsOf(List<PoolAttempt> list) {
+        Set<Long> contents = new HashSet<>();
+        list.forEach(attempt -> contents.add(attempt.request.contentHash()));
+        contents.remove(0L);
+        return contents;
+    }
+}
