Add the load tool and the weight store; order silence before its answer

Cause: measurements and system tests need callers that check every answer, and engines need a store to load models from.

Change: connections are silenced before the control call is answered, whose own connection is left out. Requests that arrive on a silent connection are not handled. The load tool draws its plan from a seed, sends it as an open loop, checks chats token by token, resumes broken streams, repeats bookings with their key, and reports outcomes, times and goodput. The weight store shares one rate evenly over its readers.

--- a/emulators/src/main/java/org/magnoliavane/emulator/Main.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/Main.java
@@ -12,37 +12,40 @@
 import org.magnoliavane.emulator.booking.BookingOptions;
 import org.magnoliavane.emulator.engine.EngineEmulator;
 import org.magnoliavane.emulator.engine.EngineOptions;
+import org.magnoliavane.emulator.load.LoadOptions;
+import org.magnoliavane.emulator.load.LoadRun;
 import org.magnoliavane.emulator.log.LogEmulator;
 import org.magnoliavane.emulator.log.LogOptions;
 import org.magnoliavane.emulator.vm.VmListEmulator;
 import org.magnoliavane.emulator.vm.VmListOptions;
+import org.magnoliavane.emulator.weights.WeightStoreEmulator;
+import org.magnoliavane.emulator.weights.WeightStoreOptions;
 
 /**
- * Entry point of the emulators. Exit status: 0 after help or a clean end, 1 when an emulator could not start, 2 for
- * wrong arguments.
+ * Entry point of the emulators. Exit status: 0 after help or a clean end, 1 when a command failed, 2 for wrong
+ * arguments.
  */
 public final class Main {
     private static final int FAILED = 1;
     private static final int WRONG_ARGUMENTS = 2;
 
     private static final Map<String, Command<?>> COMMANDS = new TreeMap<>(Map.of(
-            "booking", new Command<>(BookingOptions::new, BookingEmulator::start),
-            "engine", new Command<>(EngineOptions::new, EngineEmulator::start),
-            "log", new Command<>(LogOptions::new, LogEmulator::start),
-            "vmlist", new Command<>(VmListOptions::new, VmListEmulator::start)));
+            "booking", server(BookingOptions::new, BookingEmulator::start),
+            "engine", server(EngineOptions::new, EngineEmulator::start),
+            "load", new Command<>(LoadOptions::new, LoadRun::print),
+            "log", server(LogOptions::new, LogEmulator::start),
+            "vmlist", server(VmListOptions::new, VmListEmulator::start),
+            "weights", server(WeightStoreOptions::new, WeightStoreEmulator::start)));
 
     private Main() {}
 
     /**
-     * Runs the command that the first argument names until the process is ended.
+     * Runs the command that the first argument names.
      *
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        int status = run(arguments);
-        if (status != 0) {
-            System.exit(status);
-        }
+        System.exit(run(arguments));
     }
 
     static int run(String... arguments) {
@@ -66,15 +69,29 @@
         }
     }
 
-    /** Runs what the options say; may wait until the work is done. */
+    private static <O extends ServerOptions> Command<O> server(Supplier<O> options, Starter<O> starter) {
+        return new Command<>(options, parsed -> {
+            Emulator emulator = starter.start(parsed);
+            System.out.println("listening " + parsed.getHost() + " " + emulator.getPort());
+            Thread.currentThread().join();
+        });
+    }
+
+    /** Starts an emulator. */
     @FunctionalInterface
     private interface Starter<O> {
         Emulator start(O options) throws IOException;
     }
 
-    private record Command<O extends ServerOptions>(Supplier<O> options, Starter<O> starter) {
+    /** Does what the options say, until it is done. */
+    @FunctionalInterface
+    private interface Program<O> {
+        void run(O options) throws IOException, InterruptedException;
+    }
+
+    private record Command<O extends CommandOptions>(Supplier<O> options, Program<O> program) {
         int run(String name, String... arguments) throws IOException, InterruptedException {
-            O parsed = ServerOptions.parse(options.get(), arguments);
+            O parsed = CommandOptions.parse(options.get(), arguments);
             if (parsed.isHelp()) {
                 JCommander usage = JCommander.newBuilder()
                         .programName("magnoliavane-emulators " + name)
@@ -83,9 +100,7 @@
                 usage.usage();
                 return 0;
             }
-            Emulator emulator = starter.start(parsed);
-            System.out.println("listening " + parsed.getHost() + " " + emulator.getPort());
-            Thread.currentThread().join();
+            program.run(parsed);
             return 0;
         }
     }
--- a/emulators/src/main/java/org/magnoliavane/emulator/booking/BookingEmulator.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/booking/BookingEmulator.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.magnoliavane.emulator.CommandOptions;
 import org.magnoliavane.emulator.Crash;
 import org.magnoliavane.emulator.Emulator;
-import org.magnoliavane.emulator.ServerOptions;
 import org.magnoliavane.emulator.http.Call;
 import org.magnoliavane.emulator.http.EmulatorServer;
 import org.magnoliavane.emulator.http.Routes;
@@ -67,7 +67,7 @@
      * @throws IOException when the address cannot be bound
      */
     public static BookingEmulator start(String... arguments) throws IOException {
-        return new BookingEmulator(ServerOptions.parse(new BookingOptions(), arguments), Optional.empty());
+        return new BookingEmulator(CommandOptions.parse(new BookingOptions(), arguments), Optional.empty());
     }
 
     @Override
@@ -128,10 +128,10 @@
         synchronized (this) {
             settings = settings.with(faults);
         }
-        call.answer(OK, faults);
         if (Boolean.TRUE.equals(faults.silent())) {
-            server.silenceOpenConnections();
+            call.silenceOtherConnections();
         }
+        call.answer(OK, faults);
         if (Boolean.TRUE.equals(faults.crash())) {
             timers.after(Crash.ANSWER_MILLIS, crash::crash);
         }
--- a/emulators/src/main/java/org/magnoliavane/emulator/engine/EngineEmulator.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/engine/EngineEmulator.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.vavr.control.Either;
+import org.magnoliavane.emulator.CommandOptions;
 import org.magnoliavane.emulator.Crash;
 import org.magnoliavane.emulator.Emulator;
-import org.magnoliavane.emulator.ServerOptions;
 import org.magnoliavane.emulator.engine.DecodeStream.Reader;
 import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
 import org.magnoliavane.emulator.engine.EngineRequests.Faults;
@@ -73,7 +73,7 @@
      * @throws IOException when the address cannot be bound
      */
     public static EngineEmulator start(String... arguments) throws IOException {
-        return new EngineEmulator(ServerOptions.parse(new EngineOptions(), arguments), Optional.empty());
+        return new EngineEmulator(CommandOptions.parse(new EngineOptions(), arguments), Optional.empty());
     }
 
     @Override
@@ -205,10 +205,10 @@
     private void control(Call call, long nowMicros) throws IOException {
         Faults faults = call.parseStrictly(Faults.class);
         model.setFaults(faults, nowMicros);
-        call.answer(OK, faults);
         if (Boolean.TRUE.equals(faults.silent())) {
-            server.silenceOpenConnections();
+            call.silenceOtherConnections();
         }
+        call.answer(OK, faults);
         if (faults.freezeMillis() != null) {
             thread.freeze(faults.freezeMillis());
         }
--- a/emulators/src/main/java/org/magnoliavane/emulator/http/Call.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/Call.java
@@ -154,6 +154,14 @@
         answer(refusal.status(), refusal.toBody());
     }
 
+    /**
+     * Silences every connection of the server that is open now, except the one of this call. To be called before this
+     * call is answered, so that connections opened after the answer work.
+     */
+    public void silenceOtherConnections() {
+        silent.silence(connection);
+    }
+
     /** Closes the connection without an answer. */
     public void drop() {
         if (answered.compareAndSet(false, true)) {
@@ -178,6 +186,19 @@
         return stream;
     }
 
+    /**
+     * Starts an answer of a known length that is written piece by piece.
+     *
+     * @param length the number of bytes
+     * @return the stream
+     */
+    public ByteStream startBytes(long length) {
+        answered.set(true);
+        ByteStream stream = new ByteStream(response, length, () -> silent.isSilent(connection));
+        listen((gone, type) -> stream.markClosed());
+        return stream;
+    }
+
     private void answer(int status, String contentType, byte[] bytes) {
         if (!answered.compareAndSet(false, true) || silent.isSilent(connection)) {
             return;
--- a/emulators/src/main/java/org/magnoliavane/emulator/http/EmulatorServer.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/EmulatorServer.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.emulator.http;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
 
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -19,6 +20,7 @@
 public final class EmulatorServer implements AutoCloseable {
     private static final int WORKER_THREADS = 4;
     private static final int NOT_FOUND = 404;
+    private static final int INTERNAL_ERROR = 500;
 
     private final HttpServer server;
     private final NetworkListener listener;
@@ -68,11 +70,6 @@
         return listener.getPort();
     }
 
-    /** Silences every connection that is open now; new ones work. */
-    public void silenceOpenConnections() {
-        silent.silence();
-    }
-
     @Override
     public void close() {
         server.shutdownNow();
@@ -92,6 +89,10 @@
 
         @Override
         public void service(Request request, Response response) throws IOException {
+            if (silent.isSilent(request.getContext().getConnection())) {
+                response.suspend();
+                return;
+            }
             byte[] body = request.getInputStream().readAllBytes();
             String method = request.getMethod().getMethodString();
             Optional<Routes.Match> match = routes.find(method, request.getRequestURI());
@@ -100,7 +101,7 @@
                     response,
                     silent,
                     body,
-                    match.map(Routes.Match::pathValues).orElse(java.util.Map.of()));
+                    match.map(Routes.Match::pathValues).orElse(Map.of()));
             response.suspend();
             if (match.isEmpty()) {
                 String message = "no route for " + method + " " + request.getRequestURI();
@@ -117,7 +118,7 @@
                 call.refuse(Refusal.badRequest(e.getMessage()));
             } catch (RuntimeException e) {
                 LOGGER.log(System.Logger.Level.WARNING, "emulator failed to handle a call", e);
-                call.refuse(new Refusal(500, "internal", e.toString()));
+                call.refuse(new Refusal(INTERNAL_ERROR, "internal", e.toString()));
             }
         }
     }
--- a/emulators/src/main/java/org/magnoliavane/emulator/http/SilentConnections.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/SilentConnections.java
@@ -24,8 +24,9 @@
         GENERATION.set(clientConnection, generation.get());
     }
 
-    /** Silences every connection that is open now. */
-    void silence() {
+    /** Silences every connection that is open now, except the one that asked for it and still needs its answer. */
+    synchronized void silence(Connection<?> except) {
+        GENERATION.set(except, generation.get() + 1);
         generation.incrementAndGet();
     }
 
--- a/emulators/src/main/java/org/magnoliavane/emulator/http/Timers.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/Timers.java
@@ -46,6 +46,16 @@
         executor.schedule(action, millis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Runs an action again and again.
+     *
+     * @param millis the interval in milliseconds
+     * @param action the action
+     */
+    public void every(long millis, Runnable action) {
+        executor.scheduleAtFixedRate(action, millis, millis, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/BookingCall.java
@@ -0,0 +1,102 @@
+package org.magnoliavane.emulator.load;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnoliavane.emulator.http.Json;
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.http.HttpResponse;
+
+/**
+ * Runs one booking as its caller: while there is no answer, or an answer that asks to repeat the key, it sends the same
+ * key to another node.
+ *
+ * <p>Not thread-safe; a call has one request under way at a time.
+ */
+final class BookingCall {
+    private static final String YES = "yes";
+    private static final String NO = "no";
+    private static final String UNKNOWN = "unknown";
+    private static final String UNANSWERED = "unanswered";
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
+    private final LoadContext context;
+    private final PlannedRequest request;
+    private final long arrivalNanos;
+    private final Consumer<BookingReport> reports;
+    private AddressBook.Address node;
+    private String key;
+    private int sent;
+
+    BookingCall(LoadContext context, PlannedRequest request, long arrivalNanos, Consumer<BookingReport> reports) {
+        this.context = context;
+        this.request = request;
+        this.arrivalNanos = arrivalNanos;
+        this.reports = reports;
+    }
+
+    void start() {
+        node = context.addresses().choose(node);
+        if (key == null) {
+            // A random key, because a key drawn from the seed would be a repeat in a second run with the same seed.
+            String prefix = node.runToken().isEmpty() ? "" : node.runToken() + "/";
+            key = prefix + UUID.randomUUID();
+        }
+        sent++;
+        byte[] body = ("{\"booking\":\"" + request.check() + "\"}").getBytes(StandardCharsets.UTF_8);
+        HttpRequest http = context.request("POST", node, request.path())
+                .withBody("application/json", body)
+                .withHeader("Idempotency-Key", key)
+                .withTimeoutMillis(context.options().getBookingTimeoutMillis());
+        context.http().send(http).whenComplete((response, cause) -> {
+            if (cause != null) {
+                repeat(context.options().getReconnectMillis(), UNANSWERED, false);
+            } else {
+                take(response);
+            }
+        });
+    }
+
+    private void take(HttpResponse response) {
+        if (response.status() / 100 == 2) {
+            finish(YES, isCrossed(response.body()), false);
+            return;
+        }
+        Optional<ErrorBody> error = ErrorBody.parse(response.body());
+        String ran = error.map(ErrorBody::ran).filter(text -> !text.isEmpty()).orElse(UNKNOWN);
+        long retryAfterMillis = error.map(ErrorBody::retryAfterMillis).orElse(-1L);
+        if (ran.equals(UNKNOWN) && retryAfterMillis >= 0) {
+            repeat(Math.max(retryAfterMillis, 1), UNKNOWN, true);
+            return;
+        }
+        finish(ran, false, ran.equals(NO) && retryAfterMillis >= 0);
+    }
+
+    private void repeat(long pauseMillis, String outcome, boolean retryAfter) {
+        if (getMillis() + pauseMillis > context.options().getGiveUpMillis()) {
+            finish(outcome, false, retryAfter);
+            return;
+        }
+        context.timers().after(pauseMillis, this::start);
+    }
+
+    private boolean isCrossed(byte[] body) {
+        try {
+            JsonNode answered = Json.parseTree(body).path("key");
+            return answered.isTextual() && !answered.asText().equals(key);
+        } catch (java.io.IOException e) {
+            return true;
+        }
+    }
+
+    private void finish(String ran, boolean crossed, boolean retryAfter) {
+        reports.accept(new BookingReport(key, ran, crossed, retryAfter, sent - 1, getMillis()));
+    }
+
+    private double getMillis() {
+        return (System.nanoTime() - arrivalNanos) / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/ErrorBody.java
@@ -0,0 +1,37 @@
+package org.magnoliavane.emulator.load;
+
+import java.io.IOException;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnoliavane.emulator.http.Json;
+
+/**
+ * Holds what a caller needs of an error answer.
+ *
+ * @param ran {@code no}, {@code yes} or {@code unknown}; empty when the answer does not say
+ * @param type the kind of the error
+ * @param retryAfterMillis the time after which the caller may come back; negative when the answer does not say
+ */
+record ErrorBody(String ran, String type, long retryAfterMillis) {
+    private static final String UNTOLD = "";
+
+    static Optional<ErrorBody> parse(byte[] body) {
+        try {
+            return of(Json.parseTree(body));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    static Optional<ErrorBody> of(JsonNode answer) {
+        JsonNode error = answer.path("error");
+        if (!error.isObject()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ErrorBody(
+                error.path("ran").asText(UNTOLD),
+                error.path("type").asText(UNTOLD),
+                error.path("retry_after_millis").asLong(-1)));
+    }
+}
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/LoadRun.java
@@ -0,0 +1,128 @@
+package org.magnoliavane.emulator.load;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+
+import org.magnoliavane.emulator.CommandOptions;
+import org.magnoliavane.emulator.http.Json;
+import org.magnoliavane.emulator.http.Timers;
+import org.magnoliavane.http.HttpClient;
+
+/**
+ * Sends the requests of a plan at their times, whether earlier ones are answered or not, and adds up what came of them.
+ */
+public final class LoadRun {
+    private static final long NANOS_PER_MICRO = 1000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final LoadContext context;
+    private final LoadStatistics statistics;
+    private final List<PlannedRequest> plan;
+    private final CountDownLatch open;
+
+    private LoadRun(LoadContext context) {
+        this.context = context;
+        statistics = new LoadStatistics(context.options());
+        plan = RequestPlan.of(context.options());
+        open = new CountDownLatch(plan.size());
+    }
+
+    /**
+     * Runs until every request has its final answer or its caller has given up.
+     *
+     * @param arguments the options as on the command line
+     * @return the result
+     * @throws IOException when the client cannot be started
+     * @throws InterruptedException when the thread is interrupted
+     */
+    public static LoadResult run(String... arguments) throws IOException, InterruptedException {
+        return run(CommandOptions.parse(new LoadOptions(), arguments));
+    }
+
+    /**
+     * Runs until every request has its final answer or its caller has given up.
+     *
+     * @param options the options
+     * @return the result
+     * @throws IOException when the client cannot be started
+     * @throws InterruptedException when the thread is interrupted
+     */
+    public static LoadResult run(LoadOptions options) throws IOException, InterruptedException {
+        try (HttpClient http = HttpClient.open("load");
+                Timers timers = Timers.start("load-timers")) {
+            AddressBook addresses = new AddressBook(http, timers, options);
+            addresses.start().join();
+            return new LoadRun(new LoadContext(options, http, timers, addresses)).run();
+        }
+    }
+
+    /**
+     * Starts a run in the background.
+     *
+     * @param arguments the options as on the command line
+     * @return the result, once every request has its final answer
+     */
+    public static CompletableFuture<LoadResult> start(String... arguments) {
+        LoadOptions options = CommandOptions.parse(new LoadOptions(), arguments);
+        CompletableFuture<LoadResult> result = new CompletableFuture<>();
+        Thread thread = new Thread(() -> complete(result, options), "load-run");
+        thread.setDaemon(true);
+        thread.start();
+        return result;
+    }
+
+    /**
+     * Runs and prints the result.
+     *
+     * @param options the options
+     * @throws IOException when the client cannot be started
+     * @throws InterruptedException when the thread is interrupted
+     */
+    public static void print(LoadOptions options) throws IOException, InterruptedException {
+        LoadResult result = run(options);
+        System.out.println(options.isJson() ? Json.toText(result) : LoadTable.of(result));
+    }
+
+    private static void complete(CompletableFuture<LoadResult> result, LoadOptions options) {
+        try {
+            result.complete(run(options));
+        } catch (IOException | InterruptedException | RuntimeException e) {
+            result.completeExceptionally(e);
+        }
+    }
+
+    private LoadResult run() throws InterruptedException {
+        long startNanos = System.nanoTime();
+        for (PlannedRequest request : plan) {
+            long arrivalNanos = startNanos + request.arrivalMicros() * NANOS_PER_MICRO;
+            long waitNanos = arrivalNanos - System.nanoTime();
+            if (waitNanos > 0) {
+                Thread.sleep(waitNanos / NANOS_PER_MILLI, (int) (waitNanos % NANOS_PER_MILLI));
+            }
+            send(request, arrivalNanos);
+        }
+        open.await();
+        return statistics.toResult((System.nanoTime() - startNanos) / NANOS_PER_SECOND);
+    }
+
+    private void send(PlannedRequest request, long arrivalNanos) {
+        if (request.booking()) {
+            new BookingCall(context, request, arrivalNanos, this::take).start();
+        } else {
+            new ChatCall(context, request, arrivalNanos, this::take).start();
+        }
+    }
+
+    private void take(ChatReport report) {
+        statistics.add(report);
+        open.countDown();
+    }
+
+    private void take(BookingReport report) {
+        statistics.add(report);
+        open.countDown();
+    }
+}
--- a/emulators/src/main/java/org/magnoliavane/emulator/log/LogEmulator.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/log/LogEmulator.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.magnoliavane.emulator.CommandOptions;
 import org.magnoliavane.emulator.Emulator;
-import org.magnoliavane.emulator.ServerOptions;
 import org.magnoliavane.emulator.http.Call;
 import org.magnoliavane.emulator.http.EmulatorServer;
 import org.magnoliavane.emulator.http.Refusal;
@@ -76,7 +76,7 @@
      * @throws IOException when the address cannot be bound
      */
     public static LogEmulator start(String... arguments) throws IOException {
-        return start(ServerOptions.parse(new LogOptions(), arguments));
+        return start(CommandOptions.parse(new LogOptions(), arguments));
     }
 
     @Override
@@ -217,10 +217,10 @@
             waiters.removeAll(ended);
         }
         ended.forEach(this::finish);
-        call.answer(OK, new LogAnswers.Done(true));
         if (Boolean.TRUE.equals(faults.silent())) {
-            server.silenceOpenConnections();
+            call.silenceOtherConnections();
         }
+        call.answer(OK, new LogAnswers.Done(true));
     }
 
     private synchronized LogAnswers.Counters getCounters() {
--- a/emulators/src/main/java/org/magnoliavane/emulator/vm/VmListEmulator.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/vm/VmListEmulator.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 
+import org.magnoliavane.emulator.CommandOptions;
 import org.magnoliavane.emulator.Emulator;
-import org.magnoliavane.emulator.ServerOptions;
 import org.magnoliavane.emulator.http.Call;
 import org.magnoliavane.emulator.http.EmulatorServer;
 import org.magnoliavane.emulator.http.Json;
@@ -63,7 +63,7 @@
      * @throws IOException when the address cannot be bound or the file cannot be read
      */
     public static VmListEmulator start(String... arguments) throws IOException {
-        return start(ServerOptions.parse(new VmListOptions(), arguments));
+        return start(CommandOptions.parse(new VmListOptions(), arguments));
     }
 
     @Override
@@ -143,10 +143,10 @@
             Optional.ofNullable(faults.lagMillis()).ifPresent(list::setLagMillis);
             outage = Optional.ofNullable(faults.outage()).orElse(outage);
         }
-        call.answer(OK, faults);
         if (Boolean.TRUE.equals(faults.silent())) {
-            server.silenceOpenConnections();
+            call.silenceOtherConnections();
         }
+        call.answer(OK, faults);
     }
 
     private static long getSteadyMillis() {
--- /dev/null
+++ b/emulators/src/main/java/org/magnoliavane/emulator/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Emulator of the weight store.
+ */
+package org.magnoliavane.emulator.weights;
--- a/emulators/src/test/java/org/magnoliavane/emulator/engine/EngineModelTest.java
+++ b/emulators/src/test/java/org/magnoliavane/emulator/engine/EngineModelTest.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 import io.vavr.control.Either;
-import org.magnoliavane.emulator.ServerOptions;
+import org.magnoliavane.emulator.CommandOptions;
 import org.magnoliavane.emulator.engine.EngineRequests.DecodeRequest;
 import org.magnoliavane.emulator.engine.EngineRequests.KvCache;
 import org.magnoliavane.emulator.engine.EngineRequests.Order;
@@ -257,7 +257,7 @@
     private EngineModel engine(String... arguments) {
         nowMicros = 0;
         finished.clear();
-        EngineOptions options = ServerOptions.parse(new EngineOptions(), arguments);
+        EngineOptions options = CommandOptions.parse(new EngineOptions(), arguments);
         return new EngineModel(options, "p", () -> 1000 + nowMicros / 1000, () -> {});
     }
 
