--- a/emulators/src/main/java/org/magnoliavane/emulator/load/ChatOutcome.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/ChatOutcome.java
@@ -1,5 +1,7 @@
 package org.magnoliavane.emulator.load;
 
+import java.util.Locale;
+
 /** Ways in which a chat ends, from the view of its caller. */
 public enum ChatOutcome {
     /** The whole answer arrived, each token once. */
@@ -17,5 +19,14 @@
     /** No node gave a final answer before the caller gave up. */
     UNANSWERED,
     /** The caller left, as planned. */
-    CANCELLED
+    CANCELLED;
+
+    /**
+     * Gets the form used in results.
+     *
+     * @return the lower-case name
+     */
+    public String toWire() {
+        return name().toLowerCase(Locale.ROOT);
+    }
 }
--- a/emulators/src/main/java/org/magnoliavane/emulator/load/LoadResult.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/LoadResult.java
@@ -18,7 +18,7 @@
     /**
      * What became of the chats.
      *
-     * @param outcomes the number of chats by outcome
+     * @param outcomes the number of chats by outcome, in the form of {@link ChatOutcome#toWire}
      * @param refusedWithRetryAfter the refused and failed chats whose error named the time to come back
      * @param errors the number of errors by kind
      * @param resumes the number of times that callers went to a node again
@@ -29,7 +29,7 @@
      * @param classes the good answers and the number of chats by class
      */
     public record Chats(
-            Map<ChatOutcome, Integer> outcomes,
+            Map<String, Integer> outcomes,
             int refusedWithRetryAfter,
             Map<String, Integer> errors,
             int resumes,
@@ -46,7 +46,7 @@
          * @return the number of chats
          */
         public int count(ChatOutcome outcome) {
-            return outcomes.getOrDefault(outcome, 0);
+            return outcomes.getOrDefault(outcome.toWire(), 0);
         }
     }
 
--- a/emulators/src/main/java/org/magnoliavane/emulator/load/LoadStatistics.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/LoadStatistics.java
@@ -1,6 +1,5 @@
 package org.magnoliavane.emulator.load;
 
-import java.util.EnumMap;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -16,7 +15,7 @@
     private static final double MICROS_PER_MILLI = 1000;
 
     private final LoadOptions options;
-    private final Map<ChatOutcome, Integer> outcomes = new EnumMap<>(ChatOutcome.class);
+    private final Map<String, Integer> outcomes = new TreeMap<>();
     private final Map<String, Integer> errors = new TreeMap<>();
     private final Map<String, LoadResult.ClassResult> classes = new TreeMap<>();
     private final Map<String, Integer> bookings = new TreeMap<>();
@@ -36,7 +35,7 @@
     }
 
     synchronized void add(ChatReport report) {
-        outcomes.merge(report.outcome(), 1, Integer::sum);
+        outcomes.merge(report.outcome().toWire(), 1, Integer::sum);
         chatRetryAfter += report.retryAfter() ? 1 : 0;
         resumes += report.resumes();
         boolean within = report.isWithin(options.getTtftTargetMillis(), options.getTbtTargetMillis());
--- a/emulators/src/main/java/org/magnoliavane/emulator/load/LoadTable.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/load/LoadTable.java
@@ -28,7 +28,7 @@
 
     private void chats(LoadResult.Chats chats) {
         for (ChatOutcome outcome : ChatOutcome.values()) {
-            line("chats " + outcome.name().toLowerCase(Locale.ROOT), chats.count(outcome));
+            line("chats " + outcome.toWire(), chats.count(outcome));
         }
         line("chats told when to come back", chats.refusedWithRetryAfter());
         chats.errors().forEach((type, count) -> line("chat error " + type, count));
