Add the command line for nodes and operators

Cause: operators had no way to publish, to see what is in force, or to drain. Ruled out: writing TOML back from the parsed text for drain, because comments and order would be lost; the edit changes one list, and its result is parsed and compared before it is published. Also ruled out: failing when the answer to an append is lost, because the record may be in force. The test of the listeners expected two calls, although versions that are read in one page reach listeners as one, and it read the list before the second call; it failed once in this form.

--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/ConfigurationHistory.java
@@ -0,0 +1,118 @@
+package org.magnoliavane.cli;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.magnoliavane.config.AcceptedText;
+import org.magnoliavane.config.ConfigurationFold;
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.config.ConfigurationRecord.Publication;
+import org.magnoliavane.config.ConfigurationRecord.Snapshot;
+import org.magnoliavane.config.FoldOutcome;
+import org.magnoliavane.config.StreamRecord;
+import org.magnoliavane.node.log.LogPage;
+import org.magnoliavane.node.log.LogRecord;
+
+/**
+ * Reads the stream of configurations as the nodes do. Keeps one entry for each record, and the text of the current and
+ * of one wanted version.
+ *
+ * <p>Not thread-safe.
+ */
+final class ConfigurationHistory {
+    private final PatientLog log;
+    private final long wantedVersion;
+    private final TreeMap<Long, HistoryEntry> entries = new TreeMap<>();
+    private final Map<Long, Long> timestamps = new HashMap<>();
+    private ConfigurationFold fold = ConfigurationFold.start();
+    private Optional<String> wantedText = Optional.empty();
+
+    private ConfigurationHistory(PatientLog log, long wantedVersion) {
+        this.log = log;
+        this.wantedVersion = wantedVersion;
+    }
+
+    static ConfigurationHistory read(PatientLog log) throws CommandException, InterruptedException {
+        return read(log, 0);
+    }
+
+    /** Reads the whole stream and keeps the text of a version. */
+    static ConfigurationHistory read(PatientLog log, long wantedVersion) throws CommandException, InterruptedException {
+        ConfigurationHistory history = new ConfigurationHistory(log, wantedVersion);
+        history.readOn();
+        return history;
+    }
+
+    /** Reads to the end of the stream. */
+    void readOn() throws CommandException, InterruptedException {
+        while (true) {
+            LogPage page = log.read(fold.getNextOffset());
+            timestamps.clear();
+            page.records().forEach(r -> timestamps.put(r.offset(), r.timestampMillis()));
+            List<StreamRecord> records =
+                    page.records().stream().map(ConfigurationHistory::toRecord).toList();
+            fold = fold.withPage(page.firstOffset(), records, this::note);
+            if (page.records().isEmpty() || fold.getNextOffset() >= page.nextOffset()) {
+                return;
+            }
+        }
+    }
+
+    ConfigurationFold getFold() {
+        return fold;
+    }
+
+    long getVersion() {
+        return fold.getVersion();
+    }
+
+    String getText() {
+        return fold.findCurrent().map(AcceptedText::text).orElse("");
+    }
+
+    Optional<String> findWantedText() {
+        return wantedVersion == getVersion() ? fold.findCurrent().map(AcceptedText::text) : wantedText;
+    }
+
+    List<HistoryEntry> getEntries() {
+        return List.copyOf(entries.values());
+    }
+
+    Optional<HistoryEntry> findEntry(long offset) {
+        return Optional.ofNullable(entries.get(offset));
+    }
+
+    /** Finds the record that made a version current. */
+    Optional<HistoryEntry> findWinner(long version) {
+        return entries.values().stream()
+                .filter(e -> e.isAccepted() && e.version() == version)
+                .findFirst();
+    }
+
+    /** Finds the publications with an id; an append that was repeated gives several. */
+    List<HistoryEntry> findById(String id) {
+        return entries.values().stream().filter(e -> e.id().equals(id)).toList();
+    }
+
+    private void note(FoldOutcome outcome) {
+        entries.put(outcome.offset(), HistoryEntry.of(outcome, timestamps.getOrDefault(outcome.offset(), 0L)));
+        ConfigurationRecord record = outcome.record().orElse(null);
+        if (record instanceof Publication publication
+                && outcome.kind() == FoldOutcome.Kind.ACCEPTED
+                && publication.version() == wantedVersion) {
+            wantedText = Optional.of(publication.text());
+        }
+        if (record instanceof Snapshot snapshot
+                && outcome.kind() == FoldOutcome.Kind.SNAPSHOT
+                && snapshot.version() == wantedVersion) {
+            wantedText = Optional.of(snapshot.text());
+        }
+    }
+
+    private static StreamRecord toRecord(LogRecord entry) {
+        return new StreamRecord(entry.offset(), entry.data());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/DrainCommand.java
@@ -0,0 +1,89 @@
+package org.magnoliavane.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParametersDelegate;
+
+/** Publishes the current text with one id added to or removed from the drain list. */
+abstract class DrainCommand extends OperatorCommand {
+    private static final int MAX_TRIES = 5;
+
+    @Parameter(description = "node|worker ID", required = true)
+    private List<String> words = new ArrayList<>();
+
+    @ParametersDelegate
+    private final LogOptions log = new LogOptions();
+
+    @Parameter(names = "--author", description = "Name in the history; default: the user name")
+    private String author;
+
+    @Parameter(names = "--dry-run", description = "Print the change, but publish nothing")
+    private boolean dryRun;
+
+    private final boolean adding;
+
+    DrainCommand(boolean adding) {
+        this.adding = adding;
+    }
+
+    @Override
+    String[] getExamples() {
+        return new String[] {
+            "node entry-3 --log http://192.0.2.7:7070", "worker decode-4 --log http://192.0.2.7:7070 --author ann",
+        };
+    }
+
+    @Override
+    Report run() throws CommandException, InterruptedException {
+        if (words.size() != 2 || !List.of("node", "worker").contains(words.get(0))) {
+            return Report.failure(
+                    ExitStatus.USAGE,
+                    "\"" + String.join(" ", words) + "\" names nothing",
+                    "Write: node ID, or: worker ID.");
+        }
+        return log.with(this::change);
+    }
+
+    private Report change(PatientLog service) throws CommandException, InterruptedException {
+        DrainList list = new DrainList(words.get(0).equals("node"), words.get(1));
+        for (int attempt = 1; ; attempt++) {
+            ConfigurationHistory history = ConfigurationHistory.read(service);
+            Publisher.requireComplete(history);
+            Report report = changeOnce(service, history, list);
+            // The change fits on any version, so a publication that came first does no harm.
+            if (report.status() != ExitStatus.CONFLICT || attempt == MAX_TRIES) {
+                return report;
+            }
+        }
+    }
+
+    private Report changeOnce(PatientLog service, ConfigurationHistory history, DrainList list)
+            throws CommandException, InterruptedException {
+        String text = history.getText();
+        if (history.getVersion() == 0) {
+            return Report.failure(ExitStatus.FAILED, "nothing has been published", "Publish a text first (publish).");
+        }
+        if (list.contains(text) == adding) {
+            String state = adding ? " is already in the drain list" : " is not in the drain list";
+            return Report.of(ExitStatus.OK, words.get(1) + state + "; nothing published")
+                    .with("version", history.getVersion());
+        }
+        Optional<String> changed = adding ? list.add(text) : list.remove(text);
+        if (changed.isEmpty()) {
+            return Report.failure(
+                    ExitStatus.FAILED,
+                    "the table [drain] of version " + history.getVersion() + " cannot be changed automatically, or \""
+                            + words.get(1) + "\" is not an id",
+                    "Get the text (show), change [drain] by hand, and publish it with --base " + history.getVersion()
+                            + ".");
+        }
+        if (dryRun) {
+            String lines = TextDiff.diff(text, changed.get());
+            return Report.of(ExitStatus.OK, lines + "nothing published").with("diff", lines);
+        }
+        return Publisher.of(service, history, author).publish(changed.get());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/EndpointConverter.java
@@ -0,0 +1,14 @@
+package org.magnoliavane.cli;
+
+import com.beust.jcommander.IStringConverter;
+import com.beust.jcommander.ParameterException;
+import org.magnoliavane.node.settings.HttpEndpoint;
+
+/** Converts URLs of the command line. */
+public final class EndpointConverter implements IStringConverter<HttpEndpoint> {
+    @Override
+    public HttpEndpoint convert(String text) {
+        return HttpEndpoint.parse(text)
+                .orElseThrow(() -> new ParameterException("\"" + text + "\" is not " + HttpEndpoint.FORM));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/ExplainCommand.java
@@ -0,0 +1,90 @@
+package org.magnoliavane.cli;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Prints the decisions about a request. */
+@Parameters(commandDescription = "Print what all nodes decided about a request, in order of time")
+final class ExplainCommand extends OperatorCommand {
+    private static final Pattern REQUEST = Pattern.compile("[0-9a-f]{32}(-[0-9]+)?");
+
+    @Parameter(description = "REQUEST", required = true)
+    private String request;
+
+    @ParametersDelegate
+    private final NodeOptions nodes = new NodeOptions();
+
+    @Override
+    String[] getExamples() {
+        return new String[] {"0123456789abcdef0123456789abcdef --vm-list http://192.0.2.8:7071"};
+    }
+
+    @Override
+    Report run() throws CommandException {
+        if (!REQUEST.matcher(request).matches()) {
+            return Report.failure(
+                    ExitStatus.USAGE,
+                    "\"" + request + "\" is not a request id",
+                    "Give the 32 hexadecimal digits from the answer or the log line.");
+        }
+        String id = request.substring(0, 32);
+        Map<String, Optional<JsonNode>> answers = nodes.ask("/operator/explain/" + id);
+        if (answers.values().stream().noneMatch(Optional::isPresent)) {
+            return Report.failure(
+                    ExitStatus.UNREACHABLE, "no node answered", "Check --node or --vm-list, then try again.");
+        }
+        List<ObjectNode> decisions = merge(answers);
+        List<String> silent = answers.entrySet().stream()
+                .filter(e -> e.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .toList();
+        int status = decisions.isEmpty() ? ExitStatus.FAILED : ExitStatus.OK;
+        return Report.of(status, toText(decisions, silent))
+                .without("message")
+                .with("request", id)
+                .with("decisions", decisions)
+                .with("nodes_without_answer", silent);
+    }
+
+    private static List<ObjectNode> merge(Map<String, Optional<JsonNode>> answers) {
+        List<ObjectNode> decisions = new ArrayList<>();
+        answers.forEach((name, answer) -> answer.ifPresent(json -> {
+            JsonNode list = json.isArray() ? json : json.path("decisions");
+            for (JsonNode decision : list) {
+                if (decision instanceof ObjectNode object) {
+                    decisions.add(object.deepCopy().put("node", name));
+                }
+            }
+        }));
+        decisions.sort(Comparator.comparingLong(d -> d.path("at_millis").asLong()));
+        return decisions;
+    }
+
+    private static String toText(List<ObjectNode> decisions, List<String> silent) {
+        TextTable table = new TextTable("time", "node", "stage", "considered", "chosen", "reason");
+        for (ObjectNode decision : decisions) {
+            table.addRow(
+                    Instant.ofEpochMilli(decision.path("at_millis").asLong()),
+                    decision.path("node").asText(),
+                    decision.path("stage").asText(),
+                    decision.path("considered").asText(),
+                    decision.path("chosen").asText(),
+                    decision.path("reason").asText());
+        }
+        String head = decisions.isEmpty()
+                ? "no node keeps a decision about this request"
+                : table.toString().strip();
+        return silent.isEmpty() ? head : head + "\nnodes without an answer: " + String.join(", ", silent);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/HistoryCommand.java
@@ -0,0 +1,45 @@
+package org.magnoliavane.cli;
+
+import java.time.Instant;
+import java.util.List;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+/** Lists the records of the stream. */
+@Parameters(commandDescription = "List publications and snapshots, with what became of each")
+final class HistoryCommand extends OperatorCommand {
+    @ParametersDelegate
+    private final LogOptions log = new LogOptions();
+
+    @Override
+    String[] getExamples() {
+        return new String[] {"--log http://192.0.2.7:7070", "--log http://192.0.2.7:7070 --json"};
+    }
+
+    @Override
+    Report run() throws CommandException, InterruptedException {
+        return log.with(this::list);
+    }
+
+    private Report list(PatientLog service) throws CommandException, InterruptedException {
+        ConfigurationHistory history = ConfigurationHistory.read(service);
+        List<HistoryEntry> entries = history.getEntries();
+        TextTable table = new TextTable("offset", "time", "outcome", "version", "author", "id", "reason");
+        for (HistoryEntry entry : entries) {
+            table.addRow(
+                    entry.offset(),
+                    Instant.ofEpochMilli(entry.timestampMillis()),
+                    entry.toOutcome(),
+                    entry.version(),
+                    entry.author(),
+                    entry.id(),
+                    entry.reason());
+        }
+        return Report.of(ExitStatus.OK, table + "current: " + history.getFold())
+                .without("message")
+                .with("version", history.getVersion())
+                .with("complete", history.getFold().isComplete())
+                .with("records", entries);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/HistoryEntry.java
@@ -0,0 +1,53 @@
+package org.magnoliavane.cli;
+
+import java.util.Locale;
+
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.config.ConfigurationRecord.Publication;
+import org.magnoliavane.config.ConfigurationRecord.Snapshot;
+import org.magnoliavane.config.FoldOutcome;
+
+/**
+ * Describes one record of the stream of configurations, without its text.
+ *
+ * @param offset the offset
+ * @param timestampMillis the time of the append, in milliseconds since 1970
+ * @param outcome what was done with the record
+ * @param version the version that it publishes or repeats; 0 when it is unreadable
+ * @param author who published; empty for other records
+ * @param id the id of the publication; empty for other records
+ * @param reason why
+ */
+record HistoryEntry(
+        long offset,
+        long timestampMillis,
+        FoldOutcome.Kind outcome,
+        long version,
+        String author,
+        String id,
+        String reason) {
+
+    static HistoryEntry of(FoldOutcome outcome, long timestampMillis) {
+        ConfigurationRecord record = outcome.record().orElse(null);
+        long version = 0;
+        String author = "";
+        String id = "";
+        if (record instanceof Publication publication) {
+            version = publication.version();
+            author = publication.author();
+            id = publication.id();
+        } else if (record instanceof Snapshot snapshot) {
+            version = snapshot.version();
+        }
+        return new HistoryEntry(
+                outcome.offset(), timestampMillis, outcome.kind(), version, author, id, outcome.reason());
+    }
+
+    boolean isAccepted() {
+        return outcome == FoldOutcome.Kind.ACCEPTED;
+    }
+
+    String toOutcome() {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/node/src/main/java/org/magnoliavane/cli/Main.java
+++ b/node/src/main/java/org/magnoliavane/cli/Main.java
@@ -1,17 +1,28 @@
 package org.magnoliavane.cli;
 
+import java.lang.System.Logger.Level;
+
+import org.magnoliavane.node.settings.LogFormat;
+import org.magnoliavane.node.settings.Logging;
+
 /**
  * Entry point of the magnoliavane jar.
  */
 public final class Main {
+    private static final NodeStarter NODE = settings -> {
+        throw new UnsupportedOperationException("this build has no node");
+    };
+
     private Main() {}
 
     /**
-     * Runs the command that the arguments name.
+     * Runs the command that the arguments name, and exits with its status.
      *
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        throw new UnsupportedOperationException("no command yet");
+        // The command node sets its own level when it has read the settings.
+        Logging.configure(Level.WARNING, LogFormat.TEXT);
+        System.exit(new CommandLine(NODE, System.out, System.err).run(arguments));
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/PatientLog.java
@@ -0,0 +1,62 @@
+package org.magnoliavane.cli;
+
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.node.log.LogPage;
+import org.magnoliavane.node.log.LogService;
+import org.magnoliavane.node.log.LogUnavailableException;
+
+/** Reads and appends to the stream of configurations, and tries again until a deadline. */
+final class PatientLog {
+    private static final int PAGE_RECORDS = 50;
+    private static final long PAUSE_MILLIS = 250;
+
+    private final LogService log;
+    private final long deadlineNanos;
+
+    PatientLog(LogService log, long deadlineNanos) {
+        this.log = log;
+        this.deadlineNanos = deadlineNanos;
+    }
+
+    boolean isLate() {
+        return System.nanoTime() >= deadlineNanos;
+    }
+
+    /** Waits before the next try. */
+    void pause() throws InterruptedException {
+        Thread.sleep(PAUSE_MILLIS);
+    }
+
+    LogPage read(long from) throws CommandException, InterruptedException {
+        while (true) {
+            try {
+                return join(log.read(ConfigurationRecord.STREAM, from, PAGE_RECORDS, 0));
+            } catch (LogUnavailableException e) {
+                if (isLate()) {
+                    throw new CommandException(Report.failure(
+                            ExitStatus.UNREACHABLE, e.getMessage(), "Check --log, then run the command again."));
+                }
+                pause();
+            }
+        }
+    }
+
+    /** Appends once. */
+    long append(byte[] data) throws LogUnavailableException {
+        return join(log.append(ConfigurationRecord.STREAM, data));
+    }
+
+    private static <T> T join(CompletionStage<T> stage) throws LogUnavailableException {
+        try {
+            return stage.toCompletableFuture().join();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof LogUnavailableException unavailable) {
+                throw unavailable;
+            }
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/Publisher.java
@@ -0,0 +1,149 @@
+package org.magnoliavane.cli;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.magnoliavane.config.ConfigurationFold;
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.config.ConfigurationRecord.Publication;
+import org.magnoliavane.config.ConfigurationRecord.Snapshot;
+import org.magnoliavane.node.log.LogUnavailableException;
+
+/**
+ * Publishes a text and waits until it is accepted or rejected.
+ *
+ * <p>Not thread-safe.
+ */
+final class Publisher {
+    private final PatientLog log;
+    private final ConfigurationHistory history;
+    private final String author;
+
+    private Publisher(PatientLog log, ConfigurationHistory history, String author) {
+        this.log = log;
+        this.history = history;
+        this.author = author;
+    }
+
+    /**
+     * Creates a publisher.
+     *
+     * @param log the log service
+     * @param history the history, read to the end of the stream
+     * @param author the name for the history; null stands for the user name
+     */
+    static Publisher of(PatientLog log, ConfigurationHistory history, String author) {
+        return new Publisher(log, history, author == null ? System.getProperty("user.name", "") : author);
+    }
+
+    /** Publishes on the current version. */
+    Report publish(String text) throws CommandException, InterruptedException {
+        long base = history.getVersion();
+        String id = UUID.randomUUID().toString();
+        byte[] record = new Publication(base, base + 1, text, author, id).toBytes();
+        boolean unknown = false;
+        while (true) {
+            try {
+                return settle(base, id, Optional.of(log.append(record)));
+            } catch (LogUnavailableException e) {
+                unknown |= e.isOutcomeUnknown();
+                if (log.isLate()) {
+                    return toUnreachable(base, id, unknown, e);
+                }
+            }
+            log.pause();
+            history.readOn();
+            // Appending again is safe: of several records on one base, at most one is accepted.
+            if (!history.findById(id).isEmpty() || history.getVersion() > base) {
+                return settle(base, id, Optional.empty());
+            }
+        }
+    }
+
+    private Report settle(long base, String id, Optional<Long> offset) throws CommandException, InterruptedException {
+        history.readOn();
+        List<HistoryEntry> own = history.findById(id);
+        Optional<HistoryEntry> accepted =
+                own.stream().filter(HistoryEntry::isAccepted).findFirst();
+        if (accepted.isPresent()) {
+            return toAccepted(accepted.get());
+        }
+        Optional<HistoryEntry> winner = history.findWinner(base + 1);
+        if (winner.isPresent()) {
+            return toConflict(base, winner.get());
+        }
+        String reason = own.isEmpty()
+                ? "the record at offset " + offset.orElse(-1L) + " is not in the stream"
+                : own.get(0).reason();
+        return Report.failure(
+                ExitStatus.FAILED,
+                "rejected: " + reason,
+                "Run the command history, correct the text and publish again.");
+    }
+
+    private static Report toAccepted(HistoryEntry entry) {
+        String text = "version " + entry.version() + " accepted at offset " + entry.offset()
+                + "; nodes that reach the log service have it in force within 3 s (command status)";
+        return Report.of(ExitStatus.OK, text)
+                .with("version", entry.version())
+                .with("offset", entry.offset())
+                .with("id", entry.id());
+    }
+
+    static Report toConflict(long base, HistoryEntry winner) {
+        String message = "not accepted: version " + winner.version() + " was published first on base " + base + ", by "
+                + (winner.author().isEmpty() ? "an unnamed author" : winner.author()) + " at "
+                + Instant.ofEpochMilli(winner.timestampMillis()) + " (offset " + winner.offset() + ")";
+        String remedy =
+                "Get the current text (show), merge your change into it, and publish with the base of that text.";
+        return Report.failure(ExitStatus.CONFLICT, message, remedy).with("winner", winner);
+    }
+
+    private static Report toUnreachable(long base, String id, boolean unknown, LogUnavailableException cause) {
+        if (!unknown) {
+            return Report.failure(
+                    ExitStatus.UNREACHABLE,
+                    "nothing was published: " + cause.getMessage(),
+                    "Publish again when the log service answers.");
+        }
+        return Report.failure(
+                        ExitStatus.UNREACHABLE,
+                        "it is not known whether version " + (base + 1) + " was published: " + cause.getMessage(),
+                        "When the log service answers, look for the id " + id
+                                + " with the command history before you publish again.")
+                .with("id", id);
+    }
+
+    /** Starts a new history when nobody knows the current version any more. */
+    Report restore(String text, long version) throws CommandException, InterruptedException {
+        ConfigurationFold fold = history.getFold();
+        byte[] record = new Snapshot(version, fold.getNextOffset() - 1, text).toBytes();
+        try {
+            log.append(record);
+        } catch (LogUnavailableException e) {
+            return Report.failure(
+                    ExitStatus.UNREACHABLE, e.getMessage(), "Run the command history before you restore again.");
+        }
+        history.readOn();
+        if (history.getFold().isComplete() && history.getText().equals(text)) {
+            return Report.of(ExitStatus.OK, "version " + version + " restored").with("version", version);
+        }
+        return Report.failure(
+                ExitStatus.CONFLICT,
+                "not restored: " + history.getFold(),
+                "Get the current text (show); another operator may have restored first.");
+    }
+
+    static void requireComplete(ConfigurationHistory history) throws CommandException {
+        if (!history.getFold().isComplete()) {
+            throw new CommandException(Report.failure(
+                    ExitStatus.FAILED,
+                    "the stream " + ConfigurationRecord.STREAM
+                            + " no longer has the records that lead to the current version, and no snapshot",
+                    "Start a node that knows the version, or wait for one to append a snapshot; when no node knows it, "
+                            + "run: publish FILE --restore VERSION, with a version above any that was in force."));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/StatusCommand.java
@@ -0,0 +1,69 @@
+package org.magnoliavane.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** Prints the state of the nodes. */
+@Parameters(commandDescription = "Print node, zone, version in force, leaving flag and active requests of each node")
+final class StatusCommand extends OperatorCommand {
+    private static final String PATH = "/operator/status";
+
+    @ParametersDelegate
+    private final NodeOptions nodes = new NodeOptions();
+
+    @Override
+    String[] getExamples() {
+        return new String[] {"--vm-list http://192.0.2.8:7071", "--node http://192.0.2.1:8082,http://192.0.2.2:8082"};
+    }
+
+    @Override
+    Report run() throws CommandException {
+        Map<String, Optional<JsonNode>> answers = nodes.ask(PATH);
+        TextTable table = new TextTable("node", "zone", "version", "leaving", "active requests");
+        Set<Long> versions = new TreeSet<>();
+        int answered = 0;
+        for (Map.Entry<String, Optional<JsonNode>> answer : answers.entrySet()) {
+            JsonNode status = answer.getValue().orElse(null);
+            if (status == null) {
+                table.addRow(answer.getKey(), "no answer", "", "", "");
+                continue;
+            }
+            answered++;
+            versions.add(status.path("configuration_version").asLong());
+            table.addRow(
+                    status.path("node").asText(answer.getKey()),
+                    status.path("zone").asText(),
+                    status.path("configuration_version").asText(),
+                    status.path("leaving").asText(),
+                    status.path("active_requests").asText());
+        }
+        return Report.of(toStatus(answered, answers.size()), table + summarise(answered, answers.size(), versions))
+                .without("message")
+                .with("nodes", toJson(answers))
+                .with("versions", versions);
+    }
+
+    private static int toStatus(int answered, int asked) {
+        if (answered == 0) {
+            return ExitStatus.UNREACHABLE;
+        }
+        return answered == asked ? ExitStatus.OK : ExitStatus.FAILED;
+    }
+
+    private static String summarise(int answered, int asked, Set<Long> versions) {
+        return answered + " of " + asked + " nodes answered; versions in force: " + versions;
+    }
+
+    private static Map<String, Object> toJson(Map<String, Optional<JsonNode>> answers) {
+        Map<String, Object> json = new LinkedHashMap<>();
+        answers.forEach((name, answer) -> json.put(name, answer.orElse(null)));
+        return json;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/TextTable.java
@@ -0,0 +1,39 @@
+package org.magnoliavane.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Aligns rows in columns. */
+final class TextTable {
+    private final List<List<String>> rows = new ArrayList<>();
+
+    TextTable(String... titles) {
+        rows.add(List.of(titles));
+    }
+
+    void addRow(Object... cells) {
+        // A control character from an operator's or a node's text must not reach the terminal.
+        rows.add(Stream.of(cells)
+                .map(c -> String.valueOf(c).replaceAll("\\p{Cntrl}", " "))
+                .toList());
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        for (List<String> row : rows) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < row.size(); i++) {
+                line.append(row.get(i))
+                        .append(" ".repeat(widthOf(i) - row.get(i).length() + 2));
+            }
+            text.append(line.toString().stripTrailing()).append('\n');
+        }
+        return text.toString();
+    }
+
+    private int widthOf(int column) {
+        return rows.stream().mapToInt(r -> r.get(column).length()).max().orElse(0);
+    }
+}
--- a/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
+++ b/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
@@ -70,7 +70,8 @@
     }
 
     /**
-     * Adds a listener that gets each new version in order, from now on. It must return soon and must not block.
+     * Adds a listener that gets the versions that come into force from now on, in rising order. A version that is read
+     * together with its successor is left out. The listener must return soon and must not block.
      *
      * @param listener the listener
      */
--- a/node/src/test/java/org/magnoliavane/node/configuration/ConfigurationControllerTest.java
+++ b/node/src/test/java/org/magnoliavane/node/configuration/ConfigurationControllerTest.java
@@ -41,10 +41,11 @@
         node.addListener(c -> versions.add(c.version()));
         assertEquals(node.get().version(), 0);
         publish(0);
+        await(() -> versions.equals(List.of(1L)));
         publish(0);
         publish(1);
-        await(() -> node.get().version() == 2);
-        assertEquals(versions, List.of(1L, 2L));
+        await(() -> versions.equals(List.of(1L, 2L)));
+        assertEquals(node.get().version(), 2);
         await(() -> node.getCounts().rejected() == 1);
         assertEquals(node.findCurrent().orElseThrow(), new VersionedText(2, 3, text(1)));
     }
@@ -122,6 +123,7 @@
         });
         node.addListener(c -> versions.add(c.version()));
         publish(0);
+        await(() -> versions.equals(List.of(1L)));
         publish(1);
         await(() -> versions.equals(List.of(1L, 2L)));
     }
