Print the difference from the text before the publication

Change: the difference is taken first, with a check in the test. Also a test of the controller over HTTP: while a poll hangs on a silent connection, a change is in force within 3 s.

--- a/node/src/main/java/org/magnoliavane/cli/PublishCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/PublishCommand.java
@@ -63,11 +63,12 @@
             return restore(history, publisher, text);
         }
         Publisher.requireComplete(history);
+        // Publishing reads on, so the difference is taken before.
+        String lines = diff ? TextDiff.diff(history.getText(), text) : "";
         Report report = publishOn(history, publisher, text);
         if (!diff) {
             return report;
         }
-        String lines = TextDiff.diff(history.getText(), text);
         return new Report(report.status(), lines + report.text(), report.json()).with("diff", lines);
     }
 
--- a/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
@@ -98,6 +98,8 @@
         assertEquals(run("publish", file.toString(), "--log", log, "--dry-run", "--diff"), ExitStatus.OK);
         assertTrue(out.startsWith("- # old\n+ # new\nthe text is valid"), out);
         assertEquals(server.getLog().getNextOffset(), 1);
+        assertEquals(run("publish", file.toString(), "--log", log, "--diff"), ExitStatus.OK);
+        assertTrue(out.startsWith("- # old\n+ # new\nversion 2 accepted"), out);
     }
 
     @Test
--- a/node/src/test/java/org/magnoliavane/node/configuration/ConfigurationControllerTest.java
+++ b/node/src/test/java/org/magnoliavane/node/configuration/ConfigurationControllerTest.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.node.configuration;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -7,7 +8,11 @@
 import java.util.function.BooleanSupplier;
 
 import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.node.log.HttpLogService;
+import org.magnoliavane.node.log.LogService;
 import org.magnoliavane.node.log.TestLog;
+import org.magnoliavane.node.log.TestLogServer;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -128,6 +133,23 @@
         await(() -> versions.equals(List.of(1L, 2L)));
     }
 
+    /** Guards against a poll that hangs on a connection that has gone silent while new connections work. */
+    @Test
+    public void aChangeIsInForceWithin3SecondsAlthoughTheConnectionOfThePollIsSilent() throws IOException {
+        try (TestLogServer server = new TestLogServer();
+                HttpClient client = HttpClient.open("controller-test")) {
+            log = server.getLog();
+            ConfigurationController node = start(new HttpLogService(client, server.getEndpoint()), 60_000);
+            publish(0);
+            await(() -> node.get().version() == 1);
+            server.setSilent(true);
+            await(() -> server.getSilenced() == 1);
+            server.setSilent(false);
+            publish(1);
+            await(() -> node.get().version() == 2);
+        }
+    }
+
     /** Guards against snapshots in a loop when the clocks of node and log service differ. */
     @Test
     public void aNodeWhoseClockIsAheadAppendsFewSnapshots() {
@@ -146,8 +168,12 @@
     }
 
     private ConfigurationController start(long retentionMillis) {
+        return start(log, retentionMillis);
+    }
+
+    private ConfigurationController start(LogService service, long retentionMillis) {
         ConfigurationController node =
-                new ConfigurationController(log, retentionMillis, new SplittableRandom(controllers.size()));
+                new ConfigurationController(service, retentionMillis, new SplittableRandom(controllers.size()));
         controllers.add(node);
         node.start();
         return node;
--- a/node/src/test/java/org/magnoliavane/node/log/TestLogServer.java
+++ b/node/src/test/java/org/magnoliavane/node/log/TestLogServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -19,6 +20,7 @@
 public final class TestLogServer implements AutoCloseable {
     private final TestLog log = new TestLog();
     private volatile int forcedStatus;
+    private final AtomicInteger silenced = new AtomicInteger();
     private volatile boolean silent;
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -43,6 +45,10 @@
         silent = value;
     }
 
+    public int getSilenced() {
+        return silenced.get();
+    }
+
     public HttpEndpoint getEndpoint() {
         return new HttpEndpoint("127.0.0.1", server.getAddress().getPort());
     }
@@ -50,6 +56,7 @@
     private void handle(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
         if (silent) {
+            silenced.incrementAndGet();
             return;
         }
         if (forcedStatus != 0) {
