Test membership and placement over loopback peers

Cause: membership and placement had no tests of their own. Change: a test cluster with real peer connections; tests for failover of the coordinator, orphans, and poison requests sent to any node one after the other and at the same time. In work, the first copy of a content that was never answered holds back the others, because copies side by side could crash more than two workers.

--- a/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -44,6 +44,7 @@
     private final AtomicReference<List<Vm>> vms = new AtomicReference<>(List.of());
     private final Set<String> everListed = ConcurrentHashMap.newKeySet();
     private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
     private final AtomicBoolean failing = new AtomicBoolean();
@@ -96,7 +97,7 @@
      * @return true when the view rests on the VM list
      */
     public boolean isListed() {
-        return !everListed.isEmpty();
+        return listed.get();
     }
 
     /**
@@ -175,7 +176,8 @@
             LOG.log(Level.INFO, "The VM list can be read again.");
         }
         vms.set(list);
-        list.forEach(vm -> everListed.add(vm.id()));
+        list.stream().filter(vm -> toNode(vm).isPresent()).forEach(vm -> everListed.add(vm.id()));
+        listed.set(true);
         refreshSoon();
     }
 
--- a/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 
@@ -47,6 +48,7 @@
     private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private final AtomicReference<Runnable> onChange = new AtomicReference<>(() -> {});
     private final AtomicReference<BiConsumer<String, Long>> onVersion = new AtomicReference<>((node, version) -> {});
+    private final AtomicBoolean closed = new AtomicBoolean();
     private final AtomicReference<PeerServer> server = new AtomicReference<>();
 
     private PeerNetwork(PeerTransport transport, String cluster, NodeRun self, String zone, HeartbeatSource source) {
@@ -122,17 +124,10 @@
      * @param peers the other nodes
      */
     public void setPeers(List<NodeAddress> peers) {
-        Set<String> wanted = new HashSet<>();
-        for (NodeAddress peer : peers) {
-            wanted.add(peer.run().node());
-            connect(peer);
-        }
-        for (String node : links.keySet()) {
-            if (!wanted.contains(node)) {
-                links.remove(node).stop();
-                leaving.remove(node);
-            }
+        if (closed.get()) {
+            return;
         }
+        replacePeers(peers);
     }
 
     /** Sends a heartbeat on each connection now. */
@@ -198,12 +193,27 @@
 
     @Override
     public void close() {
-        setPeers(List.of());
+        closed.set(true);
+        replacePeers(List.of());
         Optional.ofNullable(server.get()).ifPresent(PeerServer::close);
         timers.shutdownNow();
         transport.close();
     }
 
+    private void replacePeers(List<NodeAddress> peers) {
+        Set<String> wanted = new HashSet<>();
+        for (NodeAddress peer : peers) {
+            wanted.add(peer.run().node());
+            connect(peer);
+        }
+        for (String node : links.keySet()) {
+            if (!wanted.contains(node)) {
+                links.remove(node).stop();
+                leaving.remove(node);
+            }
+        }
+    }
+
     private void connect(NodeAddress peer) {
         String node = peer.run().node();
         PeerLink current = links.get(node);
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -44,6 +44,8 @@
     private final Function<Service, PoolScheduler> factory;
     private final BiConsumer<PoolAttempt, Collection<BackendServer>> confirmer;
     private final Map<String, PoolAttempt> attempts = new LinkedHashMap<>();
+    private final Map<String, PoolAttempt> held = new LinkedHashMap<>();
+    private final Map<Long, Integer> inWork = new HashMap<>();
     private final EndedAttempts ended = new EndedAttempts(MAX_ENDED);
     private final Map<Long, Integer> tested = new HashMap<>();
     private final Map<String, Long> downSince = new HashMap<>();
@@ -53,6 +55,7 @@
     private PoolScheduler scheduler;
     private Map<String, BackendServer> servers = Map.of();
     private List<PoolWorker> workers = List.of();
+    private ClusterView lastView;
 
     Pool(
             Service service,
@@ -90,7 +93,7 @@
     void place(PlacementRequest request, NodeRun run, PlacementListener listener, long now) {
         PoolAttempt known = attempts.get(request.attempt());
         if (known == null) {
-            attempts.put(request.attempt(), new PoolAttempt(request, run, listener, now));
+            add(new PoolAttempt(request, run, listener, now));
             decide(now);
             return;
         }
@@ -123,12 +126,12 @@
             withdraw(request.attempt(), now);
         }
         PoolAttempt adopted = new PoolAttempt(request, run, listener, now);
-        adopted.state = PoolAttempt.State.STARTED;
         adopted.isolated = request.isolated();
         adopted.grant = grant;
         adopted.progress = progress.orElse(null);
-        attempts.put(request.attempt(), adopted);
-        scheduler.adopt(request, grant.toStart(), progress.orElse(null), now);
+        add(adopted);
+        move(adopted, PoolAttempt.State.STARTED);
+        scheduler.adopt(request, grant.toStart(), adopted.getReport(), now);
         decide(now);
     }
 
@@ -142,14 +145,14 @@
                 .map(PoolAttempt::getId)
                 .toList();
         for (String attempt : dropped) {
-            attempts.remove(attempt);
+            remove(attempt);
             scheduler.withdraw(attempt, now);
         }
         decide(now);
     }
 
     void withdraw(String attempt, long now) {
-        PoolAttempt known = attempts.remove(attempt);
+        PoolAttempt known = remove(attempt);
         if (known == null) {
             return;
         }
@@ -173,7 +176,7 @@
         scheduler.progress(report, now);
         List<BackendServer> suspects = List.of();
         if (report.phase().isEnd()) {
-            attempts.remove(report.attempt());
+            remove(report.attempt());
             ended.add(known, now);
             suspects = listFailing(known);
         }
@@ -228,12 +231,12 @@
             return;
         }
         if (refused.isEmpty()) {
-            attempt.state = PoolAttempt.State.STARTED;
+            move(attempt, PoolAttempt.State.STARTED);
             attempt.grantedMicros = now;
             attempt.listener.onGrant(attempt.grant);
             return;
         }
-        attempt.state = PoolAttempt.State.HELD;
+        move(attempt, PoolAttempt.State.HELD);
         attempt.grant = null;
         scheduler.withdraw(attempt.getId(), now);
         refused.forEach(worker -> workerRefused(worker, now));
@@ -245,6 +248,17 @@
         if (!current.equals(service)) {
             rebuild(current, now);
         }
+        if (view != lastView) {
+            lastView = view;
+            takeServers(view, now);
+        }
+        dropLostRuns(view, now);
+        refuseOverdue(now);
+        ended.forgetBefore(now);
+        decide(now);
+    }
+
+    private void takeServers(ClusterView view, long now) {
         Map<String, BackendServer> next = new LinkedHashMap<>();
         for (BackendServer server : view.servers()) {
             if (server.service().equals(service.name()) && server.role() != WorkerRole.PLAIN) {
@@ -255,10 +269,6 @@
         downSince.keySet().retainAll(next.keySet());
         upSince.keySet().retainAll(next.keySet());
         updateWorkers(now);
-        dropLostRuns(view, now);
-        refuseOverdue(now);
-        ended.forgetBefore(now);
-        decide(now);
     }
 
     void decide(long now) {
@@ -281,7 +291,7 @@
         if (decision instanceof SchedulerDecision.Start start) {
             start(attempt, start, now);
         } else if (decision instanceof SchedulerDecision.Refuse refusal) {
-            attempts.remove(attempt.getId());
+            remove(attempt.getId());
             attempt.listener.onRefusal(refusal);
         } else {
             ended.addReason(attempt.getId(), decision.explanation());
@@ -294,18 +304,18 @@
         BackendServer decode = servers.get(start.decodeWorker());
         if (prefill == null || decode == null || !mayStart(attempt)) {
             scheduler.withdraw(attempt.getId(), now);
-            attempt.state = PoolAttempt.State.HELD;
+            move(attempt, PoolAttempt.State.HELD);
             return;
         }
         Placement placement = new Placement(attempt.getId(), prefill, decode, start.pieces(), start.priority());
         attempt.grant = new Grant(placement, start.explanation());
         attempt.grantedMicros = now;
         if (attempt.isolated) {
-            attempt.state = PoolAttempt.State.CONFIRMING;
+            move(attempt, PoolAttempt.State.CONFIRMING);
             confirmer.accept(attempt, List.of(prefill, decode));
             return;
         }
-        attempt.state = PoolAttempt.State.STARTED;
+        move(attempt, PoolAttempt.State.STARTED);
         attempt.listener.onGrant(attempt.grant);
     }
 
@@ -319,26 +329,12 @@
     }
 
     private void releaseHeld(long now) {
-        Set<Long> inWork = new HashSet<>();
-        boolean held = false;
-        for (PoolAttempt attempt : attempts.values()) {
-            if (attempt.isInWork()) {
-                inWork.add(attempt.request.contentHash());
-            } else {
-                held = true;
-            }
-        }
-        if (!held) {
-            return;
-        }
-        for (PoolAttempt attempt : new ArrayList<>(attempts.values())) {
-            if (!attempt.isInWork()) {
-                release(attempt, inWork, now);
-            }
+        if (!held.isEmpty()) {
+            new ArrayList<>(held.values()).forEach(attempt -> release(attempt, now));
         }
     }
 
-    private void release(PoolAttempt attempt, Set<Long> inWork, long now) {
+    private void release(PoolAttempt attempt, long now) {
         long content = attempt.request.contentHash();
         Standing standing = content == 0 ? Standing.CLEARED : poison.getStanding(content);
         if (standing == Standing.CONVICTED) {
@@ -348,25 +344,24 @@
         // One copy at a time until the content has been answered once: copies that run side by side could crash more
         // workers than the two that a conviction costs.
         boolean alone = content != 0 && !poison.isProven(content);
-        if (tested.containsKey(content) || alone && inWork.contains(content)) {
+        if (tested.containsKey(content) || alone && inWork.containsKey(content)) {
             return;
         }
-        inWork.add(content);
         attempt.isolated = attempt.request.isolated() || standing == Standing.SUSPECTED;
-        attempt.state = PoolAttempt.State.OFFERED;
+        move(attempt, PoolAttempt.State.OFFERED);
         scheduler.offer(attempt.toOffer(now), now);
     }
 
     private void refuse(PoolAttempt attempt, FaultKind kind, String explanation) {
-        attempts.remove(attempt.getId());
+        remove(attempt.getId());
         attempt.listener.onRefusal(
                 new SchedulerDecision.Refuse(attempt.getId(), kind, RETRY_AFTER_MILLIS, explanation));
     }
 
     private void refuseOverdue(long now) {
-        for (PoolAttempt attempt : new ArrayList<>(attempts.values())) {
+        for (PoolAttempt attempt : new ArrayList<>(held.values())) {
             long waited = (now - attempt.arrivedMicros) / 1000;
-            if (!attempt.isInWork() && waited > attempt.request.maxWaitMillis()) {
+            if (waited > attempt.request.maxWaitMillis()) {
                 refuse(attempt, FaultKind.OVERLOADED, "the same content was in work or under test for too long");
             }
         }
@@ -377,11 +372,11 @@
         scheduler = factory.apply(current);
         workers = List.of();
         updateWorkers(now);
-        for (PoolAttempt attempt : attempts.values()) {
+        for (PoolAttempt attempt : new ArrayList<>(attempts.values())) {
             if (attempt.isStarted()) {
-                scheduler.adopt(attempt.request, attempt.grant.toStart(), attempt.progress, now);
+                scheduler.adopt(attempt.request, attempt.grant.toStart(), attempt.getReport(), now);
             } else {
-                attempt.state = PoolAttempt.State.HELD;
+                move(attempt, PoolAttempt.State.HELD);
                 attempt.grant = null;
             }
         }
@@ -415,6 +410,36 @@
         }
     }
 
+    private void add(PoolAttempt attempt) {
+        attempts.put(attempt.getId(), attempt);
+        held.put(attempt.getId(), attempt);
+    }
+
+    private PoolAttempt remove(String id) {
+        PoolAttempt attempt = attempts.remove(id);
+        held.remove(id);
+        if (attempt != null && attempt.isInWork()) {
+            uncount(attempt);
+        }
+        return attempt;
+    }
+
+    private void move(PoolAttempt attempt, PoolAttempt.State state) {
+        boolean before = attempt.isInWork();
+        attempt.state = state;
+        if (before && !attempt.isInWork()) {
+            uncount(attempt);
+            held.put(attempt.getId(), attempt);
+        } else if (!before && attempt.isInWork()) {
+            inWork.merge(attempt.request.contentHash(), 1, Integer::sum);
+            held.remove(attempt.getId());
+        }
+    }
+
+    private void uncount(PoolAttempt attempt) {
+        inWork.computeIfPresent(attempt.request.contentHash(), (key, count) -> count > 1 ? count - 1 : null);
+    }
+
     private List<PoolAttempt> listOn(String worker, long now) {
         List<PoolAttempt> result = new ArrayList<>();
         for (PoolAttempt attempt : attempts.values()) {
--- a/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
@@ -75,8 +75,9 @@
         return Requests.afterWaiting(request, (nowMicros - arrivedMicros) / 1000, isolated);
     }
 
-    boolean hasEnded() {
-        return progress != null && progress.phase().isEnd();
+    /** Gets the newest report; its phase is null when there was none. */
+    AttemptProgress getReport() {
+        return progress == null ? new AttemptProgress(getId(), null, 0, 0) : progress;
     }
 
     boolean isCompleted() {
--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/membership/MembershipControllerTest.java
@@ -0,0 +1,101 @@
+package org.magnoliavane.node.membership;
+
+import java.util.concurrent.TimeUnit;
+
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.node.membership.TestCluster.Member;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class MembershipControllerTest {
+    private TestCluster cluster;
+    private Member first;
+    private Member second;
+
+    @BeforeMethod
+    public void start() throws InterruptedException {
+        cluster = new TestCluster();
+        first = cluster.start("entry-1", 11, m -> {});
+        second = cluster.start("entry-2", 22, m -> {});
+        cluster.awaitNodes(2);
+    }
+
+    @AfterMethod
+    public void stop() {
+        cluster.close();
+    }
+
+    @Test
+    public void nodesSeeEachOtherWithTheRunOfTheHello() {
+        assertEquals(
+                first.getController().get().findNode("entry-2").orElseThrow().run(), new NodeRun("entry-2", 22));
+    }
+
+    /** Guards against placements at a coordinator that has died. */
+    @Test
+    public void aNodeThatCannotBeReachedLeavesTheViewWithinOneAndAHalfSeconds() throws InterruptedException {
+        long start = System.nanoTime();
+        cluster.stop(second);
+        TestCluster.await(() -> first.getController().get().nodes().size() == 1);
+        assertTrue(System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(1500));
+    }
+
+    @Test
+    public void theLastViewStaysInForceThroughAnOutageOfTheVmList() throws InterruptedException {
+        cluster.addWorker("w", "decode", "live");
+        TestCluster.await(() -> first.getController().get().findServer("w").isPresent());
+        cluster.setVmListDown(true);
+        Thread.sleep(300);
+        assertTrue(first.getController().get().findServer("w").isPresent());
+        assertEquals(first.getController().get().nodes().size(), 2);
+    }
+
+    /** Guards against new work on a worker that is about to go away. */
+    @Test
+    public void aLeavingWorkerIsOutOfTheViewSoon() throws InterruptedException {
+        cluster.addWorker("v", "decode", "live");
+        cluster.addWorker("w", "decode", "live");
+        TestCluster.await(() -> getAvailable() == 2);
+        cluster.addWorker("w", "decode", "leaving");
+        TestCluster.await(() -> getAvailable() == 1);
+        cluster.drain("v");
+        TestCluster.await(() -> getAvailable() == 0);
+    }
+
+    @Test
+    public void aNodeThatIsLeavingTellsItsPeers() throws InterruptedException {
+        second.getController().leave();
+        TestCluster.await(() ->
+                first.getController().get().findNode("entry-2").orElseThrow().leaving());
+    }
+
+    /** Guards against a final answer for a run that is only out of reach, and against waiting for one that is gone. */
+    @Test
+    public void anEndedRunIsToldApartFromOneThatCannotBeReached() throws Exception {
+        assertEquals(stateOf(new NodeRun("entry-2", 22)), RunState.LIVE);
+        assertEquals(stateOf(new NodeRun("entry-2", 21)), RunState.GONE);
+        assertEquals(stateOf(new NodeRun("entry-9", 1)), RunState.UNREACHABLE);
+        cluster.stop(second);
+        TestCluster.await(() -> first.getController().get().nodes().size() == 1);
+        assertEquals(stateOf(new NodeRun("entry-2", 22)), RunState.UNREACHABLE);
+        cluster.remove("entry-2");
+        Thread.sleep(300);
+        assertEquals(stateOf(new NodeRun("entry-2", 22)), RunState.GONE);
+    }
+
+    private RunState stateOf(NodeRun run) throws Exception {
+        return first.getController().getState(run).toCompletableFuture().get(3, TimeUnit.SECONDS);
+    }
+
+    private int getAvailable() {
+        return first.getController()
+                .get()
+                .getAvailable(TestCluster.SERVICE, WorkerRole.DECODE)
+                .size();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -0,0 +1,343 @@
+package org.magnoliavane.node.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
+import org.magnoliavane.node.decision.Decision;
+import org.magnoliavane.node.decision.DecisionLog;
+import org.magnoliavane.node.membership.TestCluster;
+import org.magnoliavane.node.membership.TestCluster.Member;
+import org.magnoliavane.pool.AttemptPhase;
+import org.magnoliavane.pool.AttemptProgress;
+import org.magnoliavane.pool.PlacementRequest;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class PeerPlacementServiceTest {
+    private static final int NODES = 3;
+    private static final long POISON = 666;
+
+    private TestCluster cluster;
+    private FakeEngines engines;
+    private List<TestNode> nodes;
+
+    @BeforeMethod
+    public void start() throws InterruptedException {
+        cluster = new TestCluster();
+        engines = new FakeEngines();
+        nodes = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            cluster.addWorker("p" + i, "prefill", "live");
+            cluster.addWorker("d" + i, "decode", "live");
+        }
+        for (int i = 0; i < NODES; i++) {
+            nodes.add(new TestNode("entry-" + i, 100 + i));
+        }
+        cluster.awaitNodes(NODES);
+        TestCluster.await(() -> nodes.stream()
+                .allMatch(node -> node.member.getController().get().servers().size() == 8));
+    }
+
+    @AfterMethod
+    public void stop() {
+        nodes.forEach(TestNode::close);
+        cluster.close();
+    }
+
+    @Test
+    public void everyNodeIsServedByTheOneCoordinator() throws Exception {
+        for (TestNode node : nodes) {
+            Placement placement = node.place(
+                            "r" + node.member.getRun().node() + "-1",
+                            node.member.getRun().run())
+                    .get();
+            assertEquals(placement.prefillWorker().host(), "127.0.0.1");
+            assertEquals(node.decisions.get(0).stage(), "place");
+            assertTrue(node.decisions
+                    .get(0)
+                    .considered()
+                    .contains(getOwner().member.getRun().node()));
+        }
+        assertEquals(countPrefillWorkersInUse(), NODES);
+    }
+
+    /** Guards against lost requests, and against a successor that gives reserved memory away a second time. */
+    @Test
+    public void aNewCoordinatorLearnsWhatIsInWorkAndWhatWaits() throws Exception {
+        TestNode owner = getOwner();
+        TestNode other = nodes.stream().filter(n -> n != owner).findFirst().orElseThrow();
+        Placement before = other.place("started-1", 1).get();
+        CompletableFuture<Either<Fault, Placement>> waiting = other.send("waiting-1", 1);
+        owner.close();
+        cluster.stop(owner.member);
+        nodes.remove(owner);
+        other.service.report(new AttemptProgress("started-1", AttemptPhase.PREFILLED, 0, 0));
+        cluster.awaitNodes(NODES - 1);
+        Thread.sleep(150);
+        // The same content waits until the first copy has been answered, so the successor must have adopted that one.
+        assertFalse(waiting.isDone());
+        other.service.report(new AttemptProgress("started-1", AttemptPhase.COMPLETED, 9, 0));
+        Placement after = waiting.get(3, TimeUnit.SECONDS).get();
+        assertEquals(after.attempt(), "waiting-1");
+        assertEquals(before.attempt(), "started-1");
+    }
+
+    @Test
+    public void aRequestThatNoCoordinatorAnswersIsRefusedWithATimeToComeBack() throws Exception {
+        for (int i = 0; i < 4; i++) {
+            cluster.remove("p" + i);
+        }
+        TestCluster.await(() -> nodes.stream()
+                .allMatch(node -> node.member.getController().get().servers().size() == 4));
+        Thread.sleep(200);
+        Fault fault = nodes.get(0).place("late-1", 300, 5).getLeft();
+        assertEquals(fault.kind(), FaultKind.UNAVAILABLE);
+        assertTrue(fault.retryAfterMillis().isPresent());
+    }
+
+    /** Guards against a poison request that takes down one worker after the other. */
+    @Test
+    public void aPoisonRequestTakesDownAtMostTwoWorkersWhateverNodesItIsSentTo() throws Exception {
+        Random random = new Random(7);
+        for (int i = 0; i < 6; i++) {
+            nodes.get(i % NODES).place("innocent" + i + "-1", 1000 + i).get();
+        }
+        int crashes = 0;
+        FaultKind last = null;
+        for (int i = 0; i < 8 && last == null; i++) {
+            TestNode node = nodes.get(random.nextInt(NODES));
+            Either<Fault, Placement> answer = node.place("poison" + i + "-1", POISON);
+            if (answer.isLeft()) {
+                last = answer.getLeft().kind();
+            } else {
+                crashes++;
+                crash(answer.get().prefillWorker().id());
+                completeOthers();
+            }
+        }
+        assertEquals(last, FaultKind.POISON);
+        assertTrue(crashes <= 2, crashes + " workers crashed");
+    }
+
+    /** Guards against copies of a poison request that run side by side before the first crash. */
+    @Test
+    public void copiesSentToAllNodesAtOnceTakeDownAtMostTwoWorkers() throws Exception {
+        List<CompletableFuture<Either<Fault, Placement>>> copies = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            copies.add(nodes.get(i % NODES).send("copy" + i + "-1", POISON));
+        }
+        int crashes = 0;
+        while (copies.stream().anyMatch(copy -> !copy.isDone()) || !isAllRefusedOrFailed(copies)) {
+            Optional<Placement> running = findRunning(POISON);
+            if (running.isPresent()) {
+                crashes++;
+                crash(running.get().prefillWorker().id());
+            }
+            assertTrue(crashes <= 2, crashes + " workers crashed");
+            Thread.sleep(20);
+        }
+        assertEquals(crashes, 2);
+    }
+
+    @Test
+    public void innocentsThatSharedACrashedWorkerArePlacedAgainAndCleared() throws Exception {
+        TestNode node = nodes.get(0);
+        Placement first = node.place("a-1", 1).get();
+        crash(first.prefillWorker().id());
+        Placement again = node.place("a-2", 1).get();
+        node.finish("a-2", AttemptPhase.COMPLETED);
+        assertFalse(again.prefillWorker().id().equals(first.prefillWorker().id()));
+        assertTrue(node.place("b-1", 1).isRight());
+        assertTrue(node.place("c-1", 1).isRight(), "a cleared content may run twice at the same time");
+    }
+
+    /** Guards against a conviction that is forgotten when its coordinator dies. */
+    @Test
+    public void aConvictionSurvivesTheCoordinator() throws Exception {
+        TestNode owner = getOwner();
+        TestNode other = nodes.stream().filter(n -> n != owner).findFirst().orElseThrow();
+        crash(other.place("x-1", POISON).get().prefillWorker().id());
+        crash(other.place("x-2", POISON).get().prefillWorker().id());
+        assertEquals(other.place("x-3", POISON).getLeft().kind(), FaultKind.POISON);
+        owner.close();
+        cluster.stop(owner.member);
+        nodes.remove(owner);
+        cluster.awaitNodes(NODES - 1);
+        assertEquals(other.place("x-4", POISON).getLeft().kind(), FaultKind.POISON);
+    }
+
+    /** Guards against engine memory that stays held, and against cutting off a stream that was just started. */
+    @Test
+    public void onlyAttemptsThatNobodyDrivesAreCancelled() throws Exception {
+        Placement placement = nodes.get(0).place("live-1", 1).get();
+        String run = nodes.get(0).member.getRun().toString();
+        engines.attempts.put(
+                placement.decodeWorker().id(),
+                List.of(
+                        new EngineAttempt("live-1", run, "decode", 1, 3, true),
+                        new EngineAttempt(
+                                "resumed-1", nodes.get(1).member.getRun().toString(), "decode", 1, 3, true),
+                        new EngineAttempt("detached-1", run, "decode", 1, 3, false),
+                        new EngineAttempt("dead-1", "entry-1.77", "decode", 1, 3, false)));
+        Thread.sleep(250);
+        assertTrue(engines.cancelled.isEmpty());
+        TestCluster.await(() -> engines.cancelled.size() == 2);
+        Thread.sleep(300);
+        assertEquals(engines.cancelled, java.util.Set.of("detached-1", "dead-1"));
+    }
+
+    private boolean isAllRefusedOrFailed(List<CompletableFuture<Either<Fault, Placement>>> copies) {
+        return copies.stream().allMatch(copy -> copy.isDone())
+                && findRunning(POISON).isEmpty();
+    }
+
+    private TestNode getOwner() {
+        String owner = nodes.get(0)
+                .member
+                .getController()
+                .get()
+                .getOwner("pool/" + TestCluster.SERVICE)
+                .run()
+                .node();
+        return nodes.stream()
+                .filter(n -> n.member.getRun().node().equals(owner))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private Optional<Placement> findRunning(long content) {
+        for (TestNode node : nodes) {
+            for (Map.Entry<String, Long> entry : node.contents.entrySet()) {
+                Placement placement = node.running.get(entry.getKey());
+                if (entry.getValue() == content && placement != null) {
+                    return Optional.of(placement);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private long countPrefillWorkersInUse() {
+        return nodes.stream()
+                .flatMap(n -> n.running.values().stream())
+                .map(p -> p.prefillWorker().id())
+                .distinct()
+                .count();
+    }
+
+    private void crash(String worker) {
+        engines.down.add(worker);
+        for (TestNode node : nodes) {
+            for (Placement placement : List.copyOf(node.running.values())) {
+                if (placement.prefillWorker().id().equals(worker)) {
+                    node.finish(placement.attempt(), AttemptPhase.PREFILL_FAILED);
+                }
+            }
+        }
+    }
+
+    private void completeOthers() {
+        for (TestNode node : nodes) {
+            List.copyOf(node.running.keySet()).forEach(id -> node.finish(id, AttemptPhase.COMPLETED));
+        }
+    }
+
+    /** Runs the placement part of one node. */
+    private final class TestNode implements DecisionLog, AutoCloseable {
+        final List<Decision> decisions = new CopyOnWriteArrayList<>();
+        final Map<String, Placement> running = new ConcurrentHashMap<>();
+        final Map<String, Long> contents = new ConcurrentHashMap<>();
+        final Member member;
+        PlacementCoordinator coordinator;
+        PeerPlacementService service;
+
+        TestNode(String name, long run) {
+            member = cluster.start(name, run, m -> {
+                coordinator = PlacementCoordinator.start(
+                        () -> m.getController().get(),
+                        cluster::getConfiguration,
+                        s -> new FifoScheduler(),
+                        m.getPoison(),
+                        engines);
+                service = PeerPlacementService.start(
+                        m.getRun(), () -> m.getController().get(), m.getNetwork(), coordinator, m.getPoison(), this);
+            });
+        }
+
+        Either<Fault, Placement> place(String attempt, long content) throws Exception {
+            return place(attempt, 5000, content);
+        }
+
+        Either<Fault, Placement> place(String attempt, long maxWait, long content) throws Exception {
+            return send(attempt, maxWait, content).get(8, TimeUnit.SECONDS);
+        }
+
+        CompletableFuture<Either<Fault, Placement>> send(String attempt, long content) {
+            return send(attempt, 5000, content);
+        }
+
+        CompletableFuture<Either<Fault, Placement>> send(String attempt, long maxWait, long content) {
+            contents.put(attempt, content);
+            PlacementRequest request = new PlacementRequest(
+                    attempt,
+                    TestCluster.SERVICE,
+                    "m",
+                    "p",
+                    "a",
+                    "c",
+                    1,
+                    10,
+                    10,
+                    10,
+                    List.of(),
+                    content,
+                    500,
+                    50,
+                    maxWait,
+                    false);
+            return service.place(request, reason -> {})
+                    .thenApply(answer -> {
+                        answer.forEach(placement -> running.put(attempt, placement));
+                        return answer;
+                    })
+                    .toCompletableFuture();
+        }
+
+        void finish(String attempt, AttemptPhase phase) {
+            if (running.remove(attempt) != null) {
+                service.report(new AttemptProgress(attempt, phase, 1, 0));
+            }
+        }
+
+        @Override
+        public void record(Decision decision) {
+            decisions.add(decision);
+        }
+
+        @Override
+        public List<Decision> find(String request) {
+            return decisions;
+        }
+
+        @Override
+        public void close() {
+            service.close();
+            coordinator.close();
+        }
+    }
+}
