--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/idempotency/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Idempotency keys: who may run a key, and what was answered to it.
+ */
+package org.magnoliavane.idempotency;
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/keyed/KeyMessages.java
@@ -0,0 +1,102 @@
+package org.magnoliavane.node.keyed;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.Ran;
+import org.magnoliavane.protocol.generated.Answer;
+import org.magnoliavane.protocol.generated.FaultMessage;
+import org.magnoliavane.protocol.generated.KeyCall;
+import org.magnoliavane.protocol.generated.KeyResult;
+
+/**
+ * Converts between keyed calls and their messages.
+ */
+final class KeyMessages {
+    private KeyMessages() {}
+
+    static KeyCall toMessage(PlainCall call, NodeRun owner, boolean claimed) {
+        return KeyCall.newBuilder()
+                .setRequest(call.request())
+                .setCaller(call.caller())
+                .setService(call.service())
+                .setMethod(call.method())
+                .setPath(call.path())
+                .putAllHeaders(call.headers())
+                .setBody(ByteString.copyFrom(call.body()))
+                .setKey(call.idempotencyKey().orElse(""))
+                .setIdempotent(call.idempotent())
+                .setTimeoutMillis(call.timeoutMillis())
+                .setOwner(owner.toString())
+                .setClaimed(claimed)
+                .build();
+    }
+
+    static PlainCall toCall(KeyCall message) {
+        return new PlainCall(
+                message.getRequest(),
+                message.getCaller(),
+                message.getService(),
+                message.getMethod(),
+                message.getPath(),
+                message.getHeadersMap(),
+                message.getBody().toByteArray(),
+                Optional.of(message.getKey()),
+                message.getIdempotent(),
+                message.getTimeoutMillis());
+    }
+
+    static KeyResult toMessage(Either<Fault, PlainAnswer> result) {
+        return result.fold(
+                fault -> KeyResult.newBuilder().setFault(toMessage(fault)).build(),
+                answer -> KeyResult.newBuilder().setAnswer(toMessage(answer)).build());
+    }
+
+    static Either<Fault, PlainAnswer> toResult(KeyResult message) {
+        if (message.hasAnswer()) {
+            Answer answer = message.getAnswer();
+            return Either.right(new PlainAnswer(
+                    answer.getStatus(), answer.getHeadersMap(), answer.getBody().toByteArray()));
+        }
+        FaultMessage fault = message.getFault();
+        OptionalLong retryAfter =
+                fault.hasRetryAfterMillis() ? OptionalLong.of(fault.getRetryAfterMillis()) : OptionalLong.empty();
+        return Either.left(new Fault(
+                parse(FaultKind.class, fault.getKind(), FaultKind.INTERNAL),
+                parse(Ran.class, fault.getRan(), Ran.UNKNOWN),
+                fault.getMessage(),
+                fault.getRemedy(),
+                retryAfter));
+    }
+
+    private static FaultMessage toMessage(Fault fault) {
+        FaultMessage.Builder message = FaultMessage.newBuilder()
+                .setKind(fault.kind().name())
+                .setRan(fault.ran().name())
+                .setMessage(fault.message())
+                .setRemedy(fault.remedy());
+        fault.retryAfterMillis().ifPresent(message::setRetryAfterMillis);
+        return message.build();
+    }
+
+    private static Answer toMessage(PlainAnswer answer) {
+        return Answer.newBuilder()
+                .setStatus(answer.status())
+                .putAllHeaders(answer.headers())
+                .setBody(ByteString.copyFrom(answer.body()))
+                .build();
+    }
+
+    private static <E extends Enum<E>> E parse(Class<E> type, String name, E fallback) {
+        try {
+            return Enum.valueOf(type, name);
+        } catch (IllegalArgumentException e) {
+            return fallback;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/keyed/SystemTimers.java
@@ -0,0 +1,44 @@
+package org.magnoliavane.node.keyed;
+
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Tells the time by the monotonic clock of the machine and runs tasks on one thread.
+ *
+ * <p>Thread-safe.
+ */
+final class SystemTimers implements Timers, AutoCloseable {
+    private final long startMillis = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+    private final ScheduledThreadPoolExecutor executor;
+
+    SystemTimers() {
+        executor = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "keyed-timers");
+            thread.setDaemon(true);
+            return thread;
+        });
+        executor.setRemoveOnCancelPolicy(true);
+    }
+
+    @Override
+    public long nowMillis() {
+        return startMillis + (System.nanoTime() - startNanos) / 1_000_000;
+    }
+
+    @Override
+    public Runnable after(long millis, Runnable task) {
+        if (executor.isShutdown()) {
+            return () -> {};
+        }
+        Future<?> future = executor.schedule(task, millis, TimeUnit.MILLISECONDS);
+        return () -> future.cancel(false);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- a/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -3,7 +3,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +16,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -34,6 +38,7 @@
     /** The usual time between two reads of the VM list. */
     public static final long POLL_MILLIS = 300;
 
+    private static final long NEVER = Long.MIN_VALUE;
     private static final Logger LOG = System.getLogger(MembershipController.class.getName());
 
     private final NodeAddress self;
@@ -44,6 +49,8 @@
     private final AtomicReference<List<Vm>> vms = new AtomicReference<>(List.of());
     private final Set<String> everListed = ConcurrentHashMap.newKeySet();
     private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
+    private final Map<String, NodeRun> knownRuns = new HashMap<>();
+    private final AtomicLong lastLossNanos = new AtomicLong(NEVER);
     private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
@@ -137,6 +144,17 @@
         });
     }
 
+    @Override
+    public List<String> getListedNodes() {
+        return listPeers(vms.get()).stream().map(peer -> peer.run().node()).toList();
+    }
+
+    @Override
+    public long getMillisSinceLoss() {
+        long at = lastLossNanos.get();
+        return at == NEVER ? Long.MAX_VALUE : (System.nanoTime() - at) / 1_000_000;
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
@@ -186,6 +204,7 @@
             List<Vm> list = vms.get();
             network.setPeers(listPeers(list));
             ClusterView next = build(list);
+            noteLosses(list, next);
             ClusterView previous = view.getAndSet(next);
             if (!next.equals(previous)) {
                 listeners.forEach(listener -> listener.accept(next));
@@ -195,6 +214,21 @@
         }
     }
 
+    private void noteLosses(List<Vm> list, ClusterView next) {
+        boolean lost = false;
+        for (NodeAddress node : next.nodes()) {
+            NodeRun previous = knownRuns.put(node.run().node(), node.run());
+            lost |= previous != null && !previous.equals(node.run());
+        }
+        Set<String> listed = new HashSet<>();
+        list.forEach(vm -> listed.add(vm.id()));
+        listed.add(self.run().node());
+        lost |= knownRuns.keySet().retainAll(listed);
+        if (lost) {
+            lastLossNanos.set(System.nanoTime());
+        }
+    }
+
     private List<NodeAddress> listPeers(List<Vm> list) {
         List<NodeAddress> peers = new ArrayList<>();
         for (Vm vm : list) {
--- a/node/src/main/java/org/magnoliavane/node/membership/RunDirectory.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/RunDirectory.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.node.membership;
 
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 
 import org.magnoliavane.NodeRun;
@@ -9,7 +10,6 @@
  *
  * <p>Implementations are thread-safe.
  */
-@FunctionalInterface
 public interface RunDirectory {
 
     /**
@@ -20,4 +20,18 @@
      *     with another run
      */
     CompletionStage<RunState> getState(NodeRun run);
+
+    /**
+     * Gets the other nodes of the VM list, also those that cannot be reached.
+     *
+     * @return the node ids
+     */
+    List<String> getListedNodes();
+
+    /**
+     * Gets the time since the last run that this node knew left the VM list or was followed by another run.
+     *
+     * @return the time in milliseconds; {@link Long#MAX_VALUE} when that never happened
+     */
+    long getMillisSinceLoss();
 }
