--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/SerialExecutor.java
@@ -0,0 +1,48 @@
+package org.magnoliavane.node.dispatch;
+
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Runs tasks one after the other, in order of submission, on whichever submitting thread finds it idle. A task that is
+ * submitted by a running task runs after it, so that state which only tasks touch needs no lock.
+ *
+ * <p>Thread-safe.
+ */
+public final class SerialExecutor implements Executor {
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger pending = new AtomicInteger();
+
+    private SerialExecutor() {}
+
+    /**
+     * Creates an idle executor.
+     *
+     * @return the executor
+     */
+    public static SerialExecutor create() {
+        return new SerialExecutor();
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        tasks.add(task);
+        if (pending.getAndIncrement() > 0) {
+            return;
+        }
+        do {
+            run(tasks.remove());
+        } while (pending.decrementAndGet() > 0);
+    }
+
+    private static void run(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            System.getLogger(SerialExecutor.class.getName())
+                    .log(System.Logger.Level.ERROR, "a task of a request failed", e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatEndpoint.java
@@ -0,0 +1,248 @@
+package org.magnoliavane.node.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.vavr.control.Either;
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
+import org.magnoliavane.config.Configuration;
+import org.magnoliavane.config.ModelSettings;
+import org.magnoliavane.config.PriceClass;
+import org.magnoliavane.config.Service;
+import org.magnoliavane.node.decision.RequestDecisions;
+import org.magnoliavane.node.dispatch.Dependencies;
+import org.magnoliavane.node.dispatch.ModelCall;
+import org.magnoliavane.node.dispatch.ModelRun;
+import org.magnoliavane.node.dispatch.StreamPosition;
+import org.magnoliavane.pool.TokenCount;
+
+/** Checks chat requests, admits them, and connects their answers with the callers. */
+final class ChatEndpoint {
+    /** Tiers that client libraries send when the user has chosen none. */
+    private static final Set<String> NO_TIER = Set.of("auto", "default");
+
+    private final CallerParts parts;
+    private final KeyedAnswers keyed = new KeyedAnswers();
+
+    ChatEndpoint(CallerParts parts) {
+        this.parts = parts;
+    }
+
+    void handle(CallerExchange exchange) {
+        Either<ParamFault, Chat> chat = ChatRequest.parse(exchange.getBody())
+                .flatMap(request -> toCall(exchange, request).map(call -> new Chat(request, call)));
+        chat.peek(c -> admit(exchange, c)).peekLeft(exchange::fail);
+    }
+
+    private Either<ParamFault, ModelCall> toCall(CallerExchange exchange, ChatRequest request) {
+        Configuration configuration = exchange.getConfiguration();
+        Optional<Service> service = configuration.findServiceOfModel(request.model());
+        if (service.isEmpty()) {
+            return Either.left(unknown("model", request.model(), modelsOf(exchange)));
+        }
+        Optional<Fault> forbidden =
+                Access.check(exchange.getCaller(), service.get().name());
+        if (forbidden.isPresent()) {
+            return Either.left(ParamFault.of(forbidden.get()));
+        }
+        Optional<String> name = exchange.findHeader("magnoliavane-class").or(request::serviceTier);
+        Optional<PriceClass> priceClass = findClass(configuration, name);
+        if (priceClass.isEmpty()) {
+            return Either.left(unknown(
+                    "service_tier",
+                    name.orElse(""),
+                    new TreeSet<>(configuration.classes().keySet())));
+        }
+        return Deadline.of(exchange)
+                .flatMap(deadline -> toCall(exchange, request, service.get(), priceClass.get(), deadline));
+    }
+
+    private static Optional<PriceClass> findClass(Configuration configuration, Optional<String> name) {
+        boolean none = name.isPresent()
+                && NO_TIER.contains(name.get().toLowerCase(Locale.ROOT))
+                && !configuration.classes().containsKey(name.get());
+        return configuration.findClass(none ? Optional.empty() : name);
+    }
+
+    private static Either<ParamFault, ModelCall> toCall(
+            CallerExchange exchange, ChatRequest request, Service service, PriceClass priceClass, long deadline) {
+        int promptTokens = TokenCount.of(request.prompt());
+        int limit = exchange.getConfiguration().limits().maxPromptTokens();
+        if (promptTokens > limit) {
+            Fault fault = Fault.notRun(
+                    FaultKind.TOO_LARGE,
+                    "the prompt has " + promptTokens + " tokens, allowed are " + limit,
+                    "shorten the messages; operators: raise max_prompt_tokens");
+            return Either.left(new ParamFault(fault, "messages"));
+        }
+        ModelSettings settings = service.model().orElseThrow();
+        int most = Math.min(request.maxTokens().orElse(settings.maxOutputTokens()), settings.maxOutputTokens());
+        int expected = Math.min(request.maxTokens().orElse(settings.expectedOutputTokens()), most);
+        return Either.right(new ModelCall(
+                exchange.getId(),
+                exchange.getCaller(),
+                service.name(),
+                settings,
+                request.model(),
+                priceClass,
+                request.prompt(),
+                promptTokens,
+                expected,
+                most,
+                exchange.getArrivalNanos(),
+                deadline));
+    }
+
+    private void admit(CallerExchange exchange, Chat chat) {
+        ModelCall call = chat.call();
+        RequestDecisions log = new RequestDecisions(parts.decisions(), call.request());
+        log.record(
+                "route",
+                "models " + modelsOf(exchange),
+                call.service(),
+                "model " + call.model() + ", class " + call.priceClass().name());
+        Optional<String> lastEvent = exchange.findHeader("last-event-id");
+        if (lastEvent.isPresent()) {
+            resume(exchange, chat, lastEvent.get());
+            return;
+        }
+        Optional<String> key = exchange.findHeader("idempotency-key").map(PlainEndpoint::unquote);
+        if (key.isPresent() && !PlainEndpoint.isValid(key.get())) {
+            exchange.fail(PlainEndpoint.invalidKey());
+        } else if (key.isPresent()) {
+            deduplicate(exchange, chat, key.get());
+        } else if (isAdmitted(exchange, call)) {
+            start(exchange, chat);
+        }
+    }
+
+    private boolean isAdmitted(CallerExchange exchange, ModelCall call) {
+        RequestDecisions log = new RequestDecisions(parts.decisions(), call.request());
+        Service service = exchange.getConfiguration().services().get(call.service());
+        Optional<Fault> refusal = Dependencies.check(
+                service, exchange.getConfiguration(), parts.view().get());
+        String considered = "dependencies " + service.dependsOn() + ", " + call.promptTokens() + " prompt tokens";
+        if (refusal.isPresent()) {
+            log.record(
+                    "refuse",
+                    considered,
+                    "dependency_unavailable",
+                    refusal.get().message());
+            exchange.fail(refusal.get());
+            return false;
+        }
+        log.record("admit", considered, "placement", "limits and dependencies are met");
+        return true;
+    }
+
+    private ModelRun start(CallerExchange exchange, Chat chat) {
+        ChatRelay relay = newRelay(exchange, chat, false);
+        ModelRun run = parts.models().start(chat.call(), relay);
+        connect(exchange, run, relay);
+        return run;
+    }
+
+    private void deduplicate(CallerExchange exchange, Chat chat, String key) {
+        ModelCall call = chat.call();
+        KeyedAnswers.Entry entry = keyed.claim(call.caller().name(), key, call.request(), exchange.getBody());
+        if (entry.getRequest().equals(call.request())) {
+            startKeyed(exchange, chat, entry);
+        } else if (entry.isFor(exchange.getBody())) {
+            join(exchange, chat, entry);
+        } else {
+            exchange.fail(new ParamFault(
+                    Fault.notRun(
+                            FaultKind.KEY_CONFLICT,
+                            "the Idempotency-Key was used with another body",
+                            "send a new key with a new request"),
+                    "Idempotency-Key"));
+        }
+    }
+
+    private void startKeyed(CallerExchange exchange, Chat chat, KeyedAnswers.Entry entry) {
+        if (isAdmitted(exchange, chat.call())) {
+            keyed.start(entry, start(exchange, chat));
+        } else {
+            keyed.remove(entry);
+        }
+    }
+
+    private void join(CallerExchange exchange, Chat chat, KeyedAnswers.Entry entry) {
+        String earlier = entry.getRequest();
+        new RequestDecisions(parts.decisions(), exchange.getId())
+                .record("deduplicate", "request " + earlier, earlier, "same caller, key and body");
+        exchange.setShownId(earlier);
+        ChatRelay relay =
+                newRelay(exchange, new Chat(chat.request(), chat.call().withRequest(earlier)), false);
+        if (entry.findAnswer().isPresent()) {
+            entry.findAnswer().get().replayTo(relay);
+            return;
+        }
+        entry.getRun().whenComplete((run, cause) -> {
+            if (cause != null) {
+                exchange.fail(Fault.notRun(
+                        FaultKind.UNAVAILABLE, "the first request with this key was refused", "send it again"));
+                return;
+            }
+            run.replaceListener(relay);
+            connect(exchange, run, relay);
+        });
+    }
+
+    private void resume(CallerExchange exchange, Chat chat, String lastEvent) {
+        Optional<StreamPosition> position = StreamPosition.parse(lastEvent);
+        if (position.isEmpty() || !chat.request().stream()) {
+            exchange.fail(ParamFault.invalid(
+                    "Last-Event-ID",
+                    position.isEmpty() ? "Last-Event-ID is malformed" : "Last-Event-ID needs stream: true",
+                    "send the id of the last event received, as <worker>/<attempt>/<position>"));
+            return;
+        }
+        String attempt = position.get().attempt();
+        String earlier = attempt.substring(0, attempt.indexOf('-'));
+        ModelCall call = chat.call().withRequest(earlier);
+        ChatRelay relay = newRelay(exchange, new Chat(chat.request(), call), true);
+        parts.models().resume(call, position.get(), relay).thenAccept(result -> {
+            if (result.isLeft()) {
+                exchange.fail(result.getLeft());
+                return;
+            }
+            exchange.setShownId(earlier);
+            connect(exchange, result.get(), relay);
+        });
+    }
+
+    private ChatRelay newRelay(CallerExchange exchange, Chat chat, boolean resumed) {
+        return new ChatRelay(exchange, chat.call(), chat.request(), resumed, parts.timers(), parts.metrics());
+    }
+
+    private static void connect(CallerExchange exchange, ModelRun run, ChatRelay relay) {
+        relay.start();
+        exchange.setOnGone(() -> {
+            run.cancel(relay);
+            relay.abort();
+        });
+    }
+
+    private static Set<String> modelsOf(CallerExchange exchange) {
+        Set<String> models = new TreeSet<>();
+        for (Service service : exchange.getConfiguration().services().values()) {
+            if (Access.isAllowed(exchange.getCaller(), service.name())) {
+                service.model().ifPresent(m -> models.addAll(m.models()));
+            }
+        }
+        return models;
+    }
+
+    private static ParamFault unknown(String param, String value, Set<String> known) {
+        Fault fault = Fault.notRun(
+                FaultKind.NOT_FOUND, param + " " + value + " is not known", "use one of " + String.join(", ", known));
+        return new ParamFault(fault, param);
+    }
+
+    /** A parsed request and the call that it makes. */
+    private record Chat(ChatRequest request, ModelCall call) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/http/OperatorServer.java
@@ -0,0 +1,180 @@
+package org.magnoliavane.node.http;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
+import org.magnoliavane.membership.ClusterView;
+import org.magnoliavane.node.configuration.VersionedText;
+import org.magnoliavane.node.decision.Decision;
+import org.magnoliavane.node.dispatch.Json;
+
+/**
+ * Serves operators, read-only.
+ *
+ * <p>Thread-safe.
+ */
+public final class OperatorServer implements AutoCloseable {
+    private static final String EXPLAIN = "/operator/explain/";
+
+    private final CallerParts parts;
+    private final CallerServer callers;
+    private final Supplier<Optional<VersionedText>> text;
+    private final HttpServer server = new HttpServer();
+    private final NetworkListener listener;
+
+    private OperatorServer(
+            CallerParts parts, CallerServer callers, Supplier<Optional<VersionedText>> text, String host, int port)
+            throws IOException {
+        this.parts = parts;
+        this.callers = callers;
+        this.text = text;
+        this.listener = new NetworkListener("operators", host, port);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new Entry(), "/");
+        server.start();
+    }
+
+    /**
+     * Starts to serve.
+     *
+     * @param parts what the servers use
+     * @param callers the server of this node for callers
+     * @param text gets the configuration text in force
+     * @param host the IP address to listen on
+     * @param port the TCP port to listen on; 0 selects a free one
+     * @return the server
+     * @throws IOException when it cannot listen
+     */
+    public static OperatorServer open(
+            CallerParts parts, CallerServer callers, Supplier<Optional<VersionedText>> text, String host, int port)
+            throws IOException {
+        return new OperatorServer(parts, callers, text, host, port);
+    }
+
+    /**
+     * Gets the port.
+     *
+     * @return the TCP port on which operators are served
+     */
+    public int getPort() {
+        return listener.getPort();
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+    }
+
+    private ObjectNode status() {
+        ClusterView view = parts.view().get();
+        ObjectNode status = Json.object()
+                .put("node", parts.self().node())
+                .put("run", parts.self().toString())
+                .put("zone", view.self().zone())
+                .put("configuration_version", parts.configuration().get().version())
+                .put("leaving", callers.isLeaving())
+                .put("active_requests", callers.countActive())
+                .put("active_model_requests", parts.models().countRunning());
+        addNodes(status.putArray("nodes"), view);
+        addServers(status.putArray("backend_servers"), view);
+        return status;
+    }
+
+    private static void addNodes(ArrayNode list, ClusterView view) {
+        view.nodes()
+                .forEach(n -> list.addObject()
+                        .put("run", n.run().toString())
+                        .put("host", n.host())
+                        .put("caller_port", n.callerPort())
+                        .put("peer_port", n.peerPort())
+                        .put("operator_port", n.operatorPort())
+                        .put("zone", n.zone())
+                        .put("leaving", n.leaving()));
+    }
+
+    private static void addServers(ArrayNode list, ClusterView view) {
+        view.servers()
+                .forEach(s -> list.addObject()
+                        .put("id", s.id())
+                        .put("service", s.service())
+                        .put("role", s.role().toWire())
+                        .put("host", s.host())
+                        .put("port", s.port())
+                        .put("zone", s.zone())
+                        .put("leaving", s.leaving()));
+    }
+
+    private Optional<ObjectNode> explain(String request) {
+        List<Decision> found = parts.decisions().find(request);
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        ObjectNode body =
+                Json.object().put("request", request).put("node", parts.self().toString());
+        ArrayNode list = body.putArray("decisions");
+        found.forEach(d -> list.addObject()
+                .put("at_millis", d.atMillis())
+                .put("stage", d.stage())
+                .put("considered", d.considered())
+                .put("chosen", d.chosen())
+                .put("reason", d.reason()));
+        return Optional.of(body);
+    }
+
+    private Optional<ObjectNode> configuration() {
+        return text.get()
+                .map(t -> Json.object()
+                        .put("version", t.version())
+                        .put("offset", t.offset())
+                        .put("text", t.text()));
+    }
+
+    private Optional<ObjectNode> answer(String method, String path) {
+        if (!method.equals("GET")) {
+            return Optional.empty();
+        }
+        if (path.startsWith(EXPLAIN)) {
+            return explain(path.substring(EXPLAIN.length()));
+        }
+        switch (path) {
+            case "/operator/status":
+                return Optional.of(status());
+            case "/operator/configuration":
+                return configuration();
+            default:
+                return Optional.empty();
+        }
+    }
+
+    private static Fault notFound(String path) {
+        String remedy = path.startsWith(EXPLAIN)
+                ? "ask the node that accepted the request; only the newest decisions are kept"
+                : "use GET /operator/status, /operator/explain/{request} or /operator/configuration";
+        return Fault.notRun(FaultKind.NOT_FOUND, "nothing is known under " + path, remedy);
+    }
+
+    /** Takes requests from Grizzly. */
+    private final class Entry extends HttpHandler {
+        @Override
+        public void service(Request request, Response response) throws IOException {
+            String path = request.getRequestURI();
+            Optional<ObjectNode> body = answer(request.getMethod().getMethodString(), path);
+            response.setStatus(body.isPresent() ? 200 : 404);
+            response.setContentType("application/json");
+            byte[] bytes = Json.write(body.orElseGet(() -> FaultBody.of(notFound(path), "")));
+            response.setContentLength(bytes.length);
+            response.getOutputStream().write(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
@@ -0,0 +1,87 @@
+package org.magnoliavane.node.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.Consumer;
+
+import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.io.NIOInputStream;
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
+
+/** Reads the body without blocking, up to the configured limit. */
+final class ReadBodyFilter implements RequestFilter {
+
+    @Override
+    public void apply(CallerExchange exchange, Consumer<CallerExchange> next) {
+        int limit = exchange.getConfiguration().limits().maxBodyBytes();
+        long announced = exchange.getRequest().getContentLengthLong();
+        if (announced > limit) {
+            exchange.failAndClose(tooLarge(limit));
+            return;
+        }
+        NIOInputStream in = exchange.getRequest().getNIOInputStream();
+        if (in.isFinished()) {
+            exchange.watchConnection();
+            next.accept(exchange);
+            return;
+        }
+        in.notifyAvailable(new Collector(exchange, in, limit, next));
+    }
+
+    private static Fault tooLarge(int limit) {
+        return Fault.notRun(
+                FaultKind.TOO_LARGE,
+                "the body is larger than " + limit + " bytes",
+                "send a smaller body; operators: raise max_body_bytes");
+    }
+
+    /** Collects the parts of the body as they arrive. */
+    private static final class Collector implements ReadHandler {
+        private final CallerExchange exchange;
+        private final NIOInputStream in;
+        private final int limit;
+        private final Consumer<CallerExchange> next;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        Collector(CallerExchange exchange, NIOInputStream in, int limit, Consumer<CallerExchange> next) {
+            this.exchange = exchange;
+            this.in = in;
+            this.limit = limit;
+            this.next = next;
+        }
+
+        @Override
+        public void onDataAvailable() throws IOException {
+            if (take()) {
+                in.notifyAvailable(this);
+            }
+        }
+
+        @Override
+        public void onAllDataRead() throws IOException {
+            if (take()) {
+                exchange.setBody(body.toByteArray());
+                exchange.watchConnection();
+                next.accept(exchange);
+            }
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            exchange.failAndClose(Fault.notRun(
+                    FaultKind.INVALID_REQUEST, "the body ended early or is malformed", "send the request again"));
+        }
+
+        private boolean take() throws IOException {
+            byte[] part = new byte[in.readyData()];
+            int length = part.length == 0 ? 0 : in.read(part);
+            body.write(part, 0, Math.max(0, length));
+            if (body.size() <= limit) {
+                return true;
+            }
+            exchange.failAndClose(tooLarge(limit));
+            return false;
+        }
+    }
+}
