--- a/node/src/main/java/org/magnoliavane/node/configuration/VersionedText.java
+++ b/node/src/main/java/org/magnoliavane/node/configuration/VersionedText.java
@@ -6,7 +6,7 @@
  * <p>Immutable and thread-safe.
  *
  * @param version the version
- * @param offset the offset up to which the configuration stream was folded
+ * @param offset the offset of the first record of the configuration stream that is not taken into account
  * @param text the text
  */
 public record VersionedText(long version, long offset, String text) {}
