Draw the waiting time of each poll of the configuration stream

Ruled out: the delays of the schedule, which differ; they are checked after a poll only. Change: a poll waits from 500 to 999 ms.

--- a/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
+++ b/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
@@ -35,12 +35,13 @@
     private static final System.Logger LOGGER = System.getLogger(ConfigurationController.class.getName());
     private static final int PAGE_RECORDS = 50;
     // A poll on a silent connection ends soon enough for a change to be in force within 3 s.
-    private static final long WAIT_MILLIS = 1000;
+    private static final long MAX_WAIT_MILLIS = 1000;
     private static final long MAX_READ_MILLIS = 60_000;
     // Bounds the rate of polls when the log service answers an empty page without waiting.
     private static final long EMPTY_PAGE_PAUSE_MILLIS = 100;
 
     private final LogService log;
+    private final RandomGenerator random;
     private final Backoff backoff;
     private final SnapshotSchedule snapshots;
     private final AtomicReference<ConfigurationFold> fold = new AtomicReference<>(ConfigurationFold.start());
@@ -59,6 +60,7 @@
      */
     public ConfigurationController(LogService log, long logRetentionMillis, RandomGenerator random) {
         this.log = log;
+        this.random = random;
         backoff = new Backoff(random);
         snapshots = new SnapshotSchedule(logRetentionMillis, random, nowMillis());
         thread.setDaemon(true);
@@ -156,7 +158,9 @@
     }
 
     private LogPage readPage() throws InterruptedException, ExecutionException, TimeoutException {
-        return log.read(ConfigurationRecord.STREAM, fold.get().getNextOffset(), PAGE_RECORDS, WAIT_MILLIS)
+        // A record ends the polls of all nodes at once; without the draw they would stay in step from then on.
+        long wait = MAX_WAIT_MILLIS / 2 + random.nextLong(MAX_WAIT_MILLIS / 2);
+        return log.read(ConfigurationRecord.STREAM, fold.get().getNextOffset(), PAGE_RECORDS, wait)
                 .toCompletableFuture()
                 .get(MAX_READ_MILLIS, TimeUnit.MILLISECONDS);
     }
