--- a/node/src/main/java/org/magnoliavane/node/keyed/KeyedCallService.java
+++ b/node/src/main/java/org/magnoliavane/node/keyed/KeyedCallService.java
@@ -42,7 +42,7 @@
     /** The largest number of keys that a run remembers. */
     public static final int MAX_KEYS = 200_000;
 
-    private static final long MAX_BYTES = 96L << 20;
+    private static final long MAX_BYTES = 64L << 20;
     private static final long ANSWER_RESERVE_BYTES = 16 << 10;
     private static final int MAX_RELAYED_BYTES = 900_000;
     private static final long RELAY_MARGIN_MILLIS = 500;
--- a/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -38,6 +38,7 @@
     /** The usual time between two reads of the VM list. */
     public static final long POLL_MILLIS = 300;
 
+    private static final long PROBE_SHARED_NANOS = 250_000_000;
     private static final long NEVER = Long.MIN_VALUE;
     private static final Logger LOG = System.getLogger(MembershipController.class.getName());
 
@@ -51,6 +52,7 @@
     private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
     private final Map<String, NodeRun> knownRuns = new HashMap<>();
     private final AtomicLong lastLossNanos = new AtomicLong(NEVER);
+    private final Map<String, Probe> probes = new ConcurrentHashMap<>();
     private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
@@ -136,7 +138,7 @@
             RunState state = everListed.contains(run.node()) ? RunState.GONE : RunState.UNREACHABLE;
             return CompletableFuture.completedFuture(state);
         }
-        return network.probe(run.node()).handle((found, cause) -> {
+        return probe(run.node()).handle((found, cause) -> {
             if (cause != null || !found.node().equals(run.node())) {
                 return RunState.UNREACHABLE;
             }
@@ -160,6 +162,16 @@
         executor.shutdownNow();
     }
 
+    /** Asks a node for its run; callers that name many wrong runs share one connection. */
+    private CompletableFuture<NodeRun> probe(String node) {
+        long now = System.nanoTime();
+        return probes.compute(node, (key, last) -> {
+                    boolean recent = last != null && now - last.startNanos < PROBE_SHARED_NANOS;
+                    return recent ? last : new Probe(now, network.probe(node).toCompletableFuture());
+                })
+                .result;
+    }
+
     private boolean isInVmList(String node) {
         return vms.get().stream().anyMatch(vm -> vm.id().equals(node));
     }
@@ -205,8 +217,10 @@
             network.setPeers(listPeers(list));
             ClusterView next = build(list);
             noteLosses(list, next);
-            ClusterView previous = view.getAndSet(next);
+            ClusterView previous = view.get();
             if (!next.equals(previous)) {
+                view.set(next);
+                logChanges(previous, next);
                 listeners.forEach(listener -> listener.accept(next));
             }
         } catch (RuntimeException e) {
@@ -214,6 +228,19 @@
         }
     }
 
+    private static void logChanges(ClusterView previous, ClusterView next) {
+        for (NodeAddress node : next.nodes()) {
+            if (previous.findNode(node.run().node()).isEmpty()) {
+                LOG.log(Level.INFO, "Node {0} is in the view.", node.run());
+            }
+        }
+        for (NodeAddress node : previous.nodes()) {
+            if (next.findNode(node.run().node()).isEmpty()) {
+                LOG.log(Level.WARNING, "Node {0} is out of the view: gone or out of reach.", node.run());
+            }
+        }
+    }
+
     private void noteLosses(List<Vm> list, ClusterView next) {
         boolean lost = false;
         for (NodeAddress node : next.nodes()) {
@@ -224,6 +251,7 @@
         list.forEach(vm -> listed.add(vm.id()));
         listed.add(self.run().node());
         lost |= knownRuns.keySet().retainAll(listed);
+        probes.keySet().retainAll(listed);
         if (lost) {
             lastLossNanos.set(System.nanoTime());
         }
@@ -307,4 +335,7 @@
                 vm.zone(),
                 vm.isLeaving() || drained.contains(vm.id())));
     }
+
+    /** Holds the question to a node for its run. */
+    private record Probe(long startNanos, CompletableFuture<NodeRun> result) {}
 }
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/membership/NodeHeartbeat.java
@@ -0,0 +1,88 @@
+package org.magnoliavane.node.membership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+
+import org.magnoliavane.membership.ClusterView;
+import org.magnoliavane.node.configuration.VersionedText;
+import org.magnoliavane.node.peer.ConfigurationPeers;
+import org.magnoliavane.node.peer.HeartbeatSource;
+import org.magnoliavane.node.placement.PoisonRegistry;
+import org.magnoliavane.protocol.generated.PoisonVerdict;
+
+/**
+ * Gathers what heartbeats tell from the parts of a node.
+ *
+ * <p>Thread-safe. The parts are created after the network, so the view and the configuration are set later.
+ */
+public final class NodeHeartbeat implements HeartbeatSource {
+    private final PoisonRegistry poison;
+    private final AtomicReference<Supplier<Optional<ClusterView>>> view = new AtomicReference<>(Optional::empty);
+    private final AtomicReference<Supplier<Optional<VersionedText>>> text = new AtomicReference<>(Optional::empty);
+    private final AtomicReference<Hashed> hashed = new AtomicReference<>(new Hashed(0, 0));
+
+    /**
+     * Creates the source.
+     *
+     * @param poison the poison verdicts of this node
+     */
+    public NodeHeartbeat(PoisonRegistry poison) {
+        this.poison = poison;
+    }
+
+    /**
+     * Sets where the view comes from.
+     *
+     * @param source provides the view
+     */
+    public void setView(Supplier<ClusterView> source) {
+        view.set(() -> Optional.of(source.get()));
+    }
+
+    /**
+     * Sets where the configuration comes from.
+     *
+     * @param source provides the version in force
+     */
+    public void setText(Supplier<Optional<VersionedText>> source) {
+        text.set(source);
+    }
+
+    @Override
+    public boolean isLeaving() {
+        return view.get().get().map(v -> v.self().leaving()).orElse(false);
+    }
+
+    @Override
+    public long getConfigurationVersion() {
+        return text.get().get().map(VersionedText::version).orElse(0L);
+    }
+
+    @Override
+    public long getConfigurationHash() {
+        Optional<VersionedText> current = text.get().get();
+        if (current.isEmpty()) {
+            return 0;
+        }
+        Hashed known = hashed.get();
+        if (known.version != current.get().version()) {
+            known = new Hashed(current.get().version(), ConfigurationPeers.hashOf(current.get()));
+            hashed.set(known);
+        }
+        return known.hash;
+    }
+
+    @Override
+    public long getVerdictSequence() {
+        return poison.getSequence();
+    }
+
+    @Override
+    public List<PoisonVerdict> getVerdictsAfter(long sequence) {
+        return poison.getChangesAfter(sequence);
+    }
+
+    private record Hashed(long version, long hash) {}
+}
--- a/node/src/main/java/org/magnoliavane/node/peer/ConfigurationPeers.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/ConfigurationPeers.java
@@ -1,16 +1,20 @@
 package org.magnoliavane.node.peer;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
+import net.openhft.hashing.LongHashFunction;
 import org.magnoliavane.NodeRun;
 import org.magnoliavane.node.configuration.ConfigurationExchange;
 import org.magnoliavane.node.configuration.VersionedText;
 import org.magnoliavane.protocol.generated.ConfigurationRequest;
 import org.magnoliavane.protocol.generated.ConfigurationSnapshot;
 import org.magnoliavane.protocol.generated.Frame;
+import org.magnoliavane.protocol.generated.Heartbeat;
 
 /**
  * Fetches the configuration from a peer that has a newer version, and hands it to peers that ask.
@@ -18,10 +22,16 @@
  * <p>Thread-safe.
  */
 public final class ConfigurationPeers {
+    private static final Logger LOG = System.getLogger(ConfigurationPeers.class.getName());
+    private static final LongHashFunction HASH = LongHashFunction.xx();
     private static final long TIMEOUT_MILLIS = 2000;
 
+    /** Keeps a snapshot below the largest frame, also when every character takes three bytes. */
+    private static final int MAX_CHARACTERS = 340_000;
+
     private final Peers peers;
     private final ConfigurationExchange exchange;
+    private final Set<String> warned = ConcurrentHashMap.newKeySet();
     private final Set<String> asking = ConcurrentHashMap.newKeySet();
 
     private ConfigurationPeers(Peers peers, ConfigurationExchange exchange) {
@@ -39,10 +49,20 @@
     public static ConfigurationPeers connect(PeerNetwork network, ConfigurationExchange exchange) {
         ConfigurationPeers result = new ConfigurationPeers(network, exchange);
         network.handle(Frame.BodyCase.CONFIGURATION_REQUEST, result::answer);
-        network.setOnVersion(result::onVersion);
+        network.setOnHeartbeat(result::onHeartbeat);
         return result;
     }
 
+    /**
+     * Computes the hash that heartbeats carry.
+     *
+     * @param text the version
+     * @return the hash of its text
+     */
+    public static long hashOf(VersionedText text) {
+        return HASH.hashChars(text.text());
+    }
+
     private long getVersion() {
         return exchange.findCurrent().map(VersionedText::version).orElse(0L);
     }
@@ -51,12 +71,38 @@
         long known = frame.getConfigurationRequest().getVersion();
         ConfigurationSnapshot.Builder snapshot = ConfigurationSnapshot.newBuilder();
         Optional<VersionedText> current = exchange.findCurrent().filter(text -> text.version() > known);
+        if (current.isPresent() && current.get().text().length() > MAX_CHARACTERS) {
+            LOG.log(
+                    Level.ERROR,
+                    "Configuration version {0} is too long for node {1} to fetch it here. Remedy: keep the text below"
+                            + " {2} characters, or wait for the log service.",
+                    current.get().version(),
+                    from.node(),
+                    MAX_CHARACTERS);
+            current = Optional.empty();
+        }
         current.ifPresent(text ->
                 snapshot.setVersion(text.version()).setOffset(text.offset()).setText(text.text()));
         reply.accept(Frame.newBuilder().setConfigurationSnapshot(snapshot));
     }
 
-    private void onVersion(String node, long version) {
+    private void onHeartbeat(String node, Heartbeat beat) {
+        long version = beat.getConfigurationVersion();
+        Optional<VersionedText> current = exchange.findCurrent();
+        boolean differs = current.isPresent()
+                && current.get().version() == version
+                && hashOf(current.get()) != beat.getConfigurationHash();
+        if (differs && warned.add(node + "/" + version)) {
+            LOG.log(
+                    Level.ERROR,
+                    "Node {0} has another text of configuration version {1}. Remedy: publish a new version.",
+                    node,
+                    version);
+        }
+        ask(node, version);
+    }
+
+    private void ask(String node, long version) {
         if (version <= getVersion() || !asking.add(node)) {
             return;
         }
--- a/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -47,7 +47,8 @@
     private final Map<PeerConnection, Long> verdictsSent = new ConcurrentHashMap<>();
     private final Set<String> leaving = ConcurrentHashMap.newKeySet();
     private final AtomicReference<Runnable> onChange = new AtomicReference<>(() -> {});
-    private final AtomicReference<BiConsumer<String, Long>> onVersion = new AtomicReference<>((node, version) -> {});
+    private final AtomicReference<BiConsumer<String, Heartbeat>> onHeartbeat =
+            new AtomicReference<>((node, beat) -> {});
     private final AtomicBoolean closed = new AtomicBoolean();
     private final AtomicReference<PeerServer> server = new AtomicReference<>();
 
@@ -98,12 +99,12 @@
     }
 
     /**
-     * Sets what receives the configuration versions of the peers.
+     * Sets what receives the heartbeats of the peers.
      *
-     * @param listener receives node id and version; must not block
+     * @param listener receives node id and heartbeat; must not block
      */
-    public void setOnVersion(BiConsumer<String, Long> listener) {
-        onVersion.set(listener);
+    public void setOnHeartbeat(BiConsumer<String, Heartbeat> listener) {
+        onHeartbeat.set(listener);
     }
 
     /**
@@ -244,19 +245,27 @@
         }
         PeerHandler handler = handlers.get(frame.getBodyCase());
         if (handler != null) {
-            handler.handle(connection.getPeer(), frame, reply -> connection.reply(frame, reply));
+            runHandler(handler, connection, frame);
         } else if (!frame.hasHeartbeat()) {
             LOG.log(Level.WARNING, "No handler for {0} from {1}.", frame.getBodyCase(), connection);
         }
     }
 
+    private static void runHandler(PeerHandler handler, PeerConnection connection, Frame frame) {
+        try {
+            handler.handle(connection.getPeer(), frame, reply -> connection.reply(frame, reply));
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "The handler of " + frame.getBodyCase() + " failed; the connection stays open.", e);
+        }
+    }
+
     private void noteHeartbeat(PeerConnection connection, Heartbeat beat) {
         String node = connection.getPeer().node();
         boolean changed = beat.getLeaving() ? leaving.add(node) : leaving.remove(node);
         if (changed) {
             onChange.get().run();
         }
-        onVersion.get().accept(node, beat.getConfigurationVersion());
+        onHeartbeat.get().accept(node, beat);
     }
 
     /** Receives the events of the connections of one link, or of all accepted ones. */
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -361,7 +361,7 @@
     private void refuseOverdue(long now) {
         for (PoolAttempt attempt : new ArrayList<>(held.values())) {
             long waited = (now - attempt.arrivedMicros) / 1000;
-            if (waited > attempt.request.maxWaitMillis()) {
+            if (waited > Math.min(attempt.request.maxWaitMillis(), attempt.request.ttftMillis())) {
                 refuse(attempt, FaultKind.OVERLOADED, "the same content was in work or under test for too long");
             }
         }
--- a/protocol/src/main/java/org/magnoliavane/protocol/PeerConnection.java
+++ b/protocol/src/main/java/org/magnoliavane/protocol/PeerConnection.java
@@ -39,6 +39,8 @@
     /** The largest frame. */
     public static final int MAX_FRAME_BYTES = FrameDecoder.MAX_FRAME_BYTES;
 
+    private static final long CHECK_MILLIS = 250;
+
     private static final AtomicLong NEXT_ID = new AtomicLong(1);
 
     private final long id = NEXT_ID.getAndIncrement();
@@ -50,6 +52,7 @@
     private final CompletableFuture<PeerConnection> opened = new CompletableFuture<>();
     private volatile Channel channel;
     private volatile Hello hello;
+    private long checks;
     private volatile long lastReadNanos = System.nanoTime();
 
     PeerConnection(PeerListener listener) {
@@ -174,6 +177,12 @@
         return "peer " + (known == null ? "unknown" : known.getNode()) + " at " + remote;
     }
 
+    /** Ends a connection that was never made. */
+    void fail(Throwable cause) {
+        closed.compareAndSet(null, PeerClose.CLOSED);
+        opened.completeExceptionally(cause);
+    }
+
     CompletableFuture<PeerConnection> getOpened() {
         return opened;
     }
@@ -226,7 +235,10 @@
             close(PeerClose.SILENT);
             return;
         }
-        beat();
+        checks++;
+        if (checks % (HEARTBEAT_MILLIS / CHECK_MILLIS) == 0) {
+            beat();
+        }
     }
 
     private void receive(Frame frame) {
@@ -280,10 +292,7 @@
             write(Frame.newBuilder().setHello(listener.createHello()).build());
             Future<?> beats = context.executor()
                     .scheduleAtFixedRate(
-                            PeerConnection.this::checkSilence,
-                            HEARTBEAT_MILLIS,
-                            HEARTBEAT_MILLIS,
-                            TimeUnit.MILLISECONDS);
+                            PeerConnection.this::checkSilence, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
             context.channel().closeFuture().addListener(ignored -> beats.cancel(false));
         }
 
--- a/protocol/src/main/java/org/magnoliavane/protocol/PeerTransport.java
+++ b/protocol/src/main/java/org/magnoliavane/protocol/PeerTransport.java
@@ -32,7 +32,7 @@
  * <p>Thread-safe.
  */
 public final class PeerTransport implements AutoCloseable {
-    /** The time within which a connection must be made, and its peer must say hello after that. */
+    /** The time within which a connection must be made and its peer must say hello. */
     public static final int CONNECT_TIMEOUT_MILLIS = 1000;
 
     private static final Logger LOG = System.getLogger(PeerTransport.class.getName());
@@ -100,10 +100,10 @@
         ChannelFuture connect = bootstrap.connect(new InetSocketAddress(host, port));
         connect.addListener(done -> {
             if (!done.isSuccess()) {
-                connection.getOpened().completeExceptionally(done.cause());
+                connection.fail(done.cause());
             }
         });
-        group.schedule(() -> abandonSilent(connection), 2L * CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        group.schedule(() -> abandonSilent(connection), CONNECT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         return connection.getOpened();
     }
 
