Connect the parts of a node and start it from the command line

Cause: the parts existed without a process that holds them. Ruled out: a container or an injection library; a constructor that builds the parts in order is shorter.

--- a/node/src/main/java/org/magnoliavane/cli/Main.java
+++ b/node/src/main/java/org/magnoliavane/cli/Main.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger.Level;
 
+import org.magnoliavane.node.Node;
 import org.magnoliavane.node.settings.LogFormat;
 import org.magnoliavane.node.settings.Logging;
 
@@ -9,9 +10,7 @@
  * Entry point of the magnoliavane jar.
  */
 public final class Main {
-    private static final NodeStarter NODE = settings -> {
-        throw new UnsupportedOperationException("this build has no node");
-    };
+    private static final NodeStarter NODE = Node::start;
 
     private Main() {}
 
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/Node.java
@@ -0,0 +1,195 @@
+package org.magnoliavane.node;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.config.Service;
+import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.membership.NodeAddress;
+import org.magnoliavane.node.configuration.ConfigurationController;
+import org.magnoliavane.node.decision.RecentDecisions;
+import org.magnoliavane.node.dispatch.HttpPlainDispatcher;
+import org.magnoliavane.node.dispatch.ModelDispatcher;
+import org.magnoliavane.node.http.CallerParts;
+import org.magnoliavane.node.http.CallerServer;
+import org.magnoliavane.node.http.OperatorServer;
+import org.magnoliavane.node.keyed.KeyedCallService;
+import org.magnoliavane.node.log.HttpLogService;
+import org.magnoliavane.node.membership.MembershipController;
+import org.magnoliavane.node.membership.VmListClient;
+import org.magnoliavane.node.peer.ConfigurationPeers;
+import org.magnoliavane.node.peer.PeerNetwork;
+import org.magnoliavane.node.placement.PeerPlacementService;
+import org.magnoliavane.node.placement.PlacementCoordinator;
+import org.magnoliavane.node.placement.PoisonRegistry;
+import org.magnoliavane.node.settings.NodeSettings;
+import org.magnoliavane.pool.PoolScheduler;
+import org.magnoliavane.pool.SlackScheduler;
+import org.magnoliavane.protocol.PeerClose;
+
+/**
+ * Builds the parts of a node, connects them, and stops them in order.
+ *
+ * <p>Thread-safe.
+ */
+public final class Node implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(Node.class.getName());
+    private static final int DECISIONS_KEPT = 20_000;
+    private static final int TIMER_THREADS = 2;
+    /** Longer than the longest address lifetime and the longest answer. */
+    private static final long DEPARTURE_LIMIT_MILLIS = 900_000;
+
+    private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+    private final NodeRun run;
+    private final NodeState state;
+    private final MembershipController membership;
+    private final CallerServer callers;
+
+    private Node(NodeSettings settings) throws IOException {
+        RandomGenerator random = new SecureRandom();
+        run = new NodeRun(settings.id(), random.nextLong());
+        MetricRegistry metrics = new MetricRegistry();
+        RecentDecisions decisions =
+                RecentDecisions.create(System.getLogger("org.magnoliavane.decisions"), DECISIONS_KEPT);
+        ScheduledThreadPoolExecutor timers = openTimers();
+        HttpClient backends = open(HttpClient.open("backends"));
+        HttpClient platform = open(HttpClient.open("platform"));
+
+        HttpLogService log = new HttpLogService(platform, settings.log());
+        ConfigurationController configuration =
+                open(new ConfigurationController(log, settings.logRetentionMillis(), random));
+        PoisonRegistry poison = new PoisonRegistry();
+        state = new NodeState(configuration, poison);
+        PeerNetwork network = open(PeerNetwork.create(settings.cluster(), run, settings.zone(), state));
+        ConfigurationPeers.connect(network, configuration);
+        membership = open(MembershipController.start(
+                toAddress(settings),
+                VmListClient.of(
+                        platform, settings.vmList().host(), settings.vmList().port()),
+                network,
+                configuration,
+                settings.vmListPollMillis()));
+
+        PlacementCoordinator coordinator =
+                open(PlacementCoordinator.start(membership, configuration, Node::createScheduler, poison, backends));
+        PeerPlacementService placements =
+                open(PeerPlacementService.start(run, membership, network, coordinator, poison, decisions));
+        ModelDispatcher models =
+                ModelDispatcher.create(run, backends, placements, membership, timers, decisions, metrics);
+        HttpPlainDispatcher plain = HttpPlainDispatcher.create(backends, configuration, membership, decisions);
+        KeyedCallService keyed = open(KeyedCallService.start(run, network, membership, plain, log));
+
+        network.listen(settings.host(), settings.peerPort());
+        configuration.start();
+        CallerParts callerParts =
+                new CallerParts(run, configuration, membership, models, keyed, plain, timers, decisions, metrics);
+        callers = open(CallerServer.open(callerParts, settings.host(), settings.callerPort()));
+        open(OperatorServer.open(
+                callerParts, callers, configuration::findCurrent, settings.host(), settings.operatorPort()));
+        registerGauges(metrics, configuration, network);
+        LOG.log(Level.INFO, "node {0} serves callers on {1}:{2,number,#}", run, settings.host(), settings.callerPort());
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param settings the settings
+     * @return the node, which serves
+     * @throws IOException when a port cannot be used
+     */
+    public static Node start(NodeSettings settings) throws IOException {
+        return new Node(settings);
+    }
+
+    /**
+     * Stops the node: callers are sent elsewhere, everything that was accepted is answered, and addresses that were
+     * handed out stay good for their lifetime.
+     */
+    @Override
+    public void close() {
+        LOG.log(Level.INFO, "node {0} is leaving", run);
+        state.startLeaving();
+        callers.startLeaving();
+        membership.leave();
+        awaitDeparture();
+        while (!parts.isEmpty()) {
+            closeQuietly(parts.pop());
+        }
+        LOG.log(Level.INFO, "node {0} has stopped", run);
+    }
+
+    private void awaitDeparture() {
+        try {
+            callers.awaitDeparture().toCompletableFuture().get(DEPARTURE_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            LOG.log(Level.WARNING, "node {0} stops with {1} requests unanswered", run, callers.countActive());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException e) {
+            LOG.log(Level.ERROR, "waiting for the accepted requests failed", e);
+        }
+    }
+
+    private static void closeQuietly(AutoCloseable part) {
+        try {
+            part.close();
+        } catch (Exception e) {
+            LOG.log(Level.WARNING, "a part of the node could not be closed", e);
+        }
+    }
+
+    private <T extends AutoCloseable> T open(T part) {
+        parts.push(part);
+        return part;
+    }
+
+    private ScheduledThreadPoolExecutor openTimers() {
+        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(TIMER_THREADS, task -> {
+            Thread thread = new Thread(task, "request-timers");
+            thread.setDaemon(true);
+            return thread;
+        });
+        timers.setRemoveOnCancelPolicy(true);
+        parts.push(timers::shutdownNow);
+        return timers;
+    }
+
+    private NodeAddress toAddress(NodeSettings settings) {
+        return new NodeAddress(
+                run,
+                settings.host(),
+                settings.callerPort(),
+                settings.peerPort(),
+                settings.operatorPort(),
+                settings.zone(),
+                false);
+    }
+
+    private static PoolScheduler createScheduler(Service service) {
+        return SlackScheduler.of(service.model().orElseThrow());
+    }
+
+    private static void registerGauges(
+            MetricRegistry metrics, ConfigurationController configuration, PeerNetwork network) {
+        metrics.register(
+                "configuration.version", (Gauge<Long>) () -> configuration.get().version());
+        metrics.register("configuration.log_reachable", (Gauge<Boolean>) configuration::isLogReachable);
+        for (PeerClose reason : PeerClose.values()) {
+            metrics.register("peers.closed." + reason.name().toLowerCase(Locale.ROOT), (Gauge<Long>)
+                    () -> network.getCount(reason));
+        }
+    }
+}
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/Demo.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/Demo.java
@@ -136,7 +136,7 @@
 
     private String changeConfiguration() throws IOException {
         Path changed = directory.resolve("changed.toml");
-        String text = Files.readString(Path.of("examples", size.name() + ".toml"));
+        String text = Files.readString(size.getConfigurationFile());
         Files.writeString(
                 changed, text.replaceFirst("address_lifetime_seconds = \\d+", "address_lifetime_seconds = 20"));
         int status = deployment.publish(changed);
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/DeploymentSize.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/DeploymentSize.java
@@ -1,5 +1,7 @@
 package org.magnoliavane.systemtest;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -34,6 +36,9 @@
         String bookingPath,
         String lookupPath) {
 
+    /** Root of the project; tests of a module run in the module's own directory. */
+    static final Path ROOT = Files.isDirectory(Path.of("examples")) ? Path.of("") : Path.of("..");
+
     /**
      * Creates the size of Wellenbund: three availability zones, 13 model workers, 3 booking workers.
      *
@@ -102,6 +107,15 @@
                 lookupPath);
     }
 
+    /**
+     * Gets the example configuration of the deployment.
+     *
+     * @return the file
+     */
+    public Path getConfigurationFile() {
+        return ROOT.resolve("examples").resolve(name + ".toml");
+    }
+
     /**
      * Gets the availability zone of the n-th process of a kind.
      *
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -14,6 +14,8 @@
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.magnoliavane.config.ConfigurationText;
+import org.magnoliavane.config.ModelSettings;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.HttpResponse;
 
@@ -30,6 +32,7 @@
 
     private final DeploymentSize size;
     private final Launcher launcher;
+    private final ModelSettings figures;
     private final HttpClient client;
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new HashMap<>();
@@ -39,6 +42,7 @@
     private LocalDeployment(DeploymentSize size, Launcher launcher) throws IOException {
         this.size = size;
         this.launcher = launcher;
+        this.figures = readFigures(size);
         this.client = HttpClient.open("deployment");
     }
 
@@ -267,13 +271,37 @@
                 .toList());
         describeWorkers();
         publishVms();
-        int status = publish(Path.of("examples", size.name() + ".toml"));
+        int status = publish(size.getConfigurationFile());
         if (status != 0) {
             throw new IllegalStateException("publishing the example failed with status " + status);
         }
         getNodes().forEach(this::awaitReady);
+        getNodes().forEach(this::awaitWholeView);
     }
 
+    /** Waits until a node knows every node and every backend server. */
+    private void awaitWholeView(String node) {
+        long deadline = System.nanoTime() + START_MILLIS * 1_000_000;
+        while (!hasWholeView(node)) {
+            if (System.nanoTime() > deadline) {
+                throw new IllegalStateException(node + " does not know the whole deployment in time");
+            }
+            ManagedProcess.sleep(POLL_MILLIS);
+        }
+    }
+
+    private boolean hasWholeView(String node) {
+        try {
+            JsonNode status = getOperatorEndpoint(node).get("/operator/status");
+            int known =
+                    status.path("nodes").size() + status.path("backend_servers").size();
+            return known == vms.size();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Starts an engine whose figures are those that the configuration states. */
     private void startEngine(String id, String role) throws IOException {
         startEmulator(
                 id,
@@ -283,7 +311,25 @@
                 "--models",
                 String.join(",", size.models()),
                 "--weights",
-                endpoints.get("weights").getUrl());
+                HOST + ":" + endpoints.get("weights").getPort(),
+                "--pieces",
+                Integer.toString(figures.decodePieces()),
+                "--prefill-tokens-per-second",
+                Integer.toString(figures.prefillTokensPerSecond()),
+                "--link-tokens-per-second",
+                Integer.toString(figures.transferTokensPerSecond()),
+                "--prefill-lapse-millis",
+                Long.toString(figures.prefillLifetimeMillis()));
+    }
+
+    private static ModelSettings readFigures(DeploymentSize size) throws IOException {
+        String text = Files.readString(size.getConfigurationFile());
+        return ConfigurationText.parse(text, 1)
+                .getOrElseThrow(problems -> new IllegalStateException(problems.toString()))
+                .services()
+                .get(size.modelService())
+                .model()
+                .orElseThrow();
     }
 
     private void startEmulator(String id, String command, String... options) throws IOException {
