Notice callers that leave, and keep requests of one connection apart

Cause: with reads switched on during a suspended response, Grizzly reads a second request of the same connection before the first is answered; it then never answers the second one and no longer notices a close behind those bytes. A request that offers an upgrade, as the first one of a client that would also speak HTTP/2, made Grizzly ignore the body length and send the response without content headers, so that the request waited for ever.

Ruled out: dropping the extra bytes and closing after the response. A caller may send its next request as soon as it has the last byte, which is before the response counts as finished here, and that request would be lost.

A filter behind the codec declines upgrades.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -14,7 +14,6 @@
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 import org.magnoliavane.Fault;
@@ -72,13 +71,10 @@
         response.suspend();
     }
 
-    /**
-     * Makes the transport read on while the request is in work. Without this, a connection that the caller closes is
-     * not noticed as long as nothing is written.
-     */
+    /** Watches for the close of the connection while the request is in work. */
     void watchConnection() {
         try {
-            connection.enableIOEvent(IOEvent.READ);
+            OneRequestFilter.close(connection);
         } catch (IOException e) {
             callerGone();
         }
@@ -218,14 +214,23 @@
 
     private void startHead(int status, Map<String, String> sent) {
         response.setStatus(status);
-        sent.forEach(response::setHeader);
+        sent.forEach(this::setHeader);
         response.setHeader(REQUEST_HEADER, shownId);
     }
 
+    private void setHeader(String name, String value) {
+        if (name.equalsIgnoreCase("Content-Type")) {
+            response.setContentType(value);
+        } else {
+            response.setHeader(name, value);
+        }
+    }
+
     private void complete(int status) {
         connection.removeCloseListener(closeListener);
         onAnswered.accept(status);
         response.resume();
+        OneRequestFilter.open(connection);
     }
 
     private void callerGone() {
--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -57,6 +57,8 @@
         listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
         listener.setMaxRequestHeaders(MAX_HEADERS);
         listener.getKeepAlive().setMaxRequestsCount(-1);
+        NoUpgradeFilter.addTo(listener);
+        OneRequestFilter.addTo(listener);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new Entry(), "/");
         parts.metrics().register("requests.active", (Gauge<Integer>) departure::getActive);
--- a/node/src/main/java/org/magnoliavane/node/http/OperatorServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/OperatorServer.java
@@ -40,6 +40,7 @@
         this.callers = callers;
         this.text = text;
         this.listener = new NetworkListener("operators", host, port);
+        NoUpgradeFilter.addTo(listener);
         server.addListener(listener);
         server.getServerConfiguration().addHttpHandler(new Entry(), "/");
         server.start();
--- a/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import org.glassfish.grizzly.ReadHandler;
@@ -21,12 +22,9 @@
             return;
         }
         NIOInputStream in = exchange.getRequest().getNIOInputStream();
-        if (in.isFinished()) {
-            exchange.watchConnection();
-            next.accept(exchange);
-            return;
-        }
-        in.notifyAvailable(new Collector(exchange, in, limit, next));
+        boolean hasBody =
+                announced > 0 || exchange.findHeader("transfer-encoding").isPresent();
+        new Collector(exchange, in, limit, next).begin();
     }
 
     private static Fault tooLarge(int limit) {
@@ -43,6 +41,7 @@
         private final int limit;
         private final Consumer<CallerExchange> next;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final AtomicBoolean finished = new AtomicBoolean();
 
         Collector(CallerExchange exchange, NIOInputStream in, int limit, Consumer<CallerExchange> next) {
             this.exchange = exchange;
@@ -51,9 +50,22 @@
             this.next = next;
         }
 
+        void begin() {
+            try {
+                onDataAvailable();
+            } catch (IOException e) {
+                onError(e);
+            }
+        }
+
         @Override
         public void onDataAvailable() throws IOException {
-            if (take()) {
+            if (!take()) {
+                return;
+            }
+            if (in.isFinished()) {
+                finish();
+            } else {
                 in.notifyAvailable(this);
             }
         }
@@ -61,9 +73,7 @@
         @Override
         public void onAllDataRead() throws IOException {
             if (take()) {
-                exchange.setBody(body.toByteArray());
-                exchange.watchConnection();
-                next.accept(exchange);
+                finish();
             }
         }
 
@@ -73,6 +83,14 @@
                     FaultKind.INVALID_REQUEST, "the body ended early or is malformed", "send the request again"));
         }
 
+        private void finish() {
+            if (finished.compareAndSet(false, true)) {
+                exchange.setBody(body.toByteArray());
+                exchange.watchConnection();
+                next.accept(exchange);
+            }
+        }
+
         private boolean take() throws IOException {
             byte[] part = new byte[in.readyData()];
             int length = part.length == 0 ? 0 : in.read(part);
--- a/node/src/test/java/org/magnoliavane/node/http/TestNode.java
+++ b/node/src/test/java/org/magnoliavane/node/http/TestNode.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -106,6 +107,7 @@
     HttpRequest request(String method, String path, String body, String... headers) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callers.getPort() + path))
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .timeout(Duration.ofSeconds(8))
                 .setHeader("Authorization", "Bearer " + KEY);
         for (int i = 0; i < headers.length; i += 2) {
             builder.setHeader(headers[i], headers[i + 1]);
