--- a/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
@@ -22,8 +22,6 @@
             return;
         }
         NIOInputStream in = exchange.getRequest().getNIOInputStream();
-        boolean hasBody =
-                announced > 0 || exchange.findHeader("transfer-encoding").isPresent();
         new Collector(exchange, in, limit, next).begin();
     }
 
--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
@@ -0,0 +1,218 @@
+package org.magnoliavane.node.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import org.magnoliavane.BackendServer;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.node.dispatch.Json;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class PlainTest {
+    private final Map<String, FakeServer> servers = new HashMap<>();
+    private TestNode node;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        node = new TestNode("entry-1");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        node.close();
+        servers.values().forEach(FakeServer::close);
+        servers.clear();
+    }
+
+    @Test
+    public void aKeyedBookingGoesThroughTheKeyedCalls() throws Exception {
+        FakeServer server = add("b1", "a");
+        HttpResponse<String> response = node.call("POST", "/bookings", "{}", "Idempotency-Key", "\"t/1\"");
+        assertEquals(response.statusCode(), 201);
+        assertEquals(response.body(), "b1 POST /bookings t/1 {}");
+        assertEquals(node.keyedCalls.get(0).caller(), "anna");
+        assertEquals(node.keyedCalls.get(0).idempotencyKey().orElseThrow(), "t/1");
+        assertEquals(server.runs.get(), 1);
+    }
+
+    @Test
+    public void aBookingWithoutAKeyIsRefused() throws Exception {
+        FakeServer server = add("b1", "a");
+        HttpResponse<String> response = node.call("POST", "/bookings", "{}");
+        assertEquals(response.statusCode(), 400);
+        assertEquals(error(response).path("type").asText(), "missing_idempotency_key");
+        assertEquals(error(response).path("ran").asText(), "no");
+        assertEquals(server.runs.get(), 0);
+    }
+
+    /** Guards against a booking that runs twice because its answer was lost. */
+    @Test
+    public void aBookingWhoseAnswerIsLostIsNotRepeated() throws Exception {
+        FakeServer first = add("b1", "a");
+        FakeServer second = add("b2", "a");
+        first.drop = true;
+        second.drop = true;
+        HttpResponse<String> response = node.call("POST", "/bookings", "{}", "Idempotency-Key", "k");
+        assertEquals(response.statusCode(), 502);
+        assertEquals(error(response).path("ran").asText(), "unknown");
+        assertEquals(first.runs.get() + second.runs.get(), 1);
+    }
+
+    @Test
+    public void aBookingThatTimesOutIsUnknown() throws Exception {
+        FakeServer server = add("b1", "a");
+        server.delayMillis = 1000;
+        HttpResponse<String> response = node.call("POST", "/bookings", "{}", "Idempotency-Key", "k");
+        assertEquals(response.statusCode(), 504);
+        assertEquals(error(response).path("ran").asText(), "unknown");
+    }
+
+    @Test
+    public void aRefusedConnectionLeadsToAnotherServer() throws Exception {
+        add("b1", "a");
+        node.servers.add(closedServer("b2"));
+        node.servers.add(closedServer("b3"));
+        for (int i = 0; i < 10; i++) {
+            HttpResponse<String> response = node.call("POST", "/bookings", "{}", "Idempotency-Key", "k" + i);
+            assertEquals(response.statusCode(), 201, response.body());
+        }
+    }
+
+    @Test
+    public void aBookingThatReachedNoServerDidNotRun() throws Exception {
+        node.servers.add(closedServer("b1"));
+        HttpResponse<String> response = node.call("POST", "/bookings", "{}", "Idempotency-Key", "k");
+        assertEquals(response.statusCode(), 503);
+        assertEquals(error(response).path("ran").asText(), "no");
+        assertTrue(response.headers().firstValue("Retry-After").isPresent());
+    }
+
+    @Test
+    public void aLookupIsRepeatedAtAnotherServerWithinTheBudget() throws Exception {
+        FakeServer broken = add("b1", "a");
+        add("b2", "a");
+        broken.drop = true;
+        int failures = 0;
+        for (int i = 0; i < 60; i++) {
+            HttpResponse<String> response = node.call("GET", "/schedule/today?day=1", "");
+            failures += response.statusCode() == 201 ? 0 : 1;
+        }
+        int retries = broken.runs.get() - failures;
+        assertTrue(retries >= 10 && retries <= 16, retries + " retries, " + failures + " failures");
+    }
+
+    @Test
+    public void theOwnZoneIsPreferredWhenAsIdle() throws Exception {
+        FakeServer own = add("b1", "a");
+        FakeServer far = add("b2", "c");
+        for (int i = 0; i < 40; i++) {
+            node.call("GET", "/schedule/today", "");
+        }
+        assertTrue(own.runs.get() > far.runs.get(), own.runs + " " + far.runs);
+    }
+
+    @Test
+    public void aCallWhoseDependencyCannotAnswerIsNotDispatched() throws Exception {
+        FakeServer server = add("b1", "a");
+        node.servers.clear();
+        node.servers.add(server.describe("payments", "p1", "a"));
+        HttpResponse<String> response = node.call("POST", "/payments", "{}", "Idempotency-Key", "k");
+        assertEquals(response.statusCode(), 503);
+        assertEquals(error(response).path("type").asText(), "dependency_unavailable");
+        assertEquals(error(response).path("ran").asText(), "no");
+        assertEquals(server.runs.get(), 0);
+    }
+
+    /** Guards against a path that matches an idempotent route here and another route at the backend server. */
+    @Test
+    public void aPathWithDotSegmentsIsRefused() throws Exception {
+        add("b1", "a");
+        assertEquals(node.call("GET", "/schedule/%2e%2e/bookings", "").statusCode(), 400);
+        assertEquals(node.call("GET", "/schedule//x", "").statusCode(), 400);
+    }
+
+    private FakeServer add(String id, String zone) throws IOException {
+        FakeServer server = new FakeServer(id);
+        servers.put(id, server);
+        node.servers.add(server.describe("bookings", id, zone));
+        return server;
+    }
+
+    private static BackendServer closedServer(String id) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return new BackendServer(id, "bookings", WorkerRole.PLAIN, "127.0.0.1", socket.getLocalPort(), "a", false);
+        }
+    }
+
+    private static JsonNode error(HttpResponse<String> response) {
+        return Json.tryRead(response.body()).orElseThrow().path("error");
+    }
+
+    /** A plain server that echoes calls. */
+    private static final class FakeServer {
+        final AtomicInteger runs = new AtomicInteger();
+        volatile boolean drop;
+        volatile int delayMillis;
+
+        private final String id;
+        private final HttpServer server;
+        private final ExecutorService threads = Executors.newCachedThreadPool();
+
+        FakeServer(String id) throws IOException {
+            this.id = id;
+            server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+            server.setExecutor(threads);
+            server.createContext("/", this::handle);
+            server.start();
+        }
+
+        BackendServer describe(String service, String name, String zone) {
+            int port = server.getAddress().getPort();
+            return new BackendServer(name, service, WorkerRole.PLAIN, "127.0.0.1", port, zone, false);
+        }
+
+        void close() {
+            server.stop(0);
+            threads.shutdownNow();
+        }
+
+        private void handle(HttpExchange exchange) throws IOException {
+            runs.incrementAndGet();
+            String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+            String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+            String text =
+                    id + " " + exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + key + " " + body;
+            sleep();
+            if (!drop) {
+                byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(201, bytes.length);
+                exchange.getResponseBody().write(bytes);
+            }
+            exchange.close();
+        }
+
+        private void sleep() {
+            try {
+                Thread.sleep(delayMillis);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
