Keep connections of clients that offer an upgrade

Cause: after the response to a request with an Upgrade header, Grizzly closed the connection without announcing it, and the next request of that client failed with a broken pipe. It was seen as a booking that got no answer.

The gate now opens when Grizzly has finished with the request, which also covers a response that completes before the handler has returned.

Change: the filter that declines upgrades also clears the offer from the request.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -68,6 +68,7 @@
     /** Suspends the response until the exchange is answered. */
     void suspend() {
         connection.addCloseListener(closeListener);
+        request.getContext().addCompletionListener(context -> OneRequestFilter.open(connection));
         response.suspend();
     }
 
@@ -230,7 +231,6 @@
         connection.removeCloseListener(closeListener);
         onAnswered.accept(status);
         response.resume();
-        OneRequestFilter.open(connection);
     }
 
     private void callerGone() {
--- a/node/src/main/java/org/magnoliavane/node/http/NoUpgradeFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/NoUpgradeFilter.java
@@ -10,8 +10,9 @@
 import org.glassfish.grizzly.http.server.NetworkListener;
 
 /**
- * Declines offers to change the protocol. Otherwise Grizzly ignores the length of the body and sends the response
- * without content headers, although clients that would also speak HTTP/2 make such an offer with their first request.
+ * Declines offers to change the protocol. Otherwise Grizzly ignores the length of the body, sends the response
+ * without content headers, and closes the connection after it without saying so. Clients that would also speak HTTP/2
+ * make such an offer with their first request.
  */
 final class NoUpgradeFilter extends BaseFilter {
 
@@ -25,6 +26,7 @@
     public NextAction handleEvent(FilterChainContext context, FilterChainEvent event) {
         if (event instanceof IncomingHttpUpgradeEvent upgrade) {
             upgrade.getHttpHeader().setIgnoreContentModifiers(false);
+            upgrade.getHttpHeader().getUpgradeDC().recycle();
         }
         return context.getInvokeAction();
     }
--- a/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
@@ -94,6 +94,15 @@
         }
     }
 
+    /** Guards against a connection that is closed or stuck because its next request came before the last one was done. */
+    @Test
+    public void aConnectionServesManyRequestsInARow() throws Exception {
+        node.servers.add(closedServer("b1"));
+        for (int i = 0; i < 300; i++) {
+            assertEquals(node.call("GET", "/schedule/x" + i, "").statusCode(), 503, "request " + i);
+        }
+    }
+
     @Test
     public void aBookingThatReachedNoServerDidNotRun() throws Exception {
         node.servers.add(closedServer("b1"));
