Share only questions on their way for the run of a node, and close accepted connections first

Cause: a shared answer could be older than a restart of the node, so that a live run would have been taken for an ended one; a test showed a stale answer.

--- a/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -38,7 +38,6 @@
     /** The usual time between two reads of the VM list. */
     public static final long POLL_MILLIS = 300;
 
-    private static final long PROBE_SHARED_NANOS = 250_000_000;
     private static final long NEVER = Long.MIN_VALUE;
     private static final Logger LOG = System.getLogger(MembershipController.class.getName());
 
@@ -52,7 +51,7 @@
     private final List<Consumer<ClusterView>> listeners = new CopyOnWriteArrayList<>();
     private final Map<String, NodeRun> knownRuns = new HashMap<>();
     private final AtomicLong lastLossNanos = new AtomicLong(NEVER);
-    private final Map<String, Probe> probes = new ConcurrentHashMap<>();
+    private final Map<String, CompletableFuture<NodeRun>> probes = new ConcurrentHashMap<>();
     private final AtomicBoolean listed = new AtomicBoolean();
     private final AtomicBoolean leaving = new AtomicBoolean();
     private final AtomicBoolean fetching = new AtomicBoolean();
@@ -162,14 +161,16 @@
         executor.shutdownNow();
     }
 
-    /** Asks a node for its run; callers that name many wrong runs share one connection. */
+    /**
+     * Asks a node for its run. Requests that name wrong runs share the question that is on its way; an answer is never
+     * used again, because the node may have been restarted since.
+     */
     private CompletableFuture<NodeRun> probe(String node) {
-        long now = System.nanoTime();
-        return probes.compute(node, (key, last) -> {
-                    boolean recent = last != null && now - last.startNanos < PROBE_SHARED_NANOS;
-                    return recent ? last : new Probe(now, network.probe(node).toCompletableFuture());
-                })
-                .result;
+        return probes.compute(
+                node,
+                (key, last) -> last != null && !last.isDone()
+                        ? last
+                        : network.probe(node).toCompletableFuture());
     }
 
     private boolean isInVmList(String node) {
@@ -335,7 +336,4 @@
                 vm.zone(),
                 vm.isLeaving() || drained.contains(vm.id())));
     }
-
-    /** Holds the question to a node for its run. */
-    private record Probe(long startNanos, CompletableFuture<NodeRun> result) {}
 }
--- a/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -195,8 +195,9 @@
     @Override
     public void close() {
         closed.set(true);
-        replacePeers(List.of());
         Optional.ofNullable(server.get()).ifPresent(PeerServer::close);
+        replacePeers(List.of());
+        verdictsSent.keySet().forEach(PeerConnection::close);
         timers.shutdownNow();
         transport.close();
     }
