--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/peer/ConfigurationPeersTest.java
@@ -0,0 +1,58 @@
+package org.magnoliavane.node.peer;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.magnoliavane.NodeRun;
+import org.magnoliavane.membership.NodeAddress;
+import org.magnoliavane.node.configuration.ConfigurationExchange;
+import org.magnoliavane.node.configuration.VersionedText;
+import org.magnoliavane.node.membership.NodeHeartbeat;
+import org.magnoliavane.node.membership.TestCluster;
+import org.magnoliavane.node.placement.PoisonRegistry;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class ConfigurationPeersTest {
+
+    /** Guards against a new node that has no configuration while the log service is out. */
+    @Test
+    public void aNodeWithAnOlderVersionFetchesTheNewerOneFromAPeer() throws Exception {
+        Exchange old = new Exchange();
+        Exchange current = new Exchange();
+        current.offer(new VersionedText(7, 41, "services"));
+        try (PeerNetwork first = connect("entry-1", old);
+                PeerNetwork second = connect("entry-2", current)) {
+            first.listen("127.0.0.1", 0);
+            int port = second.listen("127.0.0.1", 0);
+            first.setPeers(
+                    java.util.List.of(new NodeAddress(new NodeRun("entry-2", 0), "127.0.0.1", 0, port, 0, "a", false)));
+            TestCluster.await(() -> old.findCurrent().isPresent());
+            assertEquals(old.findCurrent().get(), new VersionedText(7, 41, "services"));
+        }
+    }
+
+    private static PeerNetwork connect(String node, Exchange exchange) {
+        NodeHeartbeat heartbeat = new NodeHeartbeat(new PoisonRegistry());
+        heartbeat.setText(exchange::findCurrent);
+        PeerNetwork network = PeerNetwork.create("test", new NodeRun(node, 1), "a", heartbeat);
+        ConfigurationPeers.connect(network, exchange);
+        return network;
+    }
+
+    /** Keeps the newest version. */
+    private static final class Exchange implements ConfigurationExchange {
+        private final AtomicReference<VersionedText> current = new AtomicReference<>();
+
+        @Override
+        public Optional<VersionedText> findCurrent() {
+            return Optional.ofNullable(current.get());
+        }
+
+        @Override
+        public void offer(VersionedText text) {
+            current.updateAndGet(known -> known != null && known.version() >= text.version() ? known : text);
+        }
+    }
+}
