Test workers for a crash also when a caller goes away, and remember attempts of lost nodes

Cause: a caller that goes away at the moment of a crash hid it, so that its next request was placed beside others and a third worker could be lost. Ruled out: holding back the content of every lost node, because that would delay the requests of all its callers. Change: a cancelled attempt starts one connection test of its workers; attempts of a lost node stay suspects of a crash for 15 s.

--- a/node/src/main/java/org/magnoliavane/node/placement/EndedAttempts.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/EndedAttempts.java
@@ -16,6 +16,9 @@
     /** Covers the time between the crash of a worker and its discovery. */
     private static final long RECENT_MICROS = 2_000_000;
 
+    /** Covers the time for which engines go on with an attempt whose node was lost. */
+    private static final long LOST_MICROS = 15_000_000;
+
     private static final long KEPT_MICROS = 120_000_000;
 
     private final int capacity;
@@ -32,6 +35,11 @@
         trim(entries);
     }
 
+    /** Forgets an attempt that is in work again, because its node has announced it. */
+    void remove(String attempt) {
+        entries.remove(attempt);
+    }
+
     void addReason(String attempt, String reason) {
         reasons.put(attempt, reason);
         trim(reasons);
@@ -47,16 +55,20 @@
 
     /** Lists the attempts that failed or were cancelled on a worker a short time ago. */
     List<PoolAttempt> listOn(String worker, long upSince, long now) {
-        long from = Math.max(upSince, now - RECENT_MICROS);
         List<PoolAttempt> result = new ArrayList<>();
         for (PoolAttempt attempt : entries.values()) {
-            if (attempt.endedMicros >= from && !attempt.isCompleted() && attempt.isOn(worker)) {
+            if (attempt.isOn(worker) && mayHaveBeenRunning(attempt, upSince, now)) {
                 result.add(attempt);
             }
         }
         return result;
     }
 
+    private static boolean mayHaveBeenRunning(PoolAttempt attempt, long upSince, long now) {
+        long window = attempt.lost ? LOST_MICROS : RECENT_MICROS;
+        return !attempt.isCompleted() && attempt.endedMicros >= Math.max(upSince, now - window);
+    }
+
     void forgetBefore(long now) {
         Iterator<PoolAttempt> oldest = entries.values().iterator();
         while (oldest.hasNext() && now - oldest.next().endedMicros > KEPT_MICROS) {
--- a/node/src/main/java/org/magnoliavane/node/placement/OrphanSweep.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/OrphanSweep.java
@@ -71,7 +71,7 @@
 
     private static boolean isEnded(EngineAttempt attempt, Optional<NodeRun> owner, long asOfMicros, Pool pool) {
         Optional<PoolAttempt> ended = pool.findEnded(attempt.attempt());
-        if (ended.isEmpty() || pool.isInWork(attempt.attempt())) {
+        if (ended.isEmpty() || ended.get().lost || pool.isInWork(attempt.attempt())) {
             return false;
         }
         // Another owner means that another node resumed the stream after the end of the first one.
--- a/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
@@ -27,6 +27,7 @@
 import org.magnoliavane.config.Service;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.ClusterView;
+import org.magnoliavane.pool.AttemptPhase;
 import org.magnoliavane.pool.AttemptProgress;
 import org.magnoliavane.pool.PlacementRequest;
 import org.magnoliavane.pool.PoolScheduler;
@@ -142,13 +143,19 @@
     }
 
     void withdraw(String service, String attempt) {
-        with(service, pool -> pool.withdraw(attempt, now()));
+        with(service, pool -> {
+            for (BackendServer worker : pool.withdraw(attempt, now())) {
+                testForCrash(pool, service, worker, false);
+            }
+            pool.decide(now());
+        });
     }
 
     void progress(String service, AttemptProgress progress) {
         with(service, pool -> {
+            boolean again = progress.phase() != AttemptPhase.CANCELLED;
             for (BackendServer worker : pool.progress(progress, now())) {
-                testForCrash(pool, service, worker);
+                testForCrash(pool, service, worker, again);
             }
             pool.decide(now());
         });
@@ -279,11 +286,12 @@
         }
     }
 
-    /** Asks twice, because a process that crashes may still hold its port for a moment. */
-    private void testForCrash(Pool pool, String service, BackendServer worker) {
+    /** Asks once or twice, because a process that crashes may still hold its port for a moment. */
+    private void testForCrash(Pool pool, String service, BackendServer worker, boolean again) {
         Set<Long> contents = pool.beginTest(worker.id(), now());
         findRefused(worker)
-                .thenCompose(refused -> refused ? CompletableFuture.completedFuture(true) : findRefusedLater(worker))
+                .thenCompose(refused ->
+                        refused || !again ? CompletableFuture.completedFuture(refused) : findRefusedLater(worker))
                 .whenComplete((refused, cause) -> with(service, current -> {
                     if (cause == null && refused) {
                         current.workerRefused(worker.id(), now());
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -128,6 +128,7 @@
         PoolAttempt adopted = new PoolAttempt(request, run, listener, now);
         adopted.isolated = request.isolated();
         adopted.grant = grant;
+        adopted.grantedMicros = now;
         adopted.progress = progress.orElse(null);
         add(adopted);
         move(adopted, PoolAttempt.State.STARTED);
@@ -145,16 +146,21 @@
                 .map(PoolAttempt::getId)
                 .toList();
         for (String attempt : dropped) {
-            remove(attempt);
+            PoolAttempt known = remove(attempt);
             scheduler.withdraw(attempt, now);
+            if (known.isStarted()) {
+                known.lost = true;
+                ended.add(known, now);
+            }
         }
         decide(now);
     }
 
-    void withdraw(String attempt, long now) {
+    /** Gives up an attempt and returns the workers whose crash may have been the cause. */
+    List<BackendServer> withdraw(String attempt, long now) {
         PoolAttempt known = remove(attempt);
         if (known == null) {
-            return;
+            return List.of();
         }
         if (known.isInWork()) {
             scheduler.withdraw(attempt, now);
@@ -163,7 +169,7 @@
             known.progress = new AttemptProgress(attempt, AttemptPhase.CANCELLED, 0, 0);
             ended.add(known, now);
         }
-        decide(now);
+        return known.isStarted() ? listFailing(known) : List.of();
     }
 
     /** Takes a report and returns the worker whose crash it may show. */
@@ -411,6 +417,7 @@
     }
 
     private void add(PoolAttempt attempt) {
+        ended.remove(attempt.getId());
         attempts.put(attempt.getId(), attempt);
         held.put(attempt.getId(), attempt);
     }
@@ -474,7 +481,8 @@
         return switch (attempt.progress.phase()) {
             case PREFILL_FAILED -> List.of(placement.prefillWorker());
             case DECODE_FAILED -> List.of(placement.decodeWorker());
-            case TRANSFER_FAILED -> List.of(placement.prefillWorker(), placement.decodeWorker());
+            // A caller that goes away at the moment of a crash hides it.
+            case TRANSFER_FAILED, CANCELLED -> List.of(placement.prefillWorker(), placement.decodeWorker());
             default -> List.of();
         };
     }
--- a/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
@@ -30,6 +30,10 @@
     PlacementListener listener;
     State state = State.HELD;
     boolean isolated;
+
+    /** True when its node was lost: the engines may go on with it. */
+    boolean lost;
+
     Grant grant;
     long grantedMicros;
     long endedMicros = Long.MAX_VALUE;
--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -154,6 +154,47 @@
         assertEquals(crashes, 2);
     }
 
+    /** Guards against crashes in any phase, and against ones that a caller hides by going away at the same moment. */
+    @Test
+    public void poisonRequestsOfEveryKindTakeDownAtMostTwoWorkersEach() throws Exception {
+        for (int round = 0; round < 12; round++) {
+            Random random = new Random(round * 7919L);
+            for (int i = 0; i < 4; i++) {
+                TestNode node = nodes.get(random.nextInt(NODES));
+                String id = "innocent" + round + "/" + i + "-1";
+                node.place(id, 5000 + round * 10 + i).get();
+                node.advance(id, random.nextInt(3));
+            }
+            assertTrue(countCrashes(random, round) <= 2, "round " + round);
+            completeOthers();
+            engines.down.clear();
+            Thread.sleep(300);
+        }
+    }
+
+    private int countCrashes(Random random, int round) throws Exception {
+        for (int crashes = 0; ; crashes++) {
+            TestNode node = nodes.get(random.nextInt(NODES));
+            String id = "poison" + round + "/" + crashes + "-1";
+            Either<Fault, Placement> answer = node.place(id, 6_660_000L + round);
+            if (answer.isLeft()) {
+                assertEquals(answer.getLeft().kind(), FaultKind.POISON);
+                return crashes;
+            }
+            boolean inDecode = random.nextBoolean();
+            node.advance(id, inDecode ? 2 : 0);
+            engines.down.add(
+                    (inDecode ? answer.get().decodeWorker() : answer.get().prefillWorker()).id());
+            if (random.nextInt(3) == 0) {
+                node.running.remove(id);
+                node.service.withdraw(id);
+            } else {
+                node.finish(id, inDecode ? AttemptPhase.DECODE_FAILED : AttemptPhase.PREFILL_FAILED);
+            }
+            completeOthers();
+        }
+    }
+
     @Test
     public void innocentsThatSharedACrashedWorkerArePlacedAgainAndCleared() throws Exception {
         TestNode node = nodes.get(0);
@@ -318,6 +359,14 @@
                     .toCompletableFuture();
         }
 
+        /** Reports the phases up to the transfer, or up to the tokens. */
+        void advance(String attempt, int phases) {
+            for (AttemptPhase phase :
+                    List.of(AttemptPhase.PREFILLED, AttemptPhase.IMPORTED).subList(0, phases)) {
+                service.report(new AttemptProgress(attempt, phase, 0, 0));
+            }
+        }
+
         void finish(String attempt, AttemptPhase phase) {
             if (running.remove(attempt) != null) {
                 service.report(new AttemptProgress(attempt, phase, 1, 0));
