Send a relayed call again while the owner of its key is live

Cause: a connection that broke turned a booking into an unknown outcome although the owner was live and joins repeated keys. Change: relay again every 200 ms until the deadline while the owner is live; answer at once when it is gone or out of reach. A test shows that an isolated start on a worker that was down before convicts nobody.

--- a/node/src/main/java/org/magnoliavane/node/keyed/KeyedCallService.java
+++ b/node/src/main/java/org/magnoliavane/node/keyed/KeyedCallService.java
@@ -46,6 +46,7 @@
     private static final long ANSWER_RESERVE_BYTES = 16 << 10;
     private static final int MAX_RELAYED_BYTES = 900_000;
     private static final long RELAY_MARGIN_MILLIS = 500;
+    private static final long RELAY_RETRY_MILLIS = 200;
     private static final long APPEND_RETRY_MILLIS = 250;
 
     /** Bounds the wait for the decision about a claim; the caller is not kept until its deadline. */
@@ -177,16 +178,17 @@
     /** Runs or joins a key that begins with a token of this run. */
     private CompletionStage<Either<Fault, PlainAnswer>> callOwned(PlainCall call, IdempotencyKey key, RunToken token) {
         long now = timers.nowMillis();
+        String content = RequestHash.of(call);
         KeyEntry entry = new KeyEntry(KeyEntry.State.OWNED);
         KeyAdmission admission;
         synchronized (table) {
-            admission = table.look(key, RequestHash.of(call), now);
+            admission = table.look(key, content, now);
             if (admission == KeyAdmission.ABSENT) {
                 Optional<Fault> fault = checkToken(token, now);
                 if (fault.isPresent()) {
                     return failed(fault.get());
                 }
-                admission = table.admit(key, RequestHash.of(call), token.issuedSeconds() * 1000, now, () -> entry);
+                admission = table.admit(key, content, token.issuedSeconds() * 1000, now, () -> entry);
             }
         }
         return switch (admission) {
@@ -213,9 +215,10 @@
 
     /** Joins a key that this run has claimed. The call that claimed it is the only one that dispatches it. */
     private CompletionStage<Either<Fault, PlainAnswer>> callClaimed(PlainCall call, IdempotencyKey key) {
+        String content = RequestHash.of(call);
         KeyAdmission admission;
         synchronized (table) {
-            admission = table.look(key, RequestHash.of(call), timers.nowMillis());
+            admission = table.look(key, content, timers.nowMillis());
         }
         return switch (admission) {
             case KNOWN -> joinKnown(key, call);
@@ -233,9 +236,10 @@
         }
         KeyEntry entry = new KeyEntry(KeyEntry.State.UNDECIDED);
         long now = timers.nowMillis();
+        String content = RequestHash.of(call);
         KeyAdmission admission;
         synchronized (table) {
-            admission = table.admitWithoutToken(key, RequestHash.of(call), now, () -> entry);
+            admission = table.admitWithoutToken(key, content, now, () -> entry);
         }
         return switch (admission) {
             case NEW -> {
@@ -438,28 +442,42 @@
         if (call.body().length > MAX_RELAYED_BYTES) {
             return failed(KeyFaults.tooLarge(owner, MAX_RELAYED_BYTES));
         }
-        boolean connected = peers.findRun(owner.node()).filter(owner::equals).isPresent();
+        Relay relay = new Relay(call, owner, claimed, timers.nowMillis() + call.timeoutMillis());
+        send(relay);
+        return relay.result;
+    }
+
+    private void send(Relay relay) {
+        boolean connected =
+                peers.findRun(relay.owner.node()).filter(relay.owner::equals).isPresent();
         if (!connected) {
-            return failedBy(owner);
+            fail(relay);
+            return;
         }
-        Frame.Builder message = Frame.newBuilder().setKeyCall(KeyMessages.toMessage(call, owner, claimed));
-        CompletableFuture<Either<Fault, PlainAnswer>> result = new CompletableFuture<>();
-        peers.call(owner.node(), message, call.timeoutMillis() + RELAY_MARGIN_MILLIS)
+        long left = Math.max(0, relay.deadline - timers.nowMillis());
+        KeyCall message = KeyMessages.toMessage(withTimeout(relay.call, left), relay.owner, relay.claimed);
+        peers.call(relay.owner.node(), Frame.newBuilder().setKeyCall(message), left + RELAY_MARGIN_MILLIS)
                 .whenComplete((reply, cause) -> {
                     if (cause == null && reply.hasKeyResult()) {
-                        result.complete(KeyMessages.toResult(reply.getKeyResult()));
+                        relay.result.complete(KeyMessages.toResult(reply.getKeyResult()));
                     } else {
-                        failedBy(owner).thenAccept(result::complete);
+                        fail(relay);
                     }
                 });
-        return result;
     }
 
-    private CompletionStage<Either<Fault, PlainAnswer>> failedBy(NodeRun owner) {
-        return runs.getState(owner)
-                .handle((state, cause) -> cause == null && state == RunState.GONE
-                        ? Either.left(KeyFaults.runGone(owner))
-                        : Either.left(KeyFaults.unreachable(owner)));
+    /** Sends again while the owner is live: it joins a repeated key, so that a lost connection costs little. */
+    private void fail(Relay relay) {
+        runs.getState(relay.owner).whenComplete((state, cause) -> {
+            boolean late = timers.nowMillis() + RELAY_RETRY_MILLIS > relay.deadline;
+            if (cause == null && state == RunState.GONE) {
+                relay.result.complete(Either.left(KeyFaults.runGone(relay.owner)));
+            } else if (cause != null || state == RunState.UNREACHABLE || late) {
+                relay.result.complete(Either.left(KeyFaults.unreachable(relay.owner)));
+            } else {
+                timers.after(RELAY_RETRY_MILLIS, () -> send(relay));
+            }
+        });
     }
 
     private Frame.Builder toFrame(Either<Fault, PlainAnswer> result) {
@@ -499,4 +517,20 @@
     private static CompletionStage<Either<Fault, PlainAnswer>> failed(Fault fault) {
         return CompletableFuture.completedFuture(Either.left(fault));
     }
+
+    /** Holds a call on its way to the run that owns its key. */
+    private static final class Relay {
+        private final PlainCall call;
+        private final NodeRun owner;
+        private final boolean claimed;
+        private final long deadline;
+        private final CompletableFuture<Either<Fault, PlainAnswer>> result = new CompletableFuture<>();
+
+        Relay(PlainCall call, NodeRun owner, boolean claimed, long deadline) {
+            this.call = call;
+            this.owner = owner;
+            this.claimed = claimed;
+            this.deadline = deadline;
+        }
+    }
 }
--- a/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -291,7 +291,7 @@
         @Override
         public Heartbeat createHeartbeat(PeerConnection connection) {
             long newest = source.getVerdictSequence();
-            Long sent = verdictsSent.put(connection, newest);
+            Long sent = verdictsSent.replace(connection, newest);
             return Heartbeat.newBuilder()
                     .setLeaving(source.isLeaving())
                     .setConfigurationVersion(source.getConfigurationVersion())
--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -207,6 +207,19 @@
         assertTrue(node.place("c-1", 1).isRight(), "a cleared content may run twice at the same time");
     }
 
+    /** Guards against the conviction of an innocent suspect that is sent to a worker which died of something else. */
+    @Test
+    public void aWorkerThatWasDownBeforeAnIsolatedStartConvictsNobody() throws Exception {
+        TestNode node = nodes.get(0);
+        crash(node.place("a-1", 1).get().prefillWorker().id());
+        engines.down.addAll(List.of("p1", "p2", "d0", "d1"));
+        Placement again = node.place("a-2", 1).get();
+        assertFalse(engines.down.contains(again.prefillWorker().id()));
+        assertFalse(engines.down.contains(again.decodeWorker().id()));
+        node.finish("a-2", AttemptPhase.COMPLETED);
+        assertTrue(node.place("a-3", 1).isRight());
+    }
+
     /** Guards against a conviction that is forgotten when its coordinator dies. */
     @Test
     public void aConvictionSurvivesTheCoordinator() throws Exception {
