--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -154,6 +155,47 @@
         assertEquals(crashes, 2);
     }
 
+    /** Guards against crashes in any phase, and against ones that a caller hides by going away at the same moment. */
+    @Test
+    public void poisonRequestsOfEveryKindTakeDownAtMostTwoWorkersEach() throws Exception {
+        for (int round = 0; round < 12; round++) {
+            Random random = new Random(round * 7919L);
+            for (int i = 0; i < 4; i++) {
+                TestNode node = nodes.get(random.nextInt(NODES));
+                String id = "innocent" + round + "/" + i + "-1";
+                node.place(id, 5000 + round * 10 + i).get();
+                node.advance(id, random.nextInt(3));
+            }
+            assertTrue(countCrashes(random, round) <= 2, "round " + round);
+            completeOthers();
+            engines.down.clear();
+            Thread.sleep(300);
+        }
+    }
+
+    private int countCrashes(Random random, int round) throws Exception {
+        for (int crashes = 0; ; crashes++) {
+            TestNode node = nodes.get(random.nextInt(NODES));
+            String id = "poison" + round + "/" + crashes + "-1";
+            Either<Fault, Placement> answer = node.place(id, 6_660_000L + round);
+            if (answer.isLeft()) {
+                assertEquals(answer.getLeft().kind(), FaultKind.POISON);
+                return crashes;
+            }
+            boolean inDecode = random.nextBoolean();
+            node.advance(id, inDecode ? 2 : 0);
+            engines.down.add(
+                    (inDecode ? answer.get().decodeWorker() : answer.get().prefillWorker()).id());
+            if (random.nextInt(3) == 0) {
+                node.running.remove(id);
+                node.service.withdraw(id);
+            } else {
+                node.finish(id, inDecode ? AttemptPhase.DECODE_FAILED : AttemptPhase.PREFILL_FAILED);
+            }
+            completeOthers();
+        }
+    }
+
     @Test
     public void innocentsThatSharedACrashedWorkerArePlacedAgainAndCleared() throws Exception {
         TestNode node = nodes.get(0);
@@ -166,6 +208,19 @@
         assertTrue(node.place("c-1", 1).isRight(), "a cleared content may run twice at the same time");
     }
 
+    /** Guards against the conviction of an innocent suspect that is sent to a worker which died of something else. */
+    @Test
+    public void aWorkerThatWasDownBeforeAnIsolatedStartConvictsNobody() throws Exception {
+        TestNode node = nodes.get(0);
+        crash(node.place("a-1", 1).get().prefillWorker().id());
+        engines.down.addAll(List.of("p1", "p2", "d0", "d1"));
+        Placement again = node.place("a-2", 1).get();
+        assertFalse(engines.down.contains(again.prefillWorker().id()));
+        assertFalse(engines.down.contains(again.decodeWorker().id()));
+        node.finish("a-2", AttemptPhase.COMPLETED);
+        assertTrue(node.place("a-3", 1).isRight());
+    }
+
     /** Guards against a conviction that is forgotten when its coordinator dies. */
     @Test
     public void aConvictionSurvivesTheCoordinator() throws Exception {
@@ -186,19 +241,23 @@
     public void onlyAttemptsThatNobodyDrivesAreCancelled() throws Exception {
         Placement placement = nodes.get(0).place("live-1", 1).get();
         String run = nodes.get(0).member.getRun().toString();
+        nodes.get(0).place("ended-1", 2).get();
+        nodes.get(0).finish("ended-1", AttemptPhase.COMPLETED);
         engines.attempts.put(
                 placement.decodeWorker().id(),
                 List.of(
                         new EngineAttempt("live-1", run, "decode", 1, 3, true),
                         new EngineAttempt(
                                 "resumed-1", nodes.get(1).member.getRun().toString(), "decode", 1, 3, true),
+                        new EngineAttempt("ended-1", run, "decode", 1, 3, true),
+                        new EngineAttempt("prefilling-1", null, "prefill", 1, 0, true),
                         new EngineAttempt("detached-1", run, "decode", 1, 3, false),
                         new EngineAttempt("dead-1", "entry-1.77", "decode", 1, 3, false)));
         Thread.sleep(250);
         assertTrue(engines.cancelled.isEmpty());
-        TestCluster.await(() -> engines.cancelled.size() == 2);
+        TestCluster.await(() -> engines.cancelled.size() == 3);
         Thread.sleep(300);
-        assertEquals(engines.cancelled, java.util.Set.of("detached-1", "dead-1"));
+        assertEquals(engines.cancelled, Set.of("detached-1", "dead-1", "ended-1"));
     }
 
     private boolean isAllRefusedOrFailed(List<CompletableFuture<Either<Fault, Placement>>> copies) {
@@ -318,6 +377,14 @@
                     .toCompletableFuture();
         }
 
+        /** Reports the phases up to the transfer, or up to the tokens. */
+        void advance(String attempt, int phases) {
+            for (AttemptPhase phase :
+                    List.of(AttemptPhase.PREFILLED, AttemptPhase.IMPORTED).subList(0, phases)) {
+                service.report(new AttemptProgress(attempt, phase, 0, 0));
+            }
+        }
+
         void finish(String attempt, AttemptPhase phase) {
             if (running.remove(attempt) != null) {
                 service.report(new AttemptProgress(attempt, phase, 1, 0));
