--- a/emulators/src/main/java/org/magnoliavane/emulator/booking/BookingEmulator.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/booking/BookingEmulator.java
@@ -41,7 +41,10 @@
         Routes routes = new Routes()
                 .on("POST", "/bookings", call -> run(call, "booking"))
                 .on("POST", "/payments", call -> run(call, "payment"))
+                .on("POST", "/deliveries", call -> run(call, "delivery"))
+                .on("POST", "/volunteer-slots", call -> run(call, "volunteer-slot"))
                 .on("GET", "/schedule", call -> lookUp(call, new Schedule(List.of("09:00", "11:00", "14:00"))))
+                .on("GET", "/rounds/today", call -> lookUp(call, new Status("open", numbers.get())))
                 .on("GET", "/status", call -> lookUp(call, new Status("open", numbers.get())))
                 .on("GET", "/control/runs", call -> call.answer(OK, getRuns()))
                 .on("POST", "/control", this::control);
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,6 +29,9 @@
     private static final String HOST = "127.0.0.1";
     private static final long START_MILLIS = 30_000;
     private static final long POLL_MILLIS = 50;
+    private static final int FIRST_PORT = 10_000;
+    private static final int PORT_BLOCKS = 200;
+    private static final int PORTS_PER_BLOCK = 100;
     private static final long LOG_RETENTION_MILLIS = 600_000;
 
     private final DeploymentSize size;
@@ -39,6 +43,8 @@
     private final Map<String, Endpoint> operators = new HashMap<>();
     private final Map<String, Map<String, Object>> vms = new LinkedHashMap<>();
 
+    private int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() % PORT_BLOCKS) * PORTS_PER_BLOCK;
+
     private LocalDeployment(DeploymentSize size, Launcher launcher) throws IOException {
         this.size = size;
         this.launcher = launcher;
@@ -443,17 +449,26 @@
         }
     }
 
-    private static List<Integer> findFreePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0));
-            }
-            return sockets.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+    /**
+     * Finds free ports below the range from which the kernel draws the ports of outgoing connections; a free port of that
+     * range may be taken again before the node listens on it.
+     */
+    private synchronized List<Integer> findFreePorts(int count) {
+        List<Integer> ports = new ArrayList<>();
+        while (ports.size() < count) {
+            int port = nextPort++;
+            if (isFree(port)) {
+                ports.add(port);
             }
         }
+        return ports;
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
