Tell a new coordinator which attempts have their workers to themselves

Cause: a suspect that was adopted by a new coordinator no longer counted as alone, so that its crash did not convict it and a third worker could be lost. Change: the placement carries the flag, and announcements carry the times that are left. Conclusion: all tests of the node module pass, among them one that stops the coordinator while a suspect runs alone.

--- a/node/src/main/java/org/magnoliavane/node/placement/Grant.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Grant.java
@@ -9,8 +9,9 @@
  *
  * @param placement the placement
  * @param explanation the candidates and the reason
+ * @param isolated true when the attempt has its workers to itself
  */
-record Grant(Placement placement, String explanation) {
+record Grant(Placement placement, String explanation, boolean isolated) {
 
     SchedulerDecision.Start toStart() {
         return new SchedulerDecision.Start(
--- a/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
@@ -257,7 +257,11 @@
         if (target.local) {
             for (Active active : own) {
                 active.grant.ifPresent(grant -> coordinator.adopt(
-                        active.request, self, grant, Optional.ofNullable(active.progress), new OwnListener(active)));
+                        toAnnounced(active, grant),
+                        self,
+                        grant,
+                        Optional.ofNullable(active.progress),
+                        new OwnListener(active)));
             }
             return;
         }
@@ -275,9 +279,13 @@
         peers.send(target.run.node(), Frame.newBuilder().setAnnounce(part.build()));
     }
 
+    private static PlacementRequest toAnnounced(Active active, Grant grant) {
+        return Requests.afterWaiting(active.request, active.getAgeMillis(), grant.isolated());
+    }
+
     private static Started toStarted(Active active, Grant grant) {
         Started.Builder started = Started.newBuilder()
-                .setRequest(PlacementMessages.toMessage(active.request))
+                .setRequest(PlacementMessages.toMessage(toAnnounced(active, grant)))
                 .setStart(PlacementMessages.toMessage(grant));
         if (active.progress != null) {
             started.setProgress(PlacementMessages.toMessage(active.request.service(), active.progress));
--- a/node/src/main/java/org/magnoliavane/node/placement/PlacementMessages.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PlacementMessages.java
@@ -70,6 +70,7 @@
                 .setPieces(placement.pieces())
                 .setPriority(placement.priority())
                 .setExplanation(grant.explanation())
+                .setIsolated(grant.isolated())
                 .build();
     }
 
@@ -80,7 +81,7 @@
                 toServer(request.service(), message.getDecodeWorker(), WorkerRole.DECODE),
                 message.getPieces(),
                 message.getPriority());
-        return new Grant(placement, message.getExplanation());
+        return new Grant(placement, message.getExplanation(), message.getIsolated());
     }
 
     static Refusal toMessage(SchedulerDecision.Refuse refusal) {
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -126,7 +126,7 @@
             withdraw(request.attempt(), now);
         }
         PoolAttempt adopted = new PoolAttempt(request, run, listener, now);
-        adopted.isolated = request.isolated();
+        adopted.isolated = grant.isolated();
         adopted.grant = grant;
         adopted.grantedMicros = now;
         adopted.progress = progress.orElse(null);
@@ -314,7 +314,7 @@
             return;
         }
         Placement placement = new Placement(attempt.getId(), prefill, decode, start.pieces(), start.priority());
-        attempt.grant = new Grant(placement, start.explanation());
+        attempt.grant = new Grant(placement, start.explanation(), attempt.isolated);
         attempt.grantedMicros = now;
         if (attempt.isolated) {
             move(attempt, PoolAttempt.State.CONFIRMING);
--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -80,15 +80,11 @@
     /** Guards against lost requests, and against a successor that gives reserved memory away a second time. */
     @Test
     public void aNewCoordinatorLearnsWhatIsInWorkAndWhatWaits() throws Exception {
-        TestNode owner = getOwner();
-        TestNode other = nodes.stream().filter(n -> n != owner).findFirst().orElseThrow();
+        TestNode other = getOther();
         Placement before = other.place("started-1", 1).get();
         CompletableFuture<Either<Fault, Placement>> waiting = other.send("waiting-1", 1);
-        owner.close();
-        cluster.stop(owner.member);
-        nodes.remove(owner);
+        stopOwner();
         other.service.report(new AttemptProgress("started-1", AttemptPhase.PREFILLED, 0, 0));
-        cluster.awaitNodes(NODES - 1);
         Thread.sleep(150);
         // The same content waits until the first copy has been answered, so the successor must have adopted that one.
         assertFalse(waiting.isDone());
@@ -224,18 +220,26 @@
     /** Guards against a conviction that is forgotten when its coordinator dies. */
     @Test
     public void aConvictionSurvivesTheCoordinator() throws Exception {
-        TestNode owner = getOwner();
-        TestNode other = nodes.stream().filter(n -> n != owner).findFirst().orElseThrow();
+        TestNode other = getOther();
         crash(other.place("x-1", POISON).get().prefillWorker().id());
         crash(other.place("x-2", POISON).get().prefillWorker().id());
         assertEquals(other.place("x-3", POISON).getLeft().kind(), FaultKind.POISON);
-        owner.close();
-        cluster.stop(owner.member);
-        nodes.remove(owner);
-        cluster.awaitNodes(NODES - 1);
+        stopOwner();
         assertEquals(other.place("x-4", POISON).getLeft().kind(), FaultKind.POISON);
     }
 
+    /** Guards against a successor that does not know that a suspect has its workers to itself. */
+    @Test
+    public void aSuspectStaysAloneWhenItsCoordinatorDies() throws Exception {
+        TestNode other = getOther();
+        crash(other.place("x-1", POISON).get().prefillWorker().id());
+        Placement alone = other.place("x-2", POISON).get();
+        stopOwner();
+        Thread.sleep(200);
+        crash(alone.prefillWorker().id());
+        assertEquals(other.place("x-3", POISON).getLeft().kind(), FaultKind.POISON);
+    }
+
     /** Guards against engine memory that stays held, and against cutting off a stream that was just started. */
     @Test
     public void onlyAttemptsThatNobodyDrivesAreCancelled() throws Exception {
@@ -279,6 +283,19 @@
                 .orElseThrow();
     }
 
+    private TestNode getOther() {
+        TestNode owner = getOwner();
+        return nodes.stream().filter(n -> n != owner).findFirst().orElseThrow();
+    }
+
+    private void stopOwner() throws InterruptedException {
+        TestNode owner = getOwner();
+        owner.close();
+        cluster.stop(owner.member);
+        nodes.remove(owner);
+        cluster.awaitNodes(NODES - 1);
+    }
+
     private Optional<Placement> findRunning(long content) {
         for (TestNode node : nodes) {
             for (Map.Entry<String, Long> entry : node.contents.entrySet()) {
