Bound the buffer of a stream where bytes are handed in, and exit only after the last byte

A request counted as answered before its bytes had left, so an exit could cut it off. Timers of client exchanges stayed until their time although the exchange had ended, and a timeout could call a listener while it was receiving bytes.

Ruled out: a lock around the calls of a listener, because a listener that closes another exchange would wait for that exchange's lock.

Change: the limit is checked on entry; a request is active until the write queue of its connection is empty; client exchanges cancel their timer and call their listener through the serial executor, which moves to the http module.

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -100,11 +100,11 @@
     public HttpExchange stream(HttpRequest request, ResponseListener listener) {
         HttpExchange exchange = new HttpExchange(listener);
         if (request.timeoutMillis() > 0) {
-            timers.schedule(
+            exchange.setTimeout(timers.schedule(
                     () -> exchange.fail(new SocketTimeoutException(
                             "no complete response within " + request.timeoutMillis() + " ms")),
                     request.timeoutMillis(),
-                    TimeUnit.MILLISECONDS);
+                    TimeUnit.MILLISECONDS));
         }
         transport.connect(new InetSocketAddress(request.host(), request.port()), new ConnectHandler(request, exchange));
         return exchange;
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.glassfish.grizzly.Buffer;
@@ -18,10 +19,12 @@
  */
 public final class HttpExchange implements AutoCloseable {
     private final ResponseListener listener;
+    private final SerialExecutor calls = SerialExecutor.create();
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean headSeen;
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
+    private volatile Future<?> timeout;
 
     HttpExchange(ResponseListener listener) {
         this.listener = listener;
@@ -51,42 +54,57 @@
         }
     }
 
+    void setTimeout(Future<?> pending) {
+        timeout = pending;
+        if (ended.get()) {
+            pending.cancel(false);
+        }
+    }
+
     void receive(HttpContent content) {
         lastReadNanos = System.nanoTime();
         if (ended.get()) {
             return;
         }
-        if (!headSeen) {
-            headSeen = true;
-            HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            listener.onHead(head.getStatus(), headersOf(head));
-        }
+        HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+        int status = head.getStatus();
+        Map<String, String> headers = headSeen ? Map.of() : headersOf(head);
         Buffer buffer = content.getContent();
-        if (buffer.hasRemaining()) {
-            byte[] bytes = new byte[buffer.remaining()];
-            buffer.get(bytes);
-            listener.onBytes(bytes);
-        }
-        if (content.isLast()) {
-            end();
-        }
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        boolean last = content.isLast();
+        calls.execute(() -> deliver(status, headers, bytes, last));
     }
 
     void fail(IOException cause) {
         if (ended.compareAndSet(false, true)) {
-            closeConnection();
-            listener.onFailure(cause);
+            release();
+            calls.execute(() -> listener.onFailure(cause));
         }
     }
 
-    private void end() {
-        if (ended.compareAndSet(false, true)) {
-            closeConnection();
+    private void deliver(int status, Map<String, String> headers, byte[] bytes, boolean last) {
+        if (ended.get()) {
+            return;
+        }
+        if (!headSeen) {
+            headSeen = true;
+            listener.onHead(status, headers);
+        }
+        if (bytes.length > 0) {
+            listener.onBytes(bytes);
+        }
+        if (last && ended.compareAndSet(false, true)) {
+            release();
             listener.onEnd();
         }
     }
 
-    private void closeConnection() {
+    private void release() {
+        Future<?> pending = timeout;
+        if (pending != null) {
+            pending.cancel(false);
+        }
         Connection<?> current = connection;
         if (current != null) {
             current.closeSilently();
--- a/node/src/main/java/org/magnoliavane/node/dispatch/SerialExecutor.java
+++ b/http/src/main/java/org/magnoliavane/http/SerialExecutor.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.dispatch;
+package org.magnoliavane.http;
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -42,7 +42,7 @@
             task.run();
         } catch (RuntimeException e) {
             System.getLogger(SerialExecutor.class.getName())
-                    .log(System.Logger.Level.ERROR, "a task of a request failed", e);
+                    .log(System.Logger.Level.ERROR, "a task of an exchange failed", e);
         }
     }
 }
--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -229,8 +229,8 @@
 
     private void complete(int status) {
         connection.removeCloseListener(closeListener);
-        onAnswered.accept(status);
         response.resume();
+        onAnswered.accept(status);
     }
 
     private void callerGone() {
--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -12,11 +12,13 @@
 import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.node.dispatch.Json;
@@ -202,8 +204,13 @@
         public void service(Request request, Response response) {
             departure.enter();
             long start = System.nanoTime();
+            Connection<?> connection = request.getRequest().getConnection();
             CallerExchange exchange = new CallerExchange(
-                    newRequestId(), request, response, parts.configuration().get(), status -> account(start, status));
+                    newRequestId(),
+                    request,
+                    response,
+                    parts.configuration().get(),
+                    status -> account(connection, start, status));
             exchange.suspend();
             try {
                 filters.accept(exchange);
@@ -215,10 +222,22 @@
             }
         }
 
-        private void account(long startNanos, int status) {
-            departure.exit();
+        private void account(Connection<?> connection, long startNanos, int status) {
             parts.metrics().counter("responses." + status).inc();
             parts.metrics().timer("requests.duration").update(System.nanoTime() - startNanos, TimeUnit.NANOSECONDS);
+            exitWhenWritten(connection);
+        }
+
+        /** Counts a request as active until its last byte has left, so that an exit cuts no response off. */
+        private void exitWhenWritten(Connection<?> connection) {
+            boolean written = !(connection instanceof NIOConnection nio)
+                    || !nio.isOpen()
+                    || nio.getAsyncWriteQueue().isEmpty();
+            if (written) {
+                departure.exit();
+            } else {
+                parts.timers().schedule(() -> exitWhenWritten(connection), IDLE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+            }
         }
     }
 }
--- a/node/src/main/java/org/magnoliavane/node/http/ChatRelay.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatRelay.java
@@ -8,10 +8,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.Fault;
+import org.magnoliavane.http.SerialExecutor;
 import org.magnoliavane.node.dispatch.AnswerEnd;
 import org.magnoliavane.node.dispatch.AnswerListener;
 import org.magnoliavane.node.dispatch.ModelCall;
-import org.magnoliavane.node.dispatch.SerialExecutor;
 import org.magnoliavane.node.dispatch.Token;
 
 /**
@@ -30,7 +30,7 @@
     private static final long HOLD_STATUS_MILLIS = 1000;
 
     /** Some thousand events; a caller that is further behind than this is ended. */
-    private static final int BUFFER_BYTES = 512 * 1024;
+    private static final int BUFFER_BYTES = 1024 * 1024;
 
     private static final Map<String, String> EVENT_HEADERS =
             Map.of("Content-Type", "text/event-stream", "Cache-Control", "no-cache");
--- a/node/src/main/java/org/magnoliavane/node/http/StreamWriter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/StreamWriter.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.http.io.NIOOutputStream;
-import org.magnoliavane.node.dispatch.SerialExecutor;
+import org.magnoliavane.http.SerialExecutor;
 
 /**
  * Writes a streamed response without blocking. Bytes that the caller does not take wait in a buffer of limited size;
@@ -20,8 +22,9 @@
     private final Runnable onBroken;
     private final SerialExecutor serial = SerialExecutor.create();
     private final Deque<byte[]> pending = new ArrayDeque<>();
-    private long limitBytes;
-    private long pendingBytes;
+    private final AtomicLong limitBytes;
+    private final AtomicLong waitingBytes = new AtomicLong();
+    private final AtomicBoolean broken = new AtomicBoolean();
     private boolean waiting;
     private boolean ending;
     private boolean ended;
@@ -37,21 +40,23 @@
      */
     StreamWriter(NIOOutputStream out, long limitBytes, Runnable onComplete, Runnable onBroken) {
         this.out = out;
-        this.limitBytes = limitBytes;
+        this.limitBytes = new AtomicLong(limitBytes);
         this.onComplete = onComplete;
         this.onBroken = onBroken;
     }
 
     void write(byte[] bytes) {
+        if (waitingBytes.addAndGet(bytes.length) > limitBytes.get()) {
+            breakOff();
+            return;
+        }
         serial.execute(() -> add(bytes));
     }
 
     /** Writes bytes that exist already and are no sign of a slow caller. */
     void writeEarlier(byte[] bytes) {
-        serial.execute(() -> {
-            limitBytes += bytes.length;
-            add(bytes);
-        });
+        limitBytes.addAndGet(bytes.length);
+        write(bytes);
     }
 
     void end() {
@@ -76,23 +81,19 @@
         }
         lastWriteNanos = System.nanoTime();
         pending.add(bytes);
-        pendingBytes += bytes.length;
         drain();
-        if (pendingBytes > limitBytes) {
-            breakOff();
-        }
     }
 
     private void drain() {
-        if (ended || waiting) {
+        if (ended || waiting || broken.get()) {
             return;
         }
         try {
             while (!pending.isEmpty() && out.canWrite()) {
                 byte[] next = pending.remove();
-                pendingBytes -= next.length;
                 out.write(next);
                 out.flush();
+                waitingBytes.addAndGet(-next.length);
             }
         } catch (IOException e) {
             breakOff();
@@ -107,9 +108,9 @@
     }
 
     private void breakOff() {
-        if (!ended) {
+        if (broken.compareAndSet(false, true)) {
             onBroken.run();
-            finish();
+            serial.execute(this::finish);
         }
     }
 
@@ -133,7 +134,7 @@
 
         @Override
         public void onError(Throwable cause) {
-            serial.execute(StreamWriter.this::breakOff);
+            breakOff();
         }
     }
 }
