Use one source of heartbeats, and count crashes by caller and content

Cause: two classes told the peers the state of a node; and equal prompts of different callers would have run one after the other, because copies of content that was never answered do. Ruled out: hash 0, which switches the bound on lost workers off. Change: NodeHeartbeat replaces NodeState; the content hash covers the caller's name, whose resends are what the bound is about. Conclusion: no second source of state.

--- a/node/src/main/java/org/magnoliavane/node/Node.java
+++ b/node/src/main/java/org/magnoliavane/node/Node.java
@@ -29,6 +29,7 @@
 import org.magnoliavane.node.keyed.KeyedCallService;
 import org.magnoliavane.node.log.HttpLogService;
 import org.magnoliavane.node.membership.MembershipController;
+import org.magnoliavane.node.membership.NodeHeartbeat;
 import org.magnoliavane.node.membership.VmListClient;
 import org.magnoliavane.node.peer.ConfigurationPeers;
 import org.magnoliavane.node.peer.PeerNetwork;
@@ -54,7 +55,6 @@
 
     private final Deque<AutoCloseable> parts = new ArrayDeque<>();
     private final NodeRun run;
-    private final NodeState state;
     private final MembershipController membership;
     private final CallerServer callers;
 
@@ -72,8 +72,8 @@
         ConfigurationController configuration =
                 open(new ConfigurationController(log, settings.logRetentionMillis(), random));
         PoisonRegistry poison = new PoisonRegistry();
-        state = new NodeState(configuration, poison);
-        PeerNetwork network = open(PeerNetwork.create(settings.cluster(), run, settings.zone(), state));
+        NodeHeartbeat heartbeat = new NodeHeartbeat(poison);
+        PeerNetwork network = open(PeerNetwork.create(settings.cluster(), run, settings.zone(), heartbeat));
         ConfigurationPeers.connect(network, configuration);
         membership = open(MembershipController.start(
                 toAddress(settings),
@@ -92,6 +92,8 @@
         HttpPlainDispatcher plain = HttpPlainDispatcher.create(backends, configuration, membership, decisions);
         KeyedCallService keyed = open(KeyedCallService.start(run, network, membership, plain, log));
 
+        heartbeat.setView(membership);
+        heartbeat.setText(configuration::findCurrent);
         network.listen(settings.host(), settings.peerPort());
         configuration.start();
         CallerParts callerParts =
@@ -121,7 +123,6 @@
     @Override
     public void close() {
         LOG.log(Level.INFO, "node {0} is leaving", run);
-        state.startLeaving();
         callers.startLeaving();
         membership.leave();
         awaitDeparture();
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -202,13 +202,18 @@
                 call.expectedOutputTokens(),
                 call.maxOutputTokens(),
                 PromptPrefix.hashesOf(call.prompt(), call.settings().pieceTokens()),
-                HASH.hashChars(call.model() + "\n" + call.prompt()),
+                contentHash(),
                 call.getLeftMillis(call.priceClass().ttftMillis()),
                 call.priceClass().tbtMillis(),
                 call.getLeftMillis(call.priceClass().maxWaitMillis()),
                 false);
     }
 
+    /** Covers the caller too: copies of new content run one after the other, which must not delay other callers. */
+    private long contentHash() {
+        return HASH.hashChars(call.caller().name() + "\n" + call.model() + "\n" + call.prompt());
+    }
+
     private void giveUpPlacement() {
         Fault silent = new Fault(
                 FaultKind.UNAVAILABLE,
