Refuse costly requests by shadow prices and let growing answers wait

Cause: at load 2.0 decode memory was full, but of the wrong requests: the cost used for the choice of the request to refuse ignored that a stream also lengthens each step, and nothing kept capacity for the cheap requests about to come. Change: cost in decode worker time; prices of both pools from the offers of the last minute, which count only when the backlog takes a quarter of the slack; claims on the next free pieces instead of ends; room for messages in the latest start; a factor for partners above and below their equal share.

--- a/bench/src/main/java/org/magnoliavane/bench/Arguments.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Arguments.java
@@ -1,5 +1,9 @@
 package org.magnoliavane.bench;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.beust.jcommander.DynamicParameter;
 import com.beust.jcommander.Parameter;
 
 /**
@@ -30,6 +34,9 @@
     @Parameter(names = "--classes", description = "prints a line for each price class")
     boolean classes;
 
+    @DynamicParameter(names = "--tune", description = "tuning value of the policy slack, such as outputMargin=1.2")
+    Map<String, String> tune = new LinkedHashMap<>();
+
     @Parameter(names = "--plots", description = "directory for the plots of goodput and wasted prefill")
     String plots;
 
--- a/bench/src/main/java/org/magnoliavane/bench/DecodeEngine.java
+++ b/bench/src/main/java/org/magnoliavane/bench/DecodeEngine.java
@@ -30,6 +30,8 @@
     private final List<Attempt> streams = new ArrayList<>();
     private int usedPieces;
     private boolean stepping;
+    private long stepMicros;
+    private double pieceMicros;
 
     DecodeEngine(String id, String zone, EventLoop loop, ModelSettings settings, TokenListener listener) {
         this.id = id;
@@ -84,6 +86,16 @@
         return streams.size();
     }
 
+    /** Gets the time in which the engine made steps. */
+    long workedMicros() {
+        return stepMicros;
+    }
+
+    /** Gets the sum over all steps of the duration times the pieces in use. */
+    double pieceMicros() {
+        return pieceMicros;
+    }
+
     List<String> attempts() {
         return List.copyOf(held.keySet());
     }
@@ -97,7 +109,10 @@
         }
         stepping = !streams.isEmpty();
         if (stepping) {
-            loop.after(EngineTimes.step(batch.size()), () -> finishStep(batch));
+            long duration = EngineTimes.step(batch.size());
+            stepMicros += duration;
+            pieceMicros += (double) duration * usedPieces;
+            loop.after(duration, () -> finishStep(batch));
         }
     }
 
--- a/bench/src/main/java/org/magnoliavane/bench/Deployment.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Deployment.java
@@ -69,7 +69,7 @@
                 1.2,
                 3,
                 128,
-                120);
+                300);
     }
 
     static Deployment failte() {
@@ -95,7 +95,7 @@
                 1.0,
                 6,
                 128,
-                400);
+                1_200);
     }
 
     static Optional<Deployment> parse(String name) {
--- a/bench/src/main/java/org/magnoliavane/bench/GoodputBound.java
+++ b/bench/src/main/java/org/magnoliavane/bench/GoodputBound.java
@@ -1,15 +1,17 @@
 package org.magnoliavane.bench;
 
+import java.util.Arrays;
 import java.util.List;
 
 import org.magnoliavane.config.ModelSettings;
+import org.magnoliavane.config.PriceClass;
 
 /**
  * Computes an upper bound on the number of good answers of any policy, even one that knows all arrivals and lengths.
  *
  * <p>Time is cut into buckets. Each request that a policy answers in time puts its least prefill work into buckets
- * between its arrival and its due time, and its least decode work into buckets between its earliest import and the
- * latest end that the target between tokens permits. The work in a bucket cannot exceed the time of the workers. The
+ * between its arrival and its due time, and its least decode work into buckets between its earliest import and its
+ * latest end. The work in a bucket cannot exceed the time of the workers. The
  * best choice under these two constraints alone, with requests taken in fractions, split and run in parallel, is a
  * linear program. By weak duality every set of prices of the buckets gives a bound:
  *
@@ -21,9 +23,13 @@
  * it holds.
  */
 final class GoodputBound {
-    private static final long BUCKET = 500_000;
-    private static final int ROUNDS = 400;
+    private static final int ROUNDS = 600;
+    private static final int UNIFORM_STEPS = 20;
+    private static final int BUCKETS_PER_TARGET = 30;
+    private static final double FIRST_GAP = 0.1;
+    private static final int PATIENCE = 12;
 
+    private final long bucketMicros;
     private final int buckets;
     private final int size;
     private final double[] prefillWork;
@@ -34,12 +40,17 @@
 
     private GoodputBound(Deployment deployment, List<Job> jobs) {
         ModelSettings settings = deployment.settings();
+        long longest = deployment.classes().stream()
+                .mapToLong(PriceClass::ttftMillis)
+                .max()
+                .orElseThrow();
+        bucketMicros = longest * 1000 / BUCKETS_PER_TARGET;
         size = jobs.size();
         prefillWork = new double[size];
         decodeWork = new double[size];
         windows = new int[size][];
-        prefillCapacity = (double) deployment.prefillWorkers() * BUCKET;
-        decodeCapacity = (double) deployment.decodeWorkers() * BUCKET;
+        prefillCapacity = (double) deployment.prefillWorkers() * bucketMicros;
+        decodeCapacity = (double) deployment.decodeWorkers() * bucketMicros;
         int last = 0;
         for (int i = 0; i < size; i++) {
             Job job = jobs.get(i);
@@ -68,31 +79,98 @@
         return new GoodputBound(deployment, jobs).minimise();
     }
 
-    private static int bucket(long micros) {
-        return (int) (micros / BUCKET);
+    /**
+     * Gets the longest time from the first to the last token of a good answer. A step is longest when memory is full of
+     * streams of one piece each; a stream waits for memory only where it needs another piece, each time for no longer
+     * than the target between tokens.
+     */
+    private static long longestDecode(ModelSettings settings, Job job) {
+        long target = job.priceClass().tbtMillis() * 1000;
+        long step = Math.min(target, EngineTimes.step(settings.decodePieces()));
+        int waits = EngineTimes.pieces(settings, job.promptTokens() + job.outputTokens())
+                - EngineTimes.pieces(settings, job.promptTokens() + 1);
+        return (job.outputTokens() - 1) * step + waits * target;
+    }
+
+    private int bucket(long micros) {
+        return (int) (micros / bucketMicros);
     }
 
     private double minimise() {
         double[] prefillPrice = new double[buckets];
         double[] decodePrice = new double[buckets];
-        double best = Double.MAX_VALUE;
-        double meanPrefill = mean(prefillWork);
-        double meanDecode = mean(decodeWork);
+        double best = startUniform(prefillPrice, decodePrice);
+        double[] prefillUse = new double[buckets];
+        double[] decodeUse = new double[buckets];
+        double gap = best * FIRST_GAP;
+        int stale = 0;
         for (int round = 0; round < ROUNDS; round++) {
-            double[] prefillUse = new double[buckets];
-            double[] decodeUse = new double[buckets];
-            double value = sum(prefillPrice) * prefillCapacity + sum(decodePrice) * decodeCapacity;
-            for (int i = 0; i < size; i++) {
-                value += assign(i, prefillPrice, decodePrice, prefillUse, decodeUse);
-            }
+            double value = value(prefillPrice, decodePrice, prefillUse, decodeUse);
+            stale = value < best - 0.02 * gap ? 0 : stale + 1;
             best = Math.min(best, value);
-            double step = 0.3 / Math.sqrt(1 + round);
-            adjust(prefillPrice, prefillUse, prefillCapacity, step / meanPrefill);
-            adjust(decodePrice, decodeUse, decodeCapacity, step / meanDecode);
+            if (stale == PATIENCE) {
+                gap *= 0.6;
+                stale = 0;
+            }
+            double norm =
+                    norm(prefillPrice, prefillUse, prefillCapacity) + norm(decodePrice, decodeUse, decodeCapacity);
+            if (norm == 0) {
+                break;
+            }
+            double step = (value - best + gap) / norm;
+            adjust(prefillPrice, prefillUse, prefillCapacity, step);
+            adjust(decodePrice, decodeUse, decodeCapacity, step);
+        }
+        return best;
+    }
+
+    /** Looks for good prices that are the same in all buckets up to the last arrival, and returns their bound. */
+    private double startUniform(double[] prefillPrice, double[] decodePrice) {
+        double best = Double.MAX_VALUE;
+        double bestPrefill = 0;
+        double bestDecode = 0;
+        for (int p = 0; p <= UNIFORM_STEPS; p++) {
+            for (int d = 0; d <= UNIFORM_STEPS; d++) {
+                double prefill = p * 1.0 / UNIFORM_STEPS / mean(prefillWork);
+                double decode = d * 1.0 / UNIFORM_STEPS / mean(decodeWork);
+                double value = buckets * (prefill * prefillCapacity + decode * decodeCapacity);
+                for (int i = 0; i < size; i++) {
+                    boolean reachable = windows[i].length > 0;
+                    value += reachable ? Math.max(0, 1 - prefillWork[i] * prefill - decodeWork[i] * decode) : 0;
+                }
+                if (value < best) {
+                    best = value;
+                    bestPrefill = prefill;
+                    bestDecode = decode;
+                }
+            }
         }
+        Arrays.fill(prefillPrice, bestPrefill);
+        Arrays.fill(decodePrice, bestDecode);
         return best;
     }
 
+    /** Sums the squares of the subgradient, without the prices that cannot go lower. */
+    private static double norm(double[] prices, double[] use, double capacity) {
+        double sum = 0;
+        for (int b = 0; b < prices.length; b++) {
+            double excess = use[b] - capacity;
+            sum += prices[b] > 0 || excess > 0 ? excess * excess : 0;
+        }
+        return sum;
+    }
+
+    /** Computes the bound for some prices, and the work that the requests put into each bucket at these prices. */
+    private double value(double[] prefillPrice, double[] decodePrice, double[] prefillUse, double[] decodeUse) {
+        Arrays.fill(prefillUse, 0);
+        Arrays.fill(decodeUse, 0);
+        double value = sum(prefillPrice) * prefillCapacity + sum(decodePrice) * decodeCapacity;
+        for (int i = 0; i < size; i++) {
+            value += assign(i, prefillPrice, decodePrice, prefillUse, decodeUse);
+        }
+        return value;
+    }
+
     /** Adds a request to the cheapest buckets of its windows if it is worth their prices; returns its surplus. */
     private double assign(int i, double[] prefillPrice, double[] decodePrice, double[] prefillUse, double[] decodeUse) {
         int[] window = windows[i];
@@ -131,7 +209,7 @@
 
     private static void adjust(double[] prices, double[] use, double capacity, double step) {
         for (int b = 0; b < prices.length; b++) {
-            prices[b] = Math.max(0, prices[b] + step * (use[b] - capacity) / capacity);
+            prices[b] = Math.max(0, prices[b] + step * (use[b] - capacity));
         }
     }
 
--- a/bench/src/main/java/org/magnoliavane/bench/Main.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Main.java
@@ -50,12 +50,12 @@
                 seconds,
                 arguments.faults);
         OUT.println("policy          load seed offered  good bound ratio wasted% refused  price jain  past mem lapse"
-                + " end held  p50us  p99us");
+                + " end held  pre  mem  p50us  p99us");
         for (double load : loads(arguments.load)) {
             for (long seed = arguments.seed; seed < arguments.seed + arguments.seeds; seed++) {
                 List<Job> jobs = Workload.draw(deployment, load, seed, seconds);
                 double bound = GoodputBound.of(deployment, jobs);
-                for (Policy policy : policies(arguments.policy)) {
+                for (Policy policy : policies(arguments)) {
                     RunResult result = new Simulation(deployment, policy, jobs, seed, seconds, arguments.faults).run();
                     line(policy, load, seed, bound, result);
                     if (arguments.classes) {
@@ -70,7 +70,7 @@
         long refused = result.outcomes().stream().filter(Outcome::isRefused).count();
         OUT.printf(
                 Locale.ROOT,
-                "%-15s %4.1f %4d %7d %5d %5.0f %5.3f %7.3f %7d %6.1f %5.3f %4d %3d %5d %3d %4d %6.1f %6.1f%n",
+                "%-15s %4.1f %4d %7d %5d %5.0f %5.3f %7.3f %7d %6.1f %5.3f %4d %3d %5d %3d %4d %.2f %.2f %6.1f %6.1f%n",
                 policy.name(),
                 load,
                 seed,
@@ -87,6 +87,8 @@
                 result.lapses(),
                 result.ends(),
                 result.heldPieces(),
+                result.prefillUse(),
+                result.memoryUse(),
                 result.decisionNanos().getValueAtPercentile(50) / 1000.0,
                 result.decisionNanos().getValueAtPercentile(99) / 1000.0);
     }
@@ -117,10 +119,14 @@
                 : Arrays.stream(text.split(",")).map(Double::valueOf).toList();
     }
 
-    private static List<Policy> policies(String text) {
+    private static List<Policy> policies(Arguments arguments) {
+        String text = arguments.policy;
         if (text.equals("all")) {
             return Policies.all();
         }
+        if (text.equals(Policies.SLACK.name())) {
+            return List.of(Policies.slack(arguments.tune));
+        }
         return List.of(Policies.parse(text)
                 .orElseThrow(() -> new IllegalArgumentException("--policy " + text + " is unknown; use all or one of "
                         + Policies.all().stream().map(Policy::name).toList())));
--- a/bench/src/main/java/org/magnoliavane/bench/RunResult.java
+++ b/bench/src/main/java/org/magnoliavane/bench/RunResult.java
@@ -13,6 +13,8 @@
  * @param deployment the deployment
  * @param outcomes the outcome of each request
  * @param workedMicros the time that prefill workers worked
+ * @param prefillUse the share of the run in which prefill workers worked
+ * @param memoryUse the mean share of decode memory in use during the run
  * @param wastedMicros the part of it whose result was discarded before its first use
  * @param memoryRefusals the transfers refused by a full decode engine
  * @param lapses the prefill results that lapsed
@@ -24,6 +26,8 @@
         Deployment deployment,
         List<Outcome> outcomes,
         long workedMicros,
+        double prefillUse,
+        double memoryUse,
         long wastedMicros,
         int memoryRefusals,
         int lapses,
--- a/bench/src/main/java/org/magnoliavane/bench/Simulation.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Simulation.java
@@ -445,8 +445,19 @@
         int held = decodes.stream()
                 .mapToInt(each -> settings.decodePieces() - each.freePieces())
                 .sum();
+        double used = decodes.stream().mapToDouble(DecodeEngine::pieceMicros).sum();
         return new RunResult(
-                deployment, List.copyOf(outcomes), worked, wastedMicros, memoryRefusals, lapses, ends, held, nanos);
+                deployment,
+                List.copyOf(outcomes),
+                worked,
+                (double) worked / horizonMicros / prefills.size(),
+                used / horizonMicros / decodes.size() / settings.decodePieces(),
+                wastedMicros,
+                memoryRefusals,
+                lapses,
+                ends,
+                held,
+                nanos);
     }
 
     private PrefillEngine find(String id) {
--- a/core/src/main/java/org/magnoliavane/pool/AdmissionPlan.java
+++ b/core/src/main/java/org/magnoliavane/pool/AdmissionPlan.java
@@ -48,7 +48,7 @@
         double worst = Double.NEGATIVE_INFINITY;
         for (QueuedRequest each : queue) {
             double cost = weightedCost.applyAsDouble(each);
-            if (cost > worst) {
+            if (cost >= worst) {
                 worst = cost;
                 victim = each;
             }
--- a/core/src/main/java/org/magnoliavane/pool/DecodeState.java
+++ b/core/src/main/java/org/magnoliavane/pool/DecodeState.java
@@ -11,6 +11,8 @@
     PoolWorker worker;
     int totalPieces;
     int reservedPieces;
+    /** The pieces that growing answers wait for. */
+    int claimedPieces;
     /** The pieces that the engine holds for attempts that this scheduler does not know. */
     int foreignPieces;
 
@@ -29,7 +31,7 @@
     }
 
     int freePieces() {
-        return totalPieces - reservedPieces - foreignPieces;
+        return totalPieces - reservedPieces - foreignPieces - claimedPieces;
     }
 
     int streams() {
@@ -44,11 +46,26 @@
     void remove(StartedAttempt attempt) {
         if (held.remove(attempt.attempt(), attempt)) {
             reservedPieces -= attempt.pieces;
+            claimedPieces -= attempt.claimedPieces;
+            settleClaims();
         }
     }
 
-    void grow(StartedAttempt attempt, int pieces) {
-        attempt.pieces += pieces;
-        reservedPieces += pieces;
+    void claim(StartedAttempt attempt, int pieces) {
+        attempt.claimedPieces += pieces;
+        claimedPieces += pieces;
+    }
+
+    /** Gives free pieces to the answers that claim them, the oldest answer first. */
+    void settleClaims() {
+        int unreserved = totalPieces - reservedPieces - foreignPieces;
+        for (StartedAttempt each : held.values()) {
+            int granted = Math.max(0, Math.min(unreserved, each.claimedPieces));
+            each.claimedPieces -= granted;
+            claimedPieces -= granted;
+            each.pieces += granted;
+            reservedPieces += granted;
+            unreserved -= granted;
+        }
     }
 }
--- a/core/src/main/java/org/magnoliavane/pool/PrefillState.java
+++ b/core/src/main/java/org/magnoliavane/pool/PrefillState.java
@@ -7,6 +7,9 @@
  * Tracks the prefills that were sent to one prefill worker. Not thread-safe.
  */
 final class PrefillState {
+    /** The time in which the report of a finished prefill arrives. */
+    private static final long REPORT_MICROS = 4_000;
+
     final Deque<StartedAttempt> sent = new ArrayDeque<>();
     PoolWorker worker;
     long headStartMicros;
@@ -28,12 +31,19 @@
         long free = now;
         boolean head = true;
         for (StartedAttempt each : sent) {
-            free = head ? Math.max(now, headStartMicros + each.prefillMicros) : free + each.prefillMicros;
+            free = head ? headEndMicros(each, now) : free + each.prefillMicros;
             head = false;
         }
         return free;
     }
 
+    /** Estimates the end of the running prefill; one that is overdue did not find its prompt in the cache. */
+    private long headEndMicros(StartedAttempt head, long now) {
+        long expected = headStartMicros + head.prefillMicros;
+        boolean overdue = now > expected + REPORT_MICROS;
+        return Math.max(now, overdue ? headStartMicros + head.longestPrefillMicros : expected);
+    }
+
     void add(StartedAttempt attempt, long startMicros) {
         if (sent.isEmpty()) {
             headStartMicros = startMicros;
--- a/core/src/main/java/org/magnoliavane/pool/QueuedRequest.java
+++ b/core/src/main/java/org/magnoliavane/pool/QueuedRequest.java
@@ -13,7 +13,8 @@
  * @param prefillMicros the duration of the prefill without cached tokens
  * @param holdMicros the time for which decode memory is held, from the start of the prefill
  * @param pieces the pieces to reserve
- * @param cost the share of the pool's time that the request takes, in microseconds
+ * @param prefillCost the share of all prefill workers' time that the request takes
+ * @param decodeCost the share of all decode memory's time that the request takes
  */
 record QueuedRequest(
         PlacementRequest request,
@@ -24,7 +25,12 @@
         long prefillMicros,
         long holdMicros,
         int pieces,
-        double cost) {
+        double prefillCost,
+        double decodeCost) {
+
+    double cost() {
+        return prefillCost + decodeCost;
+    }
 
     String attempt() {
         return request.attempt();
--- a/core/src/main/java/org/magnoliavane/pool/SchedulerTuning.java
+++ b/core/src/main/java/org/magnoliavane/pool/SchedulerTuning.java
@@ -13,6 +13,10 @@
  * @param outputMargin the factor on the expected output for which memory is reserved
  * @param priceExponent the weight of the price: 0 treats all classes alike, 1 values a request in proportion to price
  * @param fairnessExponent the weight of the partners' shares in the choice of the request that is refused
+ * @param priceLimit the cost over value above which an offer is refused at once
+ * @param pressureShare the share of a request's slack that the backlog must take before the price limit holds
+ * @param capacityFactor the share of the time of the workers that can be used, for the prices of capacity
+ * @param priceWindowMicros the time over which the offers set the prices of capacity
  * @param hintLifetimeMicros the age at which a cache hint is dropped
  * @param avoidMicros the time for which a worker that failed gets no new work, unless it reports load before
  */
@@ -25,6 +29,10 @@
         double outputMargin,
         double priceExponent,
         double fairnessExponent,
+        double priceLimit,
+        double pressureShare,
+        double capacityFactor,
+        long priceWindowMicros,
         long hintLifetimeMicros,
         long avoidMicros) {
 
@@ -36,6 +44,20 @@
      */
     public static SchedulerTuning ofStep(double decodeStepMillis) {
         long step = (long) (decodeStepMillis * 1000);
-        return new SchedulerTuning(10_000, step * 2 / 3, step / 60, 4_000, 15_000, 1.25, 0, 0.5, 60_000_000, 2_000_000);
+        return new SchedulerTuning(
+                10_000,
+                step * 2 / 3,
+                step / 60,
+                4_000,
+                15_000,
+                1.0,
+                0,
+                0.25,
+                1,
+                0.25,
+                1,
+                60_000_000,
+                60_000_000,
+                2_000_000);
     }
 }
--- a/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
+++ b/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
@@ -24,8 +24,16 @@
 public final class SlackScheduler implements PoolScheduler {
     private static final long REPLAN_MICROS = 50_000;
     private static final long ENDED_MEMORY_MICROS = 10_000_000;
+    private static final long PRICE_MICROS = 500_000;
     private static final int MAX_SENT_PER_PREFILL = 2;
+    /** The time between a decision and the arrival of the prefill at its worker, and of the offer before. */
+    private static final long MESSAGE_MICROS = 5_000;
+
     private static final int GROWTH_AHEAD_TOKENS = 48;
+    /** The most pieces that answers of one worker may wait for; more could leave all of them waiting for each other. */
+    private static final int MAX_CLAIMED_PIECES = 2;
+
+    private static final double MIN_SHARE = 0.1;
     private static final long MIN_RETRY_MILLIS = 100;
     private static final long MAX_RETRY_MILLIS = 60_000;
 
@@ -42,15 +50,18 @@
     private final LinkedHashMap<String, Long> ended = new LinkedHashMap<>();
     private final PrefixHints hints;
     private final PartnerShares shares = new PartnerShares();
+    private final ShadowPrices prices;
     private final List<SchedulerDecision> decisions = new ArrayList<>();
     private long sequence;
     private long nextPlanMicros = Long.MAX_VALUE;
+    private long nextPriceMicros;
     private long wakeMicros = Long.MAX_VALUE;
     private boolean planDue;
 
     private SlackScheduler(ModelSettings settings, SchedulerTuning tuning) {
         this.model = new WorkModel(settings, tuning);
         this.tuning = tuning;
+        this.prices = new ShadowPrices(tuning.priceWindowMicros());
         this.hints = new PrefixHints(tuning.hintLifetimeMicros());
     }
 
@@ -81,6 +92,14 @@
             return;
         }
         QueuedRequest entry = estimate(request, nowMicros);
+        shares.add(request, 0, nowMicros);
+        updatePrices(nowMicros);
+        prices.add(nowMicros, entry.prefillCost(), entry.decodeCost(), value(request));
+        boolean costly = costOverValue(entry) * fairnessFactor(request, nowMicros) > tuning.priceLimit();
+        if (costly && !request.isolated() && isPressed(entry, nowMicros)) {
+            refuse(entry, FaultKind.OVERLOADED, snapshot(nowMicros), "costs more than several others");
+            return;
+        }
         queue.add(entry);
         queued.put(entry.attempt(), entry);
         planDue = true;
@@ -182,7 +201,12 @@
         }
         PrefillState source = prefill == null ? lostPrefill(start) : prefill;
         StartedAttempt attempt = new StartedAttempt(
-                request, source, decode, start.pieces(), model.prefillMicros(request.promptTokens()));
+                request,
+                source,
+                decode,
+                start.pieces(),
+                model.prefillMicros(request.promptTokens()),
+                model.prefillMicros(request.promptTokens()));
         started.put(request.attempt(), attempt);
         decode.add(attempt);
         attempt.reportedMicros = nowMicros;
@@ -205,6 +229,7 @@
         }
         startReady(nowMicros);
         forgetEnded(nowMicros);
+        updatePrices(nowMicros);
         wakeMicros = nextWake(nowMicros);
         List<SchedulerDecision> result = List.copyOf(decisions);
         decisions.clear();
@@ -240,13 +265,31 @@
         long bound = now + request.maxWaitMillis() * 1000;
         long firstStep = model.usualStepMicros();
         long onTime = due - prefill - transfer - firstStep - tuning.marginMicros();
-        long latest = request.isolated() ? bound : Math.min(bound, onTime);
+        long startBound = bound - tuning.leadMicros() - MESSAGE_MICROS;
+        long latest = request.isolated() ? startBound : Math.min(startBound, onTime);
         long decode = request.expectedOutputTokens() * model.usualStepMicros();
         int pieces = model.piecesToReserve(request);
-        double decodeShare = (double) decode * pieces / model.decodePieces() / Math.max(1, decodes.size());
-        double cost = (double) prefill / Math.max(1, prefills.size()) + decodeShare;
-        return new QueuedRequest(
-                request, sequence++, now, due, latest, prefill, prefill + transfer + decode, pieces, Math.max(1, cost));
+        long hold = prefill + transfer + decode;
+        double decodeCost = model.decodeCost(request, pieces, prefill + transfer) / Math.max(1, decodes.size());
+        double prefillCost = (double) prefill / Math.max(1, prefills.size());
+        return new QueuedRequest(request, sequence++, now, due, latest, prefill, hold, pieces, prefillCost, decodeCost);
+    }
+
+    private void updatePrices(long now) {
+        if (now >= nextPriceMicros) {
+            nextPriceMicros = now + PRICE_MICROS;
+            prices.update(now, tuning.capacityFactor());
+        }
+    }
+
+    private double costOverValue(QueuedRequest entry) {
+        return prices.costOverValue(entry.prefillCost(), entry.decodeCost(), value(entry.request()));
+    }
+
+    /** Says whether the backlog takes too much of the slack for a request that is not worth its cost. */
+    private boolean isPressed(QueuedRequest entry, long now) {
+        long slack = Math.max(0, entry.latestStartMicros() - now);
+        return snapshot(now).backlogMicros(queue, entry.pieces()) > slack * tuning.pressureShare();
     }
 
     private void plan(long now) {
@@ -286,9 +329,18 @@
     }
 
     private double weightedCost(QueuedRequest each, long now) {
-        double value = Math.pow(Math.max(1, each.request().microsPerToken()), tuning.priceExponent());
-        double share = Math.max(1, shares.ratio(each.request(), now));
-        return each.cost() / value * Math.pow(share, tuning.fairnessExponent());
+        double cost = prices.isZero() ? each.cost() / value(each.request()) : costOverValue(each);
+        return cost * fairnessFactor(each.request(), now);
+    }
+
+    /** Gets a factor above 1 for a partner that had more than an equal share of its class, and below 1 for one with less. */
+    private double fairnessFactor(PlacementRequest request, long now) {
+        double share = Math.max(MIN_SHARE, shares.ratio(request, now));
+        return Math.pow(share, tuning.fairnessExponent());
+    }
+
+    private double value(PlacementRequest request) {
+        return Math.pow(Math.max(1, request.microsPerToken()), tuning.priceExponent());
     }
 
     private AdmissionPlan snapshot(long now) {
@@ -395,7 +447,8 @@
         PlacementRequest request = entry.request();
         long begin = prefill.freeMicros(now);
         long work = prefillMicros(request, prefill, now);
-        StartedAttempt attempt = new StartedAttempt(request, prefill, decode, entry.pieces(), work);
+        StartedAttempt attempt =
+                new StartedAttempt(request, prefill, decode, entry.pieces(), work, entry.prefillMicros());
         attempt.reportedMicros = now;
         started.put(request.attempt(), attempt);
         prefill.add(attempt, begin);
@@ -470,33 +523,30 @@
         return last;
     }
 
-    /** Takes the pieces that an answer beyond its estimate needs, or ends the least urgent answer that grows. */
+    /**
+     * Takes the pieces that an answer beyond its estimate needs. Without free pieces the answer claims the next ones,
+     * which stops new work on the worker; its engine lets it wait. When too many answers wait for each other, the least
+     * urgent one is ended.
+     */
     private void grow(StartedAttempt attempt, long now) {
-        int needed = neededPieces(attempt, GROWTH_AHEAD_TOKENS);
-        if (needed <= attempt.pieces) {
-            return;
-        }
         DecodeState decode = attempt.decode;
-        if (decode.freePieces() >= needed - attempt.pieces) {
-            decode.grow(attempt, needed - attempt.pieces);
+        int missing = neededPieces(attempt, GROWTH_AHEAD_TOKENS) - attempt.pieces - attempt.claimedPieces;
+        if (missing <= 0) {
             return;
         }
-        if (neededPieces(attempt, GROWTH_AHEAD_TOKENS / 3) <= attempt.pieces) {
+        decode.claim(attempt, missing);
+        decode.settleClaims();
+        if (decode.claimedPieces <= MAX_CLAIMED_PIECES) {
             return;
         }
         StartedAttempt victim = attempt;
         for (StartedAttempt each : decode.held.values()) {
-            boolean grows = neededPieces(each, GROWTH_AHEAD_TOKENS) > each.pieces;
-            if (grows && each.request.microsPerToken() < victim.request.microsPerToken()) {
-                victim = each;
-            }
+            boolean lower = each.request.microsPerToken() < victim.request.microsPerToken();
+            victim = each.claimedPieces > 0 && lower ? each : victim;
         }
         release(victim, now);
         decisions.add(new SchedulerDecision.End(
                 victim.attempt(), "outgrew " + victim.pieces + " pieces and the worker has no free piece"));
-        if (victim != attempt && decode.freePieces() >= needed - attempt.pieces) {
-            decode.grow(attempt, needed - attempt.pieces);
-        }
     }
 
     private int neededPieces(StartedAttempt attempt, int aheadTokens) {
--- a/core/src/main/java/org/magnoliavane/pool/StartedAttempt.java
+++ b/core/src/main/java/org/magnoliavane/pool/StartedAttempt.java
@@ -7,18 +7,32 @@
     final PlacementRequest request;
     final PrefillState prefill;
     final DecodeState decode;
+    /** The estimated duration of the prefill with the tokens that are probably cached. */
     final long prefillMicros;
+    /** The duration of the prefill when nothing is cached. */
+    final long longestPrefillMicros;
+
     int pieces;
+    /** The pieces that the answer needs beyond its own and that are not free yet. */
+    int claimedPieces;
+
     AttemptPhase phase;
     int outputTokens;
     long reportedMicros;
 
-    StartedAttempt(PlacementRequest request, PrefillState prefill, DecodeState decode, int pieces, long prefillMicros) {
+    StartedAttempt(
+            PlacementRequest request,
+            PrefillState prefill,
+            DecodeState decode,
+            int pieces,
+            long prefillMicros,
+            long longestPrefillMicros) {
         this.request = request;
         this.prefill = prefill;
         this.decode = decode;
         this.pieces = pieces;
         this.prefillMicros = prefillMicros;
+        this.longestPrefillMicros = longestPrefillMicros;
     }
 
     String attempt() {
--- a/core/src/main/java/org/magnoliavane/pool/WorkModel.java
+++ b/core/src/main/java/org/magnoliavane/pool/WorkModel.java
@@ -46,6 +46,16 @@
         return (long) (settings.decodeStepMillis() * 1000);
     }
 
+    /**
+     * Gets the time of a decode worker that a request takes: its share of memory over the base time of each step and
+     * over the time before its import, and the time that its stream adds to each step.
+     */
+    double decodeCost(PlacementRequest request, int pieces, long beforeImportMicros) {
+        double share = (double) pieces / settings.decodePieces();
+        double token = tuning.stepBaseMicros() * share + tuning.stepPerStreamMicros();
+        return request.expectedOutputTokens() * token + beforeImportMicros * share;
+    }
+
     int pieces(int tokens) {
         return Math.max(1, (tokens + settings.pieceTokens() - 1) / settings.pieceTokens());
     }
