Give a new attempt fresh time, read refusals of engines, and log every refusal

Cause: a new attempt after a failure asked for workers with the time that the failed one had left, at least 1 ms, which a coordinator that refuses hopeless requests would refuse at once. Every 409 of a decode worker counted as lack of memory, also wrong_role. A repeat of a key whose first caller had just gone could join the cancelled run and wait for ever. Refusals before dispatch had no decision line, and a body that trickles in held its request open.

Change: a new attempt has the time of a new request up to the caller's deadline; the kind of a refusal is read from its body; a cancelled run hands its fault to a late listener; refusals are recorded in one place; a body must arrive within 30 s.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -1,7 +1,9 @@
 package org.magnoliavane.node.dispatch;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -28,6 +30,7 @@
     static final long SILENCE_MILLIS = 1500;
 
     private static final long CHECK_MILLIS = 250;
+    private static final int MAX_REFUSAL_BYTES = 4096;
 
     private final EngineClient engines;
     private final ScheduledExecutorService timers;
@@ -230,6 +233,7 @@
     /** One connection to the engine. */
     private final class Link implements ResponseListener {
         private final boolean replacement;
+        private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
         private final ServerSentEventParser parser = new ServerSentEventParser(DecodeStream.this::take);
         private HttpExchange exchange;
         private int status;
@@ -248,11 +252,15 @@
         @Override
         public void onBytes(byte[] bytes) {
             serial.execute(() -> {
-                if (closed || this != link || lost || status != 200) {
+                if (closed || this != link || lost) {
                     return;
                 }
-                proven = true;
-                parser.feed(bytes);
+                if (status == 200) {
+                    proven = true;
+                    parser.feed(bytes);
+                } else if (refusal.size() < MAX_REFUSAL_BYTES) {
+                    refusal.writeBytes(bytes);
+                }
             });
         }
 
@@ -262,16 +270,25 @@
                 if (closed || this != link) {
                     return;
                 }
-                if (status == 409) {
-                    fail(Failure.MEMORY, "the decode worker has no memory for the attempt");
-                } else if (status != 200) {
-                    fail(Failure.WORKER, "the decode worker answered " + status);
-                } else {
+                if (status == 200) {
                     lose(this, new IOException("the stream ended without its last event"));
+                } else {
+                    failRefused();
                 }
             });
         }
 
+        private void failRefused() {
+            JsonNode error = Json.tryRead(refusal.toString(StandardCharsets.UTF_8))
+                    .orElse(Json.object())
+                    .path("error");
+            String kind = error.path("kind").asText();
+            fail(
+                    toFailure(kind),
+                    "answered " + status + " " + kind + " "
+                            + error.path("message").asText());
+        }
+
         @Override
         public void onFailure(IOException cause) {
             serial.execute(() -> lose(this, cause));
--- a/node/src/main/java/org/magnoliavane/node/dispatch/HttpPlainDispatcher.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/HttpPlainDispatcher.java
@@ -94,6 +94,12 @@
         }
         Optional<Fault> refusal = Dependencies.check(service, current, view.get());
         if (refusal.isPresent()) {
+            new RequestDecisions(decisions, call.request())
+                    .record(
+                            "refuse",
+                            "dependencies " + service.dependsOn(),
+                            refusal.get().kind().toWire(),
+                            refusal.get().message());
             return CompletableFuture.completedFuture(Either.left(refusal.get()));
         }
         if (call.idempotent()) {
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -94,6 +94,7 @@
                 close();
                 releaseEngines();
                 parts.placements().withdraw(attempt);
+                fault = Optional.of(callerGone());
                 outcome.complete(Optional.empty());
             }
         });
@@ -203,12 +204,20 @@
                 call.maxOutputTokens(),
                 PromptPrefix.hashesOf(call.prompt(), call.settings().pieceTokens()),
                 HASH.hashChars(call.model() + "\n" + call.prompt()),
-                call.getLeftMillis(call.priceClass().ttftMillis()),
+                timeLeft(call.priceClass().ttftMillis()),
                 call.priceClass().tbtMillis(),
-                call.getLeftMillis(call.priceClass().maxWaitMillis()),
+                timeLeft(call.priceClass().maxWaitMillis()),
                 false);
     }
 
+    /**
+     * Gets the time left for an attempt. A new attempt gets the time of a new request, because the coordinator would
+     * refuse it at once when the failed attempt has used up the time; only the deadline of the caller still counts.
+     */
+    private long timeLeft(long millis) {
+        return attemptNumber == 1 ? call.getLeftMillis(millis) : call.getLeftMillis(call.getElapsedMillis() + millis);
+    }
+
     private void giveUpPlacement() {
         Fault silent = new Fault(
                 FaultKind.UNAVAILABLE,
@@ -435,6 +444,14 @@
                 "read the answer on the newer connection");
     }
 
+    private static Fault callerGone() {
+        return Fault.unknown(
+                        FaultKind.UNAVAILABLE,
+                        "the request was cancelled because the connection it came on was closed",
+                        "send the request again")
+                .withRetryAfterMillis(0);
+    }
+
     private void releaseEngines() {
         prefillWorker.ifPresent(worker -> parts.canceller().cancel(worker, attempt));
         decodeWorker.ifPresent(worker -> parts.canceller().cancelOwned(worker, attempt));
--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -19,6 +19,7 @@
 import org.magnoliavane.Fault;
 import org.magnoliavane.config.Caller;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.dispatch.Json;
 
 /**
@@ -40,6 +41,7 @@
     private final String query;
     private final Map<String, String> headers;
     private final Configuration configuration;
+    private final RequestDecisions decisions;
     private final IntConsumer onAnswered;
     private final long arrivalNanos = System.nanoTime();
     private final AtomicBoolean answered = new AtomicBoolean();
@@ -51,8 +53,14 @@
     private volatile Consumer<CallerExchange> target;
     private volatile byte[] body = new byte[0];
 
-    CallerExchange(String id, Request request, Response response, Configuration configuration, IntConsumer onAnswered) {
-        this.id = id;
+    CallerExchange(
+            RequestDecisions decisions,
+            Request request,
+            Response response,
+            Configuration configuration,
+            IntConsumer onAnswered) {
+        this.decisions = decisions;
+        this.id = decisions.request();
         this.shownId = id;
         this.request = request;
         this.response = response;
@@ -89,6 +97,10 @@
         return request;
     }
 
+    RequestDecisions getDecisions() {
+        return decisions;
+    }
+
     Configuration getConfiguration() {
         return configuration;
     }
@@ -168,6 +180,20 @@
         }
     }
 
+    /** Refuses the request before it is dispatched. */
+    void refuse(ParamFault fault) {
+        decisions.record(
+                "refuse",
+                method + " " + path,
+                fault.fault().kind().toWire(),
+                fault.fault().message());
+        fail(fault);
+    }
+
+    void refuse(Fault fault) {
+        refuse(ParamFault.of(fault));
+    }
+
     void fail(ParamFault fault) {
         Fault cause = fault.fault();
         cause.retryAfterMillis()
@@ -182,10 +208,10 @@
         fail(ParamFault.of(fault));
     }
 
-    /** Fails and closes the connection, because the rest of the body is not read. */
-    void failAndClose(Fault fault) {
+    /** Refuses and closes the connection, because the rest of the body is not read. */
+    void refuseAndClose(Fault fault) {
         response.setHeader("Connection", "close");
-        fail(fault);
+        refuse(fault);
     }
 
     /** Sends a whole response. */
--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.dispatch.Json;
 
 /**
@@ -51,8 +52,8 @@
                 List.of(
                         this::answerLocal,
                         new IdentifyFilter(),
-                        new RouteFilter(chat, plain, parts.decisions()),
-                        new ReadBodyFilter()),
+                        new RouteFilter(chat, plain),
+                        new ReadBodyFilter(parts.timers())),
                 exchange -> exchange.getTarget().accept(exchange));
         this.server = new HttpServer();
         this.listener = new NetworkListener("callers", host, port);
@@ -206,7 +207,7 @@
             long start = System.nanoTime();
             Connection<?> connection = request.getRequest().getConnection();
             CallerExchange exchange = new CallerExchange(
-                    newRequestId(),
+                    new RequestDecisions(parts.decisions(), newRequestId()),
                     request,
                     response,
                     parts.configuration().get(),
--- a/node/src/main/java/org/magnoliavane/node/http/ChatEndpoint.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatEndpoint.java
@@ -12,7 +12,6 @@
 import org.magnoliavane.config.ModelSettings;
 import org.magnoliavane.config.PriceClass;
 import org.magnoliavane.config.Service;
-import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.dispatch.Dependencies;
 import org.magnoliavane.node.dispatch.ModelCall;
 import org.magnoliavane.node.dispatch.ModelRun;
@@ -34,7 +33,7 @@
     void handle(CallerExchange exchange) {
         Either<ParamFault, Chat> chat = ChatRequest.parse(exchange.getBody())
                 .flatMap(request -> toCall(exchange, request).map(call -> new Chat(request, call)));
-        chat.peek(c -> admit(exchange, c)).peekLeft(exchange::fail);
+        chat.peek(c -> admit(exchange, c)).peekLeft(exchange::refuse);
     }
 
     private Either<ParamFault, ModelCall> toCall(CallerExchange exchange, ChatRequest request) {
@@ -98,12 +97,12 @@
 
     private void admit(CallerExchange exchange, Chat chat) {
         ModelCall call = chat.call();
-        RequestDecisions log = new RequestDecisions(parts.decisions(), call.request());
-        log.record(
-                "route",
-                "models " + modelsOf(exchange),
-                call.service(),
-                "model " + call.model() + ", class " + call.priceClass().name());
+        exchange.getDecisions()
+                .record(
+                        "route",
+                        "models " + modelsOf(exchange),
+                        call.service(),
+                        "model " + call.model() + ", class " + call.priceClass().name());
         Optional<String> lastEvent = exchange.findHeader("last-event-id");
         if (lastEvent.isPresent()) {
             resume(exchange, chat, lastEvent.get());
@@ -111,7 +110,7 @@
         }
         Optional<String> key = exchange.findHeader("idempotency-key").map(PlainEndpoint::unquote);
         if (key.isPresent() && !PlainEndpoint.isValid(key.get())) {
-            exchange.fail(PlainEndpoint.invalidKey());
+            exchange.refuse(PlainEndpoint.invalidKey());
         } else if (key.isPresent()) {
             deduplicate(exchange, chat, key.get());
         } else if (isAdmitted(exchange, call)) {
@@ -120,21 +119,15 @@
     }
 
     private boolean isAdmitted(CallerExchange exchange, ModelCall call) {
-        RequestDecisions log = new RequestDecisions(parts.decisions(), call.request());
         Service service = exchange.getConfiguration().services().get(call.service());
         Optional<Fault> refusal = Dependencies.check(
                 service, exchange.getConfiguration(), parts.view().get());
         String considered = "dependencies " + service.dependsOn() + ", " + call.promptTokens() + " prompt tokens";
         if (refusal.isPresent()) {
-            log.record(
-                    "refuse",
-                    considered,
-                    "dependency_unavailable",
-                    refusal.get().message());
-            exchange.fail(refusal.get());
+            exchange.refuse(refusal.get());
             return false;
         }
-        log.record("admit", considered, "placement", "limits and dependencies are met");
+        exchange.getDecisions().record("admit", considered, "placement", "limits and dependencies are met");
         return true;
     }
 
@@ -153,7 +146,7 @@
         } else if (entry.isFor(exchange.getBody())) {
             join(exchange, chat, entry);
         } else {
-            exchange.fail(new ParamFault(
+            exchange.refuse(new ParamFault(
                     Fault.notRun(
                             FaultKind.KEY_CONFLICT,
                             "the Idempotency-Key was used with another body",
@@ -172,8 +165,7 @@
 
     private void join(CallerExchange exchange, Chat chat, KeyedAnswers.Entry entry) {
         String earlier = entry.getRequest();
-        new RequestDecisions(parts.decisions(), exchange.getId())
-                .record("deduplicate", "request " + earlier, earlier, "same caller, key and body");
+        exchange.getDecisions().record("deduplicate", "request " + earlier, earlier, "same caller, key and body");
         exchange.setShownId(earlier);
         ChatRelay relay =
                 newRelay(exchange, new Chat(chat.request(), chat.call().withRequest(earlier)), false);
@@ -195,7 +187,7 @@
     private void resume(CallerExchange exchange, Chat chat, String lastEvent) {
         Optional<StreamPosition> position = StreamPosition.parse(lastEvent);
         if (position.isEmpty() || !chat.request().stream()) {
-            exchange.fail(ParamFault.invalid(
+            exchange.refuse(ParamFault.invalid(
                     "Last-Event-ID",
                     position.isEmpty() ? "Last-Event-ID is malformed" : "Last-Event-ID needs stream: true",
                     "send the id of the last event received, as <worker>/<attempt>/<position>"));
--- a/node/src/main/java/org/magnoliavane/node/http/IdentifyFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/IdentifyFilter.java
@@ -26,7 +26,7 @@
         Optional<Caller> caller =
                 exchange.findHeader("authorization").flatMap(h -> identify(h, exchange.getConfiguration()));
         if (caller.isEmpty()) {
-            exchange.fail(Fault.notRun(
+            exchange.refuse(Fault.notRun(
                     FaultKind.UNAUTHENTICATED,
                     "the bearer key is absent or unknown",
                     "send the header Authorization: Bearer with the key of a configured caller"));
--- a/node/src/main/java/org/magnoliavane/node/http/PlainEndpoint.java
+++ b/node/src/main/java/org/magnoliavane/node/http/PlainEndpoint.java
@@ -47,21 +47,21 @@
     void handle(CallerExchange exchange, Service service, Route route) {
         Optional<Fault> forbidden = Access.check(exchange.getCaller(), service.name());
         if (forbidden.isPresent()) {
-            exchange.fail(forbidden.get());
+            exchange.refuse(forbidden.get());
             return;
         }
         Optional<String> key = exchange.findHeader("idempotency-key").map(PlainEndpoint::unquote);
         if (key.isEmpty() && !route.idempotent()) {
-            exchange.fail(missingKey(route));
+            exchange.refuse(missingKey(route));
             return;
         }
         if (key.isPresent() && !isValid(key.get())) {
-            exchange.fail(invalidKey());
+            exchange.refuse(invalidKey());
             return;
         }
         Deadline.of(exchange)
                 .peek(deadline -> dispatch(exchange, toCall(exchange, service, route, key, deadline)))
-                .peekLeft(exchange::fail);
+                .peekLeft(exchange::refuse);
     }
 
     private void dispatch(CallerExchange exchange, PlainCall call) {
--- a/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
@@ -2,6 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
@@ -12,17 +15,27 @@
 
 /** Reads the body without blocking, up to the configured limit. */
 final class ReadBodyFilter implements RequestFilter {
+    /** Time within which a body must have arrived, so that slow senders cannot hold requests open. */
+    private static final long MAX_MILLIS = 30_000;
+
+    private final ScheduledExecutorService timers;
+
+    ReadBodyFilter(ScheduledExecutorService timers) {
+        this.timers = timers;
+    }
 
     @Override
     public void apply(CallerExchange exchange, Consumer<CallerExchange> next) {
         int limit = exchange.getConfiguration().limits().maxBodyBytes();
         long announced = exchange.getRequest().getContentLengthLong();
         if (announced > limit) {
-            exchange.failAndClose(tooLarge(limit));
+            exchange.refuseAndClose(tooLarge(limit));
             return;
         }
         NIOInputStream in = exchange.getRequest().getNIOInputStream();
-        new Collector(exchange, in, limit, next).begin();
+        Collector collector = new Collector(exchange, in, limit, next);
+        collector.begin();
+        collector.limitTime(timers);
     }
 
     private static Fault tooLarge(int limit) {
@@ -40,6 +53,7 @@
         private final Consumer<CallerExchange> next;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final AtomicBoolean finished = new AtomicBoolean();
+        private volatile ScheduledFuture<?> timer;
 
         Collector(CallerExchange exchange, NIOInputStream in, int limit, Consumer<CallerExchange> next) {
             this.exchange = exchange;
@@ -77,12 +91,34 @@
 
         @Override
         public void onError(Throwable cause) {
-            exchange.failAndClose(Fault.notRun(
+            exchange.refuseAndClose(Fault.notRun(
                     FaultKind.INVALID_REQUEST, "the body ended early or is malformed", "send the request again"));
         }
 
+        void limitTime(ScheduledExecutorService timers) {
+            if (finished.get()) {
+                return;
+            }
+            timer = timers.schedule(this::expire, MAX_MILLIS, TimeUnit.MILLISECONDS);
+            if (finished.get()) {
+                timer.cancel(false);
+            }
+        }
+
+        private void expire() {
+            if (finished.compareAndSet(false, true)) {
+                exchange.refuseAndClose(Fault.notRun(
+                        FaultKind.INVALID_REQUEST,
+                        "the body did not arrive within " + MAX_MILLIS + " ms",
+                        "send the request again over a faster connection"));
+            }
+        }
+
         private void finish() {
             if (finished.compareAndSet(false, true)) {
+                if (timer != null) {
+                    timer.cancel(false);
+                }
                 exchange.setBody(body.toByteArray());
                 exchange.watchConnection();
                 next.accept(exchange);
@@ -96,7 +132,7 @@
             if (body.size() <= limit) {
                 return true;
             }
-            exchange.failAndClose(tooLarge(limit));
+            exchange.refuseAndClose(tooLarge(limit));
             return false;
         }
     }
--- a/node/src/main/java/org/magnoliavane/node/http/RouteFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/RouteFilter.java
@@ -9,8 +9,6 @@
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.config.Route;
 import org.magnoliavane.config.Service;
-import org.magnoliavane.node.decision.DecisionLog;
-import org.magnoliavane.node.decision.RequestDecisions;
 
 /** Finds the endpoint or the plain service that a request is for. */
 final class RouteFilter implements RequestFilter {
@@ -19,12 +17,10 @@
 
     private final ChatEndpoint chat;
     private final PlainEndpoint plain;
-    private final DecisionLog decisions;
 
-    RouteFilter(ChatEndpoint chat, PlainEndpoint plain, DecisionLog decisions) {
+    RouteFilter(ChatEndpoint chat, PlainEndpoint plain) {
         this.chat = chat;
         this.plain = plain;
-        this.decisions = decisions;
     }
 
     @Override
@@ -32,7 +28,7 @@
         String method = exchange.getMethod();
         String path = exchange.getPath();
         if (!isPlainPath(path)) {
-            exchange.fail(ParamFault.invalid(
+            exchange.refuse(ParamFault.invalid(
                     "path", "the path has empty, encoded or dot segments", "send the path in its shortest form"));
         } else if (method.equals("POST") && path.equals(CHAT)) {
             exchange.setTarget(chat::handle);
@@ -51,8 +47,7 @@
             for (Route route : service.routes()) {
                 String name = route.method() + " " + route.path();
                 if (route.matches(exchange.getMethod(), exchange.getPath())) {
-                    new RequestDecisions(decisions, exchange.getId())
-                            .record("route", name, service.name(), "method and path match");
+                    exchange.getDecisions().record("route", name, service.name(), "method and path match");
                     exchange.setTarget(e -> plain.handle(e, service, route));
                     next.accept(exchange);
                     return;
@@ -60,7 +55,7 @@
                 known.add(name);
             }
         }
-        exchange.fail(Fault.notRun(
+        exchange.refuse(Fault.notRun(
                 FaultKind.NOT_FOUND,
                 "no route for " + exchange.getMethod() + " " + exchange.getPath(),
                 "use one of " + String.join(", ", known)));
