Test streams under kills, engine memory and poison requests on real processes

Cause: exactly one whole answer, freed engine memory and the bound on workers lost to a poison request were only tested inside one JVM.

Ruled out: keeping the VM id and port of a killed worker. Its port lies in the range from which outgoing connections draw theirs, so that it may be taken when the worker starts again.

Change: LocalDeployment.replaceWorker kills a model worker and starts another one under a new VM id.

--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -170,6 +170,34 @@
         awaitReady(node);
     }
 
+    /**
+     * Kills a model worker and starts another one in its place, under a new VM id and a new port. Until the new one
+     * listens, the VM list names the killed one.
+     *
+     * @param id the VM id of a prefill or decode worker
+     * @return the VM id of the new worker
+     * @throws IOException when the process cannot be started
+     */
+    public String replaceWorker(String id) throws IOException {
+        getProcess(id).kill();
+        String role = id.substring(0, id.indexOf('-'));
+        String next;
+        synchronized (this) {
+            long started = processes.keySet().stream()
+                    .filter(p -> p.startsWith(role + "-"))
+                    .count();
+            next = role + "-" + (started + 1);
+            startEngine(next, role);
+        }
+        awaitEmulators(List.of(next));
+        synchronized (this) {
+            String zone = (String) vms.remove(id).get("zone");
+            vms.put(next, describeWorker(next, role, zone));
+        }
+        publishVms();
+        return next;
+    }
+
     /**
      * Marks a VM as leaving in the VM list.
      *
@@ -344,12 +372,12 @@
 
     private void awaitEmulators(List<String> ids) {
         for (String id : ids) {
-            String[] address = processes
-                    .get(id)
-                    .awaitLine("listening ", START_MILLIS)
-                    .trim()
-                    .split(" ");
-            endpoints.put(id, new Endpoint(client, address[0], Integer.parseInt(address[1])));
+            String[] address =
+                    getProcess(id).awaitLine("listening ", START_MILLIS).trim().split(" ");
+            Endpoint endpoint = new Endpoint(client, address[0], Integer.parseInt(address[1]));
+            synchronized (this) {
+                endpoints.put(id, endpoint);
+            }
         }
     }
 
@@ -413,19 +441,21 @@
 
     private void describeWorkers() {
         for (String role : List.of("prefill", "decode", "plain")) {
-            String service = role.equals("plain") ? size.plainService() : size.modelService();
             List<String> ids = processes.keySet().stream()
                     .filter(id -> id.startsWith(role + "-"))
                     .toList();
             for (int i = 0; i < ids.size(); i++) {
-                String port = Integer.toString(endpoints.get(ids.get(i)).getPort());
-                Map<String, String> tags =
-                        Map.of("role", "backend", "service", service, "port", port, "worker_role", role);
-                vms.put(ids.get(i), describe(ids.get(i), size.getZone(i), tags));
+                vms.put(ids.get(i), describeWorker(ids.get(i), role, size.getZone(i)));
             }
         }
     }
 
+    private Map<String, Object> describeWorker(String id, String role, String zone) {
+        String service = role.equals("plain") ? size.plainService() : size.modelService();
+        String port = Integer.toString(endpoints.get(id).getPort());
+        return describe(id, zone, Map.of("role", "backend", "service", service, "port", port, "worker_role", role));
+    }
+
     private static Map<String, Object> describe(String id, String zone, Map<String, String> tags) {
         Map<String, Object> vm = new LinkedHashMap<>();
         vm.put("id", id);
--- /dev/null
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
@@ -0,0 +1,183 @@
+package org.magnoliavane.systemtest.streams;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.systemtest.ChatStream;
+import org.magnoliavane.systemtest.DeploymentSize;
+import org.magnoliavane.systemtest.Launcher;
+import org.magnoliavane.systemtest.LocalDeployment;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/** A small deployment with what the tests of streams have in common. */
+final class StreamsDeployment implements AutoCloseable {
+    static final long ANSWER_MILLIS = 20_000;
+    static final String MODEL = "tide-briefing";
+
+    private static final long POLL_MILLIS = 20;
+
+    private final LocalDeployment deployment;
+
+    private StreamsDeployment(LocalDeployment deployment) {
+        this.deployment = deployment;
+    }
+
+    static StreamsDeployment start(int nodes, int prefillWorkers, int decodeWorkers) throws IOException {
+        DeploymentSize size = DeploymentSize.wellenbund().withProcesses(nodes, prefillWorkers, decodeWorkers, 1);
+        Path directory = Files.createTempDirectory("magnoliavane-streams");
+        return new StreamsDeployment(LocalDeployment.start(size, Launcher.of(Path.of(".."), directory)));
+    }
+
+    LocalDeployment get() {
+        return deployment;
+    }
+
+    /** Publishes the example with one line of its text replaced, and waits until it is in force at every node. */
+    void publish(String line, String replacement, long version) throws IOException {
+        Path file = Files.createTempFile("magnoliavane-streams", ".toml");
+        String text = Files.readString(deployment.getSize().getConfigurationFile());
+        assertTrue(text.contains(line), "the example has no line '" + line + "'");
+        Files.writeString(file, text.replace(line, replacement));
+        assertEquals(deployment.publish(file), 0);
+        awaitTrue(
+                "version in force",
+                5_000,
+                () -> deployment.getNodes().stream()
+                        .allMatch(node -> deployment.findVersion(node).orElse(0L) == version));
+    }
+
+    ChatStream send(String node, Chat chat) {
+        return ChatStream.send(deployment.getClient(), toRequest(node, chat));
+    }
+
+    ChatStream resume(ChatStream stream, String node, Chat chat) {
+        return stream.resume(deployment.getClient(), toRequest(node, chat));
+    }
+
+    HttpRequest toRequest(String node, Chat chat) {
+        return deployment
+                .getEndpoint(node)
+                .request("POST", "/v1/chat/completions")
+                .withBody("application/json", chat.toBody())
+                .withTimeoutMillis(0)
+                .withHeader("Authorization", "Bearer " + chat.key());
+    }
+
+    /** Checks that the answer has every token of this chat once, in order, and its end. */
+    static void assertWhole(ChatStream stream, Chat chat) {
+        assertTrue(
+                stream.awaitEnd(ANSWER_MILLIS),
+                "no end in time, tokens " + stream.getTexts().size());
+        assertTrue(stream.isDone(), "status " + stream.getStatus() + ", " + stream.findError());
+        assertEquals(stream.getTexts(), chat.toTokens());
+    }
+
+    JsonNode getCounters(String worker) {
+        try {
+            return deployment.getEndpoint(worker).get("/control/counters");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    long sumCounter(String role, String counter) {
+        return workers(role)
+                .mapToLong(w -> getCounters(w).path(counter).asLong())
+                .sum();
+    }
+
+    Map<String, Long> getPiecesInUse() {
+        Map<String, Long> pieces = new TreeMap<>();
+        Stream.of("prefill", "decode")
+                .flatMap(this::workers)
+                .forEach(w -> pieces.put(w, getCounters(w).path("pieces_in_use").asLong()));
+        return pieces;
+    }
+
+    /** Waits until no engine holds memory and returns the time that it took. */
+    long awaitNoMemory(long boundMillis) {
+        long start = System.nanoTime();
+        while (true) {
+            Map<String, Long> pieces = getPiecesInUse();
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            if (pieces.values().stream().allMatch(p -> p == 0)) {
+                return millis;
+            }
+            assertTrue(millis <= boundMillis, "memory held after " + millis + " ms: " + pieces);
+            sleep(POLL_MILLIS);
+        }
+    }
+
+    static void awaitTrue(String what, long boundMillis, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + boundMillis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadline, "not within " + boundMillis + " ms: " + what);
+            sleep(POLL_MILLIS);
+        }
+    }
+
+    static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The workers of a role that run; a killed one has no memory any more. */
+    Stream<String> workers(String role) {
+        return deployment.getWorkers(role).stream()
+                .filter(w -> deployment.getProcess(w).isAlive());
+    }
+
+    @Override
+    public void close() {
+        deployment.close();
+    }
+
+    /** A chat whose answer is known in advance. */
+    record Chat(String key, String priceClass, String text, String check, int tokens) {
+        private static final String KEY = "example-key-chiemsee-surf";
+
+        static Chat of(String text, String check, int tokens) {
+            return new Chat(KEY, "standard", text, check, tokens);
+        }
+
+        Chat withKey(String other) {
+            return new Chat(other, priceClass, text, check, tokens);
+        }
+
+        Chat withClass(String other) {
+            return new Chat(key, other, text, check, tokens);
+        }
+
+        byte[] toBody() {
+            String content = text + " check=" + check;
+            String body = "{\"model\":\"%s\",\"stream\":true,\"max_tokens\":%d,\"service_tier\":\"%s\","
+                    + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}";
+            return String.format(body, MODEL, tokens, priceClass, content)
+                    .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        }
+
+        List<String> toTokens() {
+            List<String> texts = new ArrayList<>();
+            for (int i = 1; i <= tokens; i++) {
+                texts.add(" w" + i + ":" + check);
+            }
+            return texts;
+        }
+    }
+}
