Test leaving workers and stopped nodes on real processes

Cause: invariants 6 and 7 were only tested inside one JVM.

Ruled out: marking the leaving workers in the configuration. The VM list is the slower of the two ways, since it is polled and lags.

--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -84,6 +85,31 @@
         assertEquals(stream.getTexts(), chat.toTokens());
     }
 
+    /** Checks that there is the whole answer, or a correct beginning of it and a final error that says whether it ran. */
+    static String assertWholeOrFinalError(ChatStream stream, Chat chat) {
+        assertTrue(stream.awaitEnd(ANSWER_MILLIS), "no end in time, tokens " + stream.getTexts().size());
+        if (stream.isDone()) {
+            assertEquals(stream.getTexts(), chat.toTokens());
+            return "whole answer";
+        }
+        String error = stream.findError().orElse("");
+        assertTrue(error.contains("\"ran\":\"unknown\"") || error.contains("\"ran\":\"yes\""), "no final error: " + error);
+        assertEquals(stream.getTexts(), chat.toTokens().subList(0, stream.getTexts().size()));
+        return error;
+    }
+
+    /** Waits until a worker of the role holds memory and returns it. */
+    String awaitHolder(String role) {
+        awaitTrue(role + " worker holds memory", 5_000, () -> findHolder(role).isPresent());
+        return findHolder(role).orElseThrow();
+    }
+
+    private Optional<String> findHolder(String role) {
+        return workers(role)
+                .filter(w -> getCounters(w).path("pieces_in_use").asLong() > 0)
+                .findFirst();
+    }
+
     JsonNode getCounters(String worker) {
         try {
             return deployment.getEndpoint(worker).get("/control/counters");
