Refuse requests as unavailable while a node has no configuration

Cause: a node that was started again served callers before it had read the configuration, took every bearer key for unknown, and answered 401 with ran no. A caller that repeated a key there was told that its booking had not run, although an earlier call had run it. Ruled out: a run at the restarted node (the runs and the receipt came from the run that the token names); closing the port until the node is ready, because liveness probes and addresses are served there. Change: until a configuration is known, 503 unavailable with Retry-After; ran unknown for requests with an Idempotency-Key, ran no for others. Conclusion: the first answer of a restarted node no longer misleads callers.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -31,6 +31,7 @@
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 64;
     private static final long IDLE_CHECK_MILLIS = 50;
+    private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
     private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
 
     private final CallerParts parts;
@@ -48,6 +49,7 @@
         this.filters = RequestFilter.chain(
                 List.of(
                         this::answerLocal,
+                        CallerServer::requireConfiguration,
                         new IdentifyFilter(),
                         new RouteFilter(chat, plain, parts.decisions()),
                         new ReadBodyFilter()),
@@ -171,6 +173,28 @@
         }
     }
 
+    /**
+     * Refuses requests while the node knows no configuration. A keyed request may have run at an earlier call, which
+     * this node cannot know, so that the caller must not take it for not run.
+     */
+    private static void requireConfiguration(CallerExchange exchange, Consumer<CallerExchange> next) {
+        if (exchange.getConfiguration().version() > 0) {
+            next.accept(exchange);
+            return;
+        }
+        String message = "the node has no configuration yet";
+        Fault fault = exchange.findHeader("idempotency-key").isPresent()
+                ? Fault.unknown(
+                        FaultKind.UNAVAILABLE,
+                        message,
+                        "repeat the request with the same key at another address, or here after the stated time")
+                : Fault.notRun(
+                        FaultKind.UNAVAILABLE,
+                        message,
+                        "send the request to another address, or here after the stated time");
+        exchange.fail(fault.withRetryAfterMillis(NO_CONFIGURATION_RETRY_MILLIS));
+    }
+
     private void answerReady(CallerExchange exchange) {
         String status = departure.isLeaving()
                 ? "leaving"
