--- a/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -19,11 +20,13 @@
     private final String name;
     private final Process process;
     private final Path output;
+    private final int earlierLines;
 
-    private ManagedProcess(String name, Process process, Path output) {
+    private ManagedProcess(String name, Process process, Path output, int earlierLines) {
         this.name = name;
         this.process = process;
         this.output = output;
+        this.earlierLines = earlierLines;
     }
 
     /**
@@ -37,15 +40,16 @@
      */
     public static ManagedProcess start(String name, List<String> command, Path directory) throws IOException {
         Path output = directory.resolve(name + ".log");
+        int earlierLines = Files.exists(output) ? readLines(output).size() : 0;
         Process process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(output.toFile()))
                 .start();
-        return new ManagedProcess(name, process, output);
+        return new ManagedProcess(name, process, output, earlierLines);
     }
 
     /**
-     * Waits until the process has printed a line.
+     * Waits until the process has printed a line. Lines of an earlier process with the same output file do not count.
      *
      * @param prefix the beginning of the line
      * @param timeoutMillis the time to wait
@@ -137,7 +141,8 @@
 
     private Optional<String> findLine(String prefix) {
         try {
-            return Files.readAllLines(output).stream()
+            return readLines(output).stream()
+                    .skip(earlierLines)
                     .filter(l -> l.startsWith(prefix))
                     .map(l -> l.substring(prefix.length()))
                     .findFirst();
@@ -146,6 +151,11 @@
         }
     }
 
+    /** Reads the lines also when a character was cut off by the end of a process. */
+    private static List<String> readLines(Path file) throws IOException {
+        return Files.readString(file, StandardCharsets.ISO_8859_1).lines().toList();
+    }
+
     static void sleep(long millis) {
         try {
             Thread.sleep(millis);
