Measure what a node costs with bin/measure

Ruled out: counting bytes by process from the kernel, because the connections to the VM list and to engines live for one exchange and their counters are gone before they can be read. A relay of TCP payload stands between nodes and what they call. Reading the heap over a management agent, which would change the memory that is measured; the collector's log has it.

Change: LocalDeployment takes another configuration text, options of engines and ports of relays, can add nodes and list workers under further ids, and can be closed twice. Launcher takes further options for nodes. The program measures overhead, throughput, memory, idle cost and configuration changes, prints a table or JSON, and notes the load average at the start of each section.

--- a/systemtests/src/main/java/org/magnoliavane/systemtest/Endpoint.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/Endpoint.java
@@ -139,7 +139,13 @@
         }
     }
 
-    static byte[] toBytes(Object document) {
+    /**
+     * Writes a document as JSON.
+     *
+     * @param document the document; a text is taken as it is
+     * @return the JSON in UTF-8
+     */
+    public static byte[] toBytes(Object document) {
         try {
             return document instanceof String text
                     ? text.getBytes(StandardCharsets.UTF_8)
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/Launcher.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/Launcher.java
@@ -23,12 +23,14 @@
     private final Path nodeJar;
     private final Path emulatorsJar;
     private final Path directory;
+    private final List<String> nodeOptions;
     private final AtomicInteger clients = new AtomicInteger();
 
-    private Launcher(Path nodeJar, Path emulatorsJar, Path directory) {
+    private Launcher(Path nodeJar, Path emulatorsJar, Path directory, List<String> nodeOptions) {
         this.nodeJar = nodeJar;
         this.emulatorsJar = emulatorsJar;
         this.directory = directory;
+        this.nodeOptions = nodeOptions;
     }
 
     /**
@@ -44,7 +46,19 @@
         return new Launcher(
                 root.resolve("node/target/magnoliavane.jar"),
                 root.resolve("emulators/target/magnoliavane-emulators.jar"),
-                directory);
+                directory,
+                NODE_JVM);
+    }
+
+    /**
+     * Returns a copy that gives nodes further options of the Java virtual machine.
+     *
+     * @param options the options
+     * @return the copy
+     */
+    public Launcher withNodeOptions(List<String> options) {
+        List<String> all = Stream.concat(NODE_JVM.stream(), options.stream()).toList();
+        return new Launcher(nodeJar, emulatorsJar, directory, all);
     }
 
     /**
@@ -76,7 +90,7 @@
     public ManagedProcess startNode(String node) throws IOException {
         return start(
                 node,
-                NODE_JVM,
+                nodeOptions,
                 nodeJar,
                 List.of("node", "--settings", getSettingsFile(node).toString()));
     }
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -35,6 +35,7 @@
     private static final long LOG_RETENTION_MILLIS = 600_000;
 
     private final DeploymentSize size;
+    private final DeploymentOptions options;
     private final Launcher launcher;
     private final ModelSettings figures;
     private final HttpClient client;
@@ -43,12 +44,14 @@
     private final Map<String, Endpoint> operators = new HashMap<>();
     private final Map<String, Map<String, Object>> vms = new LinkedHashMap<>();
 
+    private boolean closed;
     private int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() % PORT_BLOCKS) * PORTS_PER_BLOCK;
 
-    private LocalDeployment(DeploymentSize size, Launcher launcher) throws IOException {
+    private LocalDeployment(DeploymentSize size, DeploymentOptions options, Launcher launcher) throws IOException {
         this.size = size;
+        this.options = options;
         this.launcher = launcher;
-        this.figures = readFigures(size);
+        this.figures = readFigures(size, options.configurationFile());
         this.client = HttpClient.open("deployment");
     }
 
@@ -61,7 +64,21 @@
      * @throws IOException when a process cannot be started
      */
     public static LocalDeployment start(DeploymentSize size, Launcher launcher) throws IOException {
-        LocalDeployment deployment = new LocalDeployment(size, launcher);
+        return start(size, DeploymentOptions.of(size), launcher);
+    }
+
+    /**
+     * Starts a deployment, publishes its configuration and waits until every node is ready.
+     *
+     * @param size the size
+     * @param options the configuration, options of engines, and the ports by which nodes reach other processes
+     * @param launcher starts the programs
+     * @return the deployment
+     * @throws IOException when a process cannot be started
+     */
+    public static LocalDeployment start(DeploymentSize size, DeploymentOptions options, Launcher launcher)
+            throws IOException {
+        LocalDeployment deployment = new LocalDeployment(size, options, launcher);
         try {
             deployment.startAll();
             return deployment;
@@ -170,6 +187,43 @@
         awaitReady(node);
     }
 
+    /**
+     * Starts one more node and waits until it knows the whole deployment.
+     *
+     * @return the node id
+     * @throws IOException when the process cannot be started
+     */
+    public String addNode() throws IOException {
+        int index = getNodes().size();
+        synchronized (this) {
+            startNode(index);
+        }
+        publishVms();
+        String id = "entry-" + (index + 1);
+        awaitReady(id);
+        getNodes().forEach(this::awaitWholeView);
+        return id;
+    }
+
+    /**
+     * Lists backend servers under further ids, at the ports of those that run, until each role has a number of entries.
+     *
+     * @param role the role
+     * @param count the number of entries in the VM list
+     */
+    public void listWorkers(String role, int count) {
+        synchronized (this) {
+            List<String> running = processes.keySet().stream()
+                    .filter(id -> id.startsWith(role + "-"))
+                    .toList();
+            for (int i = running.size(); i < count; i++) {
+                describeWorker(role, role + "-" + (i + 1), running.get(i % running.size()), i);
+            }
+        }
+        publishVms();
+        getNodes().forEach(this::awaitWholeView);
+    }
+
     /**
      * Marks a VM as leaving in the VM list.
      *
@@ -235,6 +289,10 @@
 
     @Override
     public synchronized void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
         processes.values().forEach(ManagedProcess::close);
         processes.values().forEach(p -> p.awaitEnd(START_MILLIS));
         try {
@@ -277,7 +335,7 @@
                 .toList());
         describeWorkers();
         publishVms();
-        int status = publish(size.getConfigurationFile());
+        int status = publish(options.configurationFile());
         if (status != 0) {
             throw new IllegalStateException("publishing the example failed with status " + status);
         }
@@ -309,9 +367,7 @@
 
     /** Starts an engine whose figures are those that the configuration states. */
     private void startEngine(String id, String role) throws IOException {
-        startEmulator(
-                id,
-                "engine",
+        List<String> arguments = new ArrayList<>(List.of(
                 "--role",
                 role,
                 "--models",
@@ -325,11 +381,13 @@
                 "--link-tokens-per-second",
                 Integer.toString(figures.transferTokensPerSecond()),
                 "--prefill-lapse-millis",
-                Long.toString(figures.prefillLifetimeMillis()));
+                Long.toString(figures.prefillLifetimeMillis())));
+        arguments.addAll(options.engineOptions());
+        startEmulator(id, "engine", arguments.toArray(String[]::new));
     }
 
-    private static ModelSettings readFigures(DeploymentSize size) throws IOException {
-        String text = Files.readString(size.getConfigurationFile());
+    private static ModelSettings readFigures(DeploymentSize size, Path file) throws IOException {
+        String text = Files.readString(file);
         return ConfigurationText.parse(text, 1)
                 .getOrElseThrow(problems -> new IllegalStateException(problems.toString()))
                 .services()
@@ -376,8 +434,8 @@
                 "peer_port = " + ports.get(1),
                 "operator_port = " + ports.get(2),
                 "[platform]",
-                "log = \"" + endpoints.get("log").getUrl() + "\"",
-                "vm_list = \"" + endpoints.get("vmlist").getUrl() + "\"",
+                "log = \"" + urlForNodes("log") + "\"",
+                "vm_list = \"" + urlForNodes("vmlist") + "\"",
                 "log_retention_millis = " + LOG_RETENTION_MILLIS,
                 "vm_list_poll_millis = 300",
                 "[logging]",
@@ -397,7 +455,7 @@
                         "caller_port",
                         Integer.toString(endpoints.get(id).getPort()),
                         "peer_port",
-                        Integer.toString(peerPort),
+                        Integer.toString(options.ports().toPort("peer", peerPort)),
                         "operator_port",
                         Integer.toString(operators.get(id).getPort())));
     }
@@ -413,19 +471,28 @@
 
     private void describeWorkers() {
         for (String role : List.of("prefill", "decode", "plain")) {
-            String service = role.equals("plain") ? size.plainService() : size.modelService();
             List<String> ids = processes.keySet().stream()
                     .filter(id -> id.startsWith(role + "-"))
                     .toList();
             for (int i = 0; i < ids.size(); i++) {
-                String port = Integer.toString(endpoints.get(ids.get(i)).getPort());
-                Map<String, String> tags =
-                        Map.of("role", "backend", "service", service, "port", port, "worker_role", role);
-                vms.put(ids.get(i), describe(ids.get(i), size.getZone(i), tags));
+                describeWorker(role, ids.get(i), ids.get(i), i);
             }
         }
     }
 
+    private void describeWorker(String role, String id, String process, int index) {
+        String service = role.equals("plain") ? size.plainService() : size.modelService();
+        int port = options.ports().toPort(role, endpoints.get(process).getPort());
+        Map<String, String> tags =
+                Map.of("role", "backend", "service", service, "port", Integer.toString(port), "worker_role", role);
+        vms.put(id, describe(id, size.getZone(index), tags));
+    }
+
+    private String urlForNodes(String id) {
+        return "http://" + HOST + ":"
+                + options.ports().toPort(id, endpoints.get(id).getPort());
+    }
+
     private static Map<String, Object> describe(String id, String zone, Map<String, String> tags) {
         Map<String, Object> vm = new LinkedHashMap<>();
         vm.put("id", id);
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
@@ -66,6 +66,24 @@
         throw new IllegalStateException(name + " did not print '" + prefix + "' in time; see " + output);
     }
 
+    /**
+     * Gets the process id.
+     *
+     * @return the id
+     */
+    public long getPid() {
+        return process.pid();
+    }
+
+    /**
+     * Gets the file that has the output of the process.
+     *
+     * @return the file
+     */
+    public Path getOutput() {
+        return output;
+    }
+
     /**
      * Says whether the process runs.
      *
--- /dev/null
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/ConfigurationChanges.java
@@ -0,0 +1,145 @@
+package org.magnoliavane.systemtest.measure;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.HdrHistogram.Histogram;
+import org.magnoliavane.config.ConfigurationRecord;
+import org.magnoliavane.http.HttpResponse;
+import org.magnoliavane.systemtest.Endpoint;
+import org.magnoliavane.systemtest.LocalDeployment;
+import org.magnoliavane.systemtest.ManagedProcess;
+
+/**
+ * Measures how long a published text takes until every node has it in force, and the processor time that a node takes for
+ * a change, against the length of the text.
+ */
+final class ConfigurationChanges {
+    private static final double MICROS = 1e6;
+    private static final double CHANGES_PER_SECOND = 8;
+
+    private final LocalDeployment deployment;
+    private final Report report;
+    private final String example;
+    private final double scale;
+    private long version = 1;
+
+    ConfigurationChanges(LocalDeployment deployment, String example, Report report, double scale) {
+        this.deployment = deployment;
+        this.example = example;
+        this.report = report;
+        this.scale = scale;
+    }
+
+    void measure(int[] callers) {
+        report.begin("configuration");
+        changeMany(callers[callers.length - 1], (int) (30 * scale) + 5);
+        List<double[]> inputs = new ArrayList<>();
+        List<Double> costs = new ArrayList<>();
+        for (int count : callers) {
+            double kilobytes = text(count, 0).length() / 1000.0;
+            String name = count + " callers, 12 models, " + Math.round(kilobytes) + " KB: ";
+            Histogram times = timeChanges(count, (int) (16 * scale) + 3);
+            report.add(name + "in force at all nodes, median", times.getValueAtPercentile(50) / 1000.0, "ms");
+            report.add(name + "in force at all nodes, longest", times.getMaxValue() / 1000.0, "ms");
+            double cost = changeMany(count, (int) (32 * scale) + 4);
+            report.add(name + "processor time of a node for each change", MICROS * cost, "us");
+            inputs.add(new double[] {1, kilobytes});
+            costs.add(cost);
+        }
+        double[] fit = LeastSquares.fit(inputs, costs);
+        report.add("processor time of a node for each change (fit)", MICROS * fit[0], "us");
+        report.add("and for each KB of text (fit)", MICROS * fit[1], "us/KB");
+    }
+
+    /** Publishes one change after the other and asks the nodes for their version every few milliseconds. */
+    private Histogram timeChanges(int callers, int changes) {
+        Histogram times = TimedStream.Times.newHistogram();
+        for (int i = 0; i < changes; i++) {
+            long start = System.nanoTime();
+            publish(text(callers, i));
+            awaitEverywhere();
+            times.recordValue((System.nanoTime() - start) / 1000);
+            Waiting.sleep(30 + 7 * (i % 11));
+        }
+        return times;
+    }
+
+    /** Publishes changes at an even rate without questions to the nodes; gets the processor time of a node for each. */
+    private double changeMany(int callers, int changes) {
+        double idle = cpuPerSecond((long) (3000 * scale) + 1000);
+        long start = System.nanoTime();
+        double before = sumCpu();
+        for (int i = 0; i < changes; i++) {
+            publish(text(callers, i));
+            Waiting.sleep((long) (1000 / CHANGES_PER_SECOND));
+        }
+        Waiting.sleep(1000);
+        double used = sumCpu() - before - idle * (System.nanoTime() - start) / 1e9;
+        awaitEverywhere();
+        return used / changes / deployment.getNodes().size();
+    }
+
+    private double cpuPerSecond(long millis) {
+        double before = sumCpu();
+        long start = System.nanoTime();
+        Waiting.sleep(millis);
+        return (sumCpu() - before) / ((System.nanoTime() - start) / 1e9);
+    }
+
+    private double sumCpu() {
+        return deployment.getNodes().stream()
+                .map(deployment::getProcess)
+                .mapToDouble((ManagedProcess p) -> ProcessFigures.getCpuSeconds(p))
+                .sum();
+    }
+
+    private void awaitEverywhere() {
+        boolean everywhere = Waiting.until(
+                10_000,
+                () -> deployment.getNodes().stream()
+                        .allMatch(node -> deployment.findVersion(node).equals(Optional.of(version))));
+        if (!everywhere) {
+            throw new IllegalStateException("version " + version + " is not in force everywhere after 10 s");
+        }
+    }
+
+    private void publish(String text) {
+        byte[] bytes = new ConfigurationRecord.Publication(
+                        version, version + 1, text, "measure", UUID.randomUUID().toString())
+                .toBytes();
+        Endpoint log = deployment.getEndpoint("log");
+        try {
+            HttpResponse answer = log.send(
+                    log.request("POST", "/v1/streams/configuration/records").withBody("application/json", bytes));
+            if (answer.status() != 201) {
+                throw new IOException("log service gave " + answer.status() + ": " + answer.getText());
+            }
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+        version++;
+    }
+
+    /** Writes a text with further callers and models; texts of one length differ in the lifetime of addresses. */
+    private String text(int callers, int change) {
+        StringBuilder text = new StringBuilder(example.replaceFirst(
+                "address_lifetime_seconds = \\d+", "address_lifetime_seconds = " + (20 + change % 40)));
+        int models = text.indexOf("\"safety-note\"");
+        text.insert(models, "\"m4\", \"m5\", \"m6\", \"m7\", \"m8\", \"m9\", \"m10\", \"m11\", \"m12\", ");
+        for (int i = 0; i < callers; i++) {
+            String hash = UUID.nameUUIDFromBytes(("caller-" + i).getBytes(StandardCharsets.UTF_8))
+                    .toString()
+                    .replace("-", "");
+            text.append("\n[callers.school-").append(i).append("]\n");
+            text.append("partner = \"school-").append(i).append("\"\n");
+            text.append("key_sha256 = \"").append(hash).append(hash).append("\"\n");
+            text.append("services = [\"briefings\", \"bookings\"]\n");
+        }
+        return text.toString();
+    }
+}
