Count goodput, price and wasted prefill for each class at the node

Cause: operators are to steer by goodput and wasted prefill, but a node's metrics had neither. Ruled out: counting at the coordinator, which does not see when tokens reach the caller.

--- a/core/src/main/java/org/magnoliavane/config/PriceClass.java
+++ b/core/src/main/java/org/magnoliavane/config/PriceClass.java
@@ -11,4 +11,16 @@
  * @param tbtMillis the target for the time between tokens
  * @param maxWaitMillis the upper bound of waiting before the prefill starts or the request is refused
  */
-public record PriceClass(String name, long microsPerToken, long ttftMillis, long tbtMillis, long maxWaitMillis) {}
+public record PriceClass(String name, long microsPerToken, long ttftMillis, long tbtMillis, long maxWaitMillis) {
+
+    /**
+     * Gets the price of an answer.
+     *
+     * @param promptTokens the length of the prompt
+     * @param outputTokens the length of the output
+     * @return the price in millionths of the currency unit
+     */
+    public long getPriceMicros(int promptTokens, int outputTokens) {
+        return microsPerToken * ((long) promptTokens + outputTokens);
+    }
+}
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -57,6 +57,7 @@
     private final CompletableFuture<Optional<FinishedAnswer>> outcome = new CompletableFuture<>();
     private final SerialExecutor serial = SerialExecutor.create();
     private final List<Token> relayed = new ArrayList<>();
+    private final RunMeter meter;
     private AnswerListener listener;
     private Optional<AnswerEnd> end = Optional.empty();
     private Optional<Fault> fault = Optional.empty();
@@ -79,6 +80,7 @@
         this.call = call;
         this.parts = parts;
         this.listener = listener;
+        this.meter = new RunMeter(call, parts.metrics());
         this.log = new RequestDecisions(parts.decisions(), call.request());
     }
 
@@ -94,6 +96,7 @@
                 close();
                 releaseEngines();
                 parts.placements().withdraw(attempt);
+                meter.discardPrefill();
                 fault = Optional.of(callerGone());
                 outcome.complete(Optional.empty());
             }
@@ -338,6 +341,7 @@
         if (index >= relayed.size()) {
             relayed.add(token);
             parts.count("tokens.relayed");
+            meter.takeToken();
             listener.onToken(token);
             return;
         }
@@ -352,6 +356,7 @@
             return;
         }
         report(AttemptPhase.COMPLETED);
+        meter.complete(promptTokens, completionTokens);
         close();
         AnswerEnd complete = new AnswerEnd(finishReason, promptTokens, completionTokens, cachedTokens);
         end = Optional.of(complete);
@@ -433,6 +438,7 @@
 
     private void finish(Fault reason) {
         close();
+        meter.fail(reason.kind());
         fault = Optional.of(reason);
         outcome.complete(Optional.empty());
         listener.onFault(reason);
@@ -481,6 +487,7 @@
 
     private void report(AttemptPhase phase) {
         int tokens = decode == null ? 0 : decode.getPosition();
+        meter.take(phase, cachedTokens);
         parts.placements().report(new AttemptProgress(attempt, phase, tokens, cachedTokens));
     }
 
--- a/node/src/main/java/org/magnoliavane/node/http/ChatFormat.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatFormat.java
@@ -62,7 +62,7 @@
     }
 
     long getPriceMicros(AnswerEnd end) {
-        return call.priceClass().microsPerToken() * (end.promptTokens() + (long) end.completionTokens());
+        return call.priceClass().getPriceMicros(end.promptTokens(), end.completionTokens());
     }
 
     static byte[] toEvent(Optional<StreamPosition> id, JsonNode data) {
