Refuse to resume a stream of another request of the same caller

Cause: a node that was asked to resume a stream checked only that the attempt belonged to the caller. Two requests of one caller whose event ids were swapped each got the answer of the other, with status 200 and without an error.

Ruled out: checking the request id alone. It is taken from the event id that is swapped, and a node that did not accept the request knows nothing else of it. Keeping the prompt at the nodes is no way either, because the node that accepted it may be gone.

Change: the text that the engine keeps as caller is the name and a hash of model and prompt. A resuming node compares both: another caller is refused with 403 as before, another content with 400. max_tokens is not compared, because its default depends on the configuration in force. New test class for second connections: same key while the first request runs, another caller, swapped ids, and a node paused in the middle of streams.

Requests with the same model and prompt but another max_tokens are still taken for the same.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
@@ -55,7 +55,7 @@
                 .put("priority", placement.priority())
                 .put("reserve_pieces", placement.pieces())
                 .put("owner", self.toString())
-                .put("caller", call.caller().name());
+                .put("caller", EngineAttempt.toCallerText(call));
         HttpRequest request =
                 request(placement.decodeWorker(), "POST", "/v1/decodes").withBody("application/json", Json.write(body));
         return client.stream(request, listener);
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelCall.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelCall.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.node.dispatch;
 
+import net.openhft.hashing.LongHashFunction;
 import org.magnoliavane.config.Caller;
 import org.magnoliavane.config.ModelSettings;
 import org.magnoliavane.config.PriceClass;
@@ -36,6 +37,17 @@
         long arrivalNanos,
         long deadlineMillis) {
 
+    private static final LongHashFunction HASH = LongHashFunction.xx();
+
+    /**
+     * Gets a hash of what is asked of the model.
+     *
+     * @return the hash of the model and the prompt
+     */
+    public long getContentHash() {
+        return HASH.hashChars(model + "\n" + prompt);
+    }
+
     /**
      * Returns a copy that continues an earlier request.
      *
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelDispatcher.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelDispatcher.java
@@ -83,7 +83,7 @@
      * @param call the request, with the id of the original request
      * @param position the last position that the caller has received
      * @param listener receives the rest of the answer
-     * @return the run, or the fault when the stream is unknown or belongs to another caller
+     * @return the run, or the fault when the stream is unknown, or belongs to another caller or request
      */
     public CompletionStage<Either<Fault, ModelRun>> resume(
             ModelCall call, StreamPosition position, AnswerListener listener) {
@@ -141,10 +141,15 @@
             String message = "worker " + position.worker() + " does not know attempt " + position.attempt();
             return Optional.of(Fault.unknown(FaultKind.NOT_FOUND, message, WITHOUT_ID));
         }
-        if (!found.get().caller().equals(call.caller().name())) {
+        if (!found.get().isOfCaller(call)) {
             String message = "the stream named by Last-Event-ID belongs to another caller";
             return Optional.of(Fault.notRun(FaultKind.FORBIDDEN, message, WITHOUT_ID));
         }
+        if (!found.get().isForContent(call)) {
+            String message = "the stream named by Last-Event-ID answers another request of this caller";
+            return Optional.of(Fault.unknown(
+                    FaultKind.INVALID_REQUEST, message, "send the id of the last event that this request received"));
+        }
         if (position.position() > found.get().position()) {
             String message = "Last-Event-ID names position " + position.position() + ", but the stream has only "
                     + found.get().position() + " tokens";
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -13,7 +13,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
-import net.openhft.hashing.LongHashFunction;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
@@ -48,8 +47,6 @@
     /** Tokens between two progress reports of a decode. */
     private static final int REPORT_STEP_TOKENS = 32;
 
-    private static final LongHashFunction HASH = LongHashFunction.xx();
-
     private final ModelCall call;
     private final DispatchParts parts;
     private final RequestDecisions log;
@@ -201,7 +198,7 @@
                 call.expectedOutputTokens(),
                 call.maxOutputTokens(),
                 PromptPrefix.hashesOf(call.prompt(), call.settings().pieceTokens()),
-                HASH.hashChars(call.model() + "\n" + call.prompt()),
+                call.getContentHash(),
                 call.getLeftMillis(call.priceClass().ttftMillis()),
                 call.priceClass().tbtMillis(),
                 call.getLeftMillis(call.priceClass().maxWaitMillis()),
--- /dev/null
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/TakeoverTest.java
@@ -0,0 +1,129 @@
+package org.magnoliavane.systemtest.streams;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.membership.Rendezvous;
+import org.magnoliavane.systemtest.ChatStream;
+import org.magnoliavane.systemtest.streams.StreamsDeployment.Chat;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Guards against doubled and crossed answers when a stream is asked for on a second connection. */
+public final class TakeoverTest {
+    private static final String OTHER_CALLER = "example-key-isarwelle";
+    private static final long MEMORY_MILLIS = 8_000;
+    private static final int TOKENS = 120;
+
+    private StreamsDeployment streams;
+
+    @BeforeClass
+    public void start() throws IOException {
+        streams = StreamsDeployment.start(3, 1, 2);
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void close() {
+        if (streams != null) {
+            streams.close();
+        }
+    }
+
+    @Test
+    public void sameKeySentWhileTheFirstRequestRunsIsAnsweredOnceByOneRun() {
+        Chat chat = Chat.of("same key", "00000071", TOKENS);
+        long before = streams.sumCounter("decode", "decodes_started");
+        ChatStream first = sendKeyed(chat);
+        assertTrue(first.awaitTokens(10, 5_000), "no tokens: " + first.findError());
+        ChatStream second = sendKeyed(chat);
+        StreamsDeployment.assertWhole(second, chat);
+        assertTrue(first.awaitEnd(1_000), "the first connection stays open");
+        assertFalse(first.isDone(), "both connections have an answer");
+        ChatStream third = sendKeyed(chat);
+        StreamsDeployment.assertWhole(third, chat);
+        assertEquals(streams.sumCounter("decode", "decodes_started") - before, 1);
+        streams.awaitNoMemory(MEMORY_MILLIS);
+    }
+
+    @Test
+    public void anotherCallerCannotTakeAStreamOver() {
+        Chat chat = Chat.of("private", "00000072", TOKENS);
+        ChatStream mine = streams.send("entry-1", chat);
+        assertTrue(mine.awaitTokens(10, 5_000), "no tokens: " + mine.findError());
+        ChatStream theirs = streams.resume(mine, "entry-2", chat.withKey(OTHER_CALLER));
+        assertTrue(theirs.awaitEnd(5_000), "no answer");
+        assertEquals(theirs.getStatus(), 403);
+        StreamsDeployment.assertWhole(mine, chat);
+        streams.awaitNoMemory(MEMORY_MILLIS);
+    }
+
+    @Test
+    public void streamResumedWithTheIdOfAnotherRequestOfTheSameCallerGivesNoCrossedAnswer() {
+        Chat a = Chat.of("first of two", "0000007a", TOKENS);
+        Chat b = Chat.of("second of two", "0000007b", TOKENS);
+        ChatStream streamA = streams.send("entry-1", a);
+        ChatStream streamB = streams.send("entry-1", b);
+        assertTrue(streamA.awaitTokens(10, 5_000), "no tokens: " + streamA.findError());
+        assertTrue(streamB.awaitTokens(10, 5_000), "no tokens: " + streamB.findError());
+        ChatStream crossedA = streams.resume(streamB, "entry-2", a);
+        ChatStream crossedB = streams.resume(streamA, "entry-3", b);
+        assertTrue(crossedA.awaitEnd(StreamsDeployment.ANSWER_MILLIS), "no answer");
+        assertTrue(crossedB.awaitEnd(StreamsDeployment.ANSWER_MILLIS), "no answer");
+        System.out.println("resumed with swapped ids: " + crossedA.getStatus() + " " + crossedA.findError());
+        assertEquals(crossedA.getStatus(), 400, "request a got the answer of request b");
+        assertEquals(crossedB.getStatus(), 400, "request b got the answer of request a");
+        StreamsDeployment.assertWhole(streamA, a);
+        StreamsDeployment.assertWhole(streamB, b);
+        streams.awaitNoMemory(MEMORY_MILLIS);
+    }
+
+    @Test
+    public void pausedNodeDisturbsNothingAfterItsStreamsWereResumedElsewhere() {
+        String pool = "pool/" + streams.get().getSize().modelService();
+        String paused =
+                Rendezvous.first(pool, streams.get().getNodes(), node -> node).orElseThrow();
+        List<String> others =
+                streams.get().getNodes().stream().filter(n -> !n.equals(paused)).toList();
+        List<Chat> chats = new ArrayList<>();
+        List<ChatStream> before = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            chats.add(Chat.of("paused " + i, String.format("%08x", 128 + i), 200));
+            before.add(streams.send(paused, chats.get(i)));
+        }
+        before.forEach(s -> assertTrue(s.awaitTokens(10, 5_000), "no tokens: " + s.findError()));
+        streams.get().getProcess(paused).pause();
+        List<ChatStream> resumed = new ArrayList<>();
+        try {
+            StreamsDeployment.sleep(1_000);
+            for (int i = 0; i < 6; i++) {
+                resumed.add(streams.resume(before.get(i), others.get(i % 2), chats.get(i)));
+            }
+            StreamsDeployment.sleep(2_500);
+        } finally {
+            streams.get().getProcess(paused).resume();
+        }
+        for (int i = 0; i < 6; i++) {
+            StreamsDeployment.assertWhole(resumed.get(i), chats.get(i));
+            assertTrue(before.get(i).awaitEnd(5_000), "the connection to the paused node stays open");
+            assertFalse(before.get(i).isDone(), "two whole answers");
+        }
+        for (String node : streams.get().getNodes()) {
+            Chat chat = Chat.of("after the pause at " + node, "00000099", 20).withClass("patient");
+            StreamsDeployment.assertWhole(streams.send(node, chat), chat);
+        }
+        long millis = streams.awaitNoMemory(MEMORY_MILLIS);
+        System.out.println("paused node: 6 whole answers elsewhere, memory free after " + millis + " ms");
+    }
+
+    private ChatStream sendKeyed(Chat chat) {
+        HttpRequest request = streams.toRequest("entry-1", chat).withHeader("Idempotency-Key", "\"lesson-71\"");
+        return ChatStream.send(streams.get().getClient(), request);
+    }
+}
