Place the retry after a stalled transfer on another prefill worker

Cause: after a transfer that took longer than its limit, the coordinator placed the second attempt on the prefill worker whose link had stalled, because that worker was the idle one. The second attempt ran into the same limit, and the caller got an error in place of its answer.

Ruled out: avoiding the worker after every failed transfer. Under overload prefill results lapse on healthy workers, and avoiding these would take capacity away when it is short. A lapse shows within the lifetime of a prefill result, a stall only after more than 1 s.

Change: when a transfer fails 1 s or more after its prefill was reported, the coordinator lets the prefill worker count as leaving for 5 s, as long as another prefill worker can take the work.

Conclusion: a stalled link of one prefill worker costs a request one attempt. A stall on the side of the decode worker is not told apart.

--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -36,6 +36,12 @@
     /** Bounds the time for which a node may be out of reach before what it drives is given up. */
     static final long NODE_GRACE_MICROS = 5_000_000;
 
+    /** A transfer that fails earlier than this met a lapsed prefill or a dead worker and not a stalled link. */
+    private static final long STALL_MICROS = 1_000_000;
+
+    /** Time for which a prefill worker with a stalled link gets no new work while another one can. */
+    private static final long AVOID_MICROS = 5_000_000;
+
     private static final long RETRY_AFTER_MILLIS = 1000;
     private static final int MAX_ENDED = 20_000;
     private static final int MAX_ROUNDS = 4;
@@ -50,6 +56,7 @@
     private final Map<Long, Integer> tested = new HashMap<>();
     private final Map<String, Long> downSince = new HashMap<>();
     private final Map<String, Long> upSince = new HashMap<>();
+    private final Map<String, Long> avoidedUntil = new HashMap<>();
     private final Map<NodeRun, Long> missingSince = new HashMap<>();
     private Service service;
     private PoolScheduler scheduler;
@@ -179,6 +186,13 @@
             return List.of();
         }
         known.progress = report;
+        if (report.phase() == AttemptPhase.PREFILLED) {
+            known.prefilledMicros = now;
+        }
+        if (report.phase() == AttemptPhase.TRANSFER_FAILED && now - known.prefilledMicros >= STALL_MICROS) {
+            avoidedUntil.put(known.grant.placement().prefillWorker().id(), now + AVOID_MICROS);
+            updateWorkers(now);
+        }
         scheduler.progress(report, now);
         List<BackendServer> suspects = List.of();
         if (report.phase().isEnd()) {
@@ -258,6 +272,9 @@
             lastView = view;
             takeServers(view, now);
         }
+        if (avoidedUntil.values().removeIf(until -> now >= until)) {
+            updateWorkers(now);
+        }
         dropLostRuns(view, now);
         refuseOverdue(now);
         ended.forgetBefore(now);
@@ -389,9 +406,14 @@
     }
 
     private void updateWorkers(long now) {
-        List<PoolWorker> next = servers.values().stream()
+        List<BackendServer> up = servers.values().stream()
                 .filter(s -> !downSince.containsKey(s.id()))
-                .map(s -> new PoolWorker(s.id(), s.role(), s.zone(), s.leaving()))
+                .toList();
+        boolean choice = up.stream()
+                .anyMatch(s -> s.role() == WorkerRole.PREFILL && !s.leaving() && !avoidedUntil.containsKey(s.id()));
+        List<PoolWorker> next = up.stream()
+                .map(s -> new PoolWorker(
+                        s.id(), s.role(), s.zone(), s.leaving() || choice && avoidedUntil.containsKey(s.id())))
                 .toList();
         if (!next.equals(workers)) {
             workers = next;
--- a/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
@@ -36,6 +36,7 @@
 
     Grant grant;
     long grantedMicros;
+    long prefilledMicros = Long.MAX_VALUE;
     long endedMicros = Long.MAX_VALUE;
     AttemptProgress progress;
 
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
@@ -87,14 +87,18 @@
 
     /** Checks that there is the whole answer, or a correct beginning of it and a final error that says whether it ran. */
     static String assertWholeOrFinalError(ChatStream stream, Chat chat) {
-        assertTrue(stream.awaitEnd(ANSWER_MILLIS), "no end in time, tokens " + stream.getTexts().size());
+        assertTrue(
+                stream.awaitEnd(ANSWER_MILLIS),
+                "no end in time, tokens " + stream.getTexts().size());
         if (stream.isDone()) {
             assertEquals(stream.getTexts(), chat.toTokens());
             return "whole answer";
         }
         String error = stream.findError().orElse("");
-        assertTrue(error.contains("\"ran\":\"unknown\"") || error.contains("\"ran\":\"yes\""), "no final error: " + error);
-        assertEquals(stream.getTexts(), chat.toTokens().subList(0, stream.getTexts().size()));
+        assertTrue(
+                error.contains("\"ran\":\"unknown\"") || error.contains("\"ran\":\"yes\""), "no final error: " + error);
+        assertEquals(
+                stream.getTexts(), chat.toTokens().subList(0, stream.getTexts().size()));
         return error;
     }
 
