--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelCall.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelCall.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.node.dispatch;
 
+import net.openhft.hashing.LongHashFunction;
 import org.magnoliavane.config.Caller;
 import org.magnoliavane.config.ModelSettings;
 import org.magnoliavane.config.PriceClass;
@@ -36,6 +37,18 @@
         long arrivalNanos,
         long deadlineMillis) {
 
+    private static final LongHashFunction HASH = LongHashFunction.xx();
+
+    /**
+     * Gets a hash of who asks what. It covers the caller, because copies of new content run one after the other, which
+     * must not delay other callers.
+     *
+     * @return the hash of the caller, the model and the prompt
+     */
+    public long getContentHash() {
+        return HASH.hashChars(caller.name() + "\n" + model + "\n" + prompt);
+    }
+
     /**
      * Returns a copy that continues an earlier request.
      *
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -13,7 +13,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
-import net.openhft.hashing.LongHashFunction;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
@@ -49,8 +48,6 @@
     /** Tokens between two progress reports of a decode. */
     private static final int REPORT_STEP_TOKENS = 32;
 
-    private static final LongHashFunction HASH = LongHashFunction.xx();
-
     private final ModelCall call;
     private final DispatchParts parts;
     private final RequestDecisions log;
@@ -206,18 +203,13 @@
                 call.expectedOutputTokens(),
                 call.maxOutputTokens(),
                 PromptPrefix.hashesOf(call.prompt(), call.settings().pieceTokens()),
-                contentHash(),
+                call.getContentHash(),
                 timeLeft(call.priceClass().ttftMillis()),
                 call.priceClass().tbtMillis(),
                 timeLeft(call.priceClass().maxWaitMillis()),
                 false);
     }
 
-    /** Covers the caller too: copies of new content run one after the other, which must not delay other callers. */
-    private long contentHash() {
-        return HASH.hashChars(call.caller().name() + "\n" + call.model() + "\n" + call.prompt());
-    }
-
     /**
      * Gets the time left for an attempt. A new attempt gets the time of a new request, because the coordinator would
      * refuse it at once when the failed attempt has used up the time; only the deadline of the caller still counts.
