--- a/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
@@ -79,6 +79,19 @@
         return process.isAlive();
     }
 
+    /**
+     * Reads what the process has printed so far.
+     *
+     * @return the lines
+     */
+    public List<String> getOutput() {
+        try {
+            return readLines(output).stream().skip(earlierLines).toList();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Kills the process without warning. */
     public void kill() {
         process.destroyForcibly();
@@ -140,15 +153,10 @@
     }
 
     private Optional<String> findLine(String prefix) {
-        try {
-            return readLines(output).stream()
-                    .skip(earlierLines)
-                    .filter(l -> l.startsWith(prefix))
-                    .map(l -> l.substring(prefix.length()))
-                    .findFirst();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return getOutput().stream()
+                .filter(l -> l.startsWith(prefix))
+                .map(l -> l.substring(prefix.length()))
+                .findFirst();
     }
 
     /** Reads the lines also when a character was cut off by the end of a process. */
