Put no version in force while a history is being read

Cause: a node folds the stream in pages of 50 records and put the version after each page in force. Ruled out: the fold (it ends at the right version), peers (the fault showed with all peers gone), larger pages (a text may have 512 KiB). Change: a version read from the stream comes into force only when every record up to the end of the stream, as named by the page, is taken into account. A version offered by a peer comes into force at once, as before. Peers and operators get the version in force, not the one on the way. Conclusion: a restart no longer brings an old version back.

--- a/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
+++ b/node/src/main/java/org/magnoliavane/node/configuration/ConfigurationController.java
@@ -48,6 +48,7 @@
     private final AtomicReference<Configuration> current = new AtomicReference<>(Configuration.empty());
     private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
     private final Thread thread = new Thread(this::run, "configuration");
+    private volatile Optional<VersionedText> lastInForce = Optional.empty();
     private volatile boolean closed;
     private volatile boolean reachable = true;
 
@@ -89,13 +90,13 @@
     @Override
     public Optional<VersionedText> findCurrent() {
         ConfigurationFold state = fold.get();
-        return state.findCurrent()
-                .map(c -> new VersionedText(c.configuration().version(), state.getDecidedOffset(), c.text()));
+        Optional<VersionedText> inForce = lastInForce;
+        return state.getVersion() == inForce.map(VersionedText::version).orElse(0L) ? toText(state) : inForce;
     }
 
     @Override
     public void offer(VersionedText text) {
-        advance(state -> state.withPeerState(text.version(), text.offset(), text.text()));
+        advance(state -> state.withPeerState(text.version(), text.offset(), text.text()), Long.MIN_VALUE);
     }
 
     /**
@@ -173,7 +174,7 @@
             snapshots.addRecord(record.offset(), record.timestampMillis(), nowMillis(), System.currentTimeMillis());
         }
         boolean before = isComplete();
-        advance(state -> state.withPage(page.firstOffset(), records, this::note));
+        advance(state -> state.withPage(page.firstOffset(), records, this::note), page.nextOffset());
         if (before && !isComplete()) {
             LOGGER.log(
                     Level.WARNING,
@@ -182,14 +183,19 @@
         }
     }
 
-    /** Pages and offers come from several threads; the lock keeps versions and listeners in order. */
-    private synchronized void advance(UnaryOperator<ConfigurationFold> change) {
+    /**
+     * Takes a change of the fold. A version comes into force only when every record before an offset is taken into
+     * account: a node that reads a long history page by page would else serve with the old versions on the way. Pages
+     * and offers come from several threads; the lock keeps versions and listeners in order.
+     */
+    private synchronized void advance(UnaryOperator<ConfigurationFold> change, long endOffset) {
         ConfigurationFold before = fold.get();
         ConfigurationFold after = change.apply(before);
         fold.set(after);
-        if (after.getVersion() <= before.getVersion()) {
+        if (after == before || after.getVersion() <= get().version() || after.getNextOffset() < endOffset) {
             return;
         }
+        lastInForce = toText(after);
         Configuration next =
                 after.findCurrent().map(AcceptedText::configuration).orElseThrow();
         current.set(next);
@@ -205,6 +211,11 @@
         }
     }
 
+    private static Optional<VersionedText> toText(ConfigurationFold state) {
+        return state.findCurrent()
+                .map(c -> new VersionedText(c.configuration().version(), state.getDecidedOffset(), c.text()));
+    }
+
     private void note(FoldOutcome outcome) {
         boolean wrong = outcome.kind() == FoldOutcome.Kind.REJECTED || outcome.kind() == FoldOutcome.Kind.UNREADABLE;
         LOGGER.log(wrong ? Level.WARNING : Level.DEBUG, outcome.toString());
