--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -37,6 +37,7 @@
     private final DeploymentSize size;
     private final Launcher launcher;
     private final ModelSettings figures;
+    private final long retentionMillis;
     private final HttpClient client;
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
     private final Map<String, Endpoint> endpoints = new HashMap<>();
@@ -45,8 +46,9 @@
 
     private int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() % PORT_BLOCKS) * PORTS_PER_BLOCK;
 
-    private LocalDeployment(DeploymentSize size, Launcher launcher) throws IOException {
+    private LocalDeployment(DeploymentSize size, Launcher launcher, long retentionMillis) throws IOException {
         this.size = size;
+        this.retentionMillis = retentionMillis;
         this.launcher = launcher;
         this.figures = readFigures(size);
         this.client = HttpClient.open("deployment");
@@ -61,7 +63,21 @@
      * @throws IOException when a process cannot be started
      */
     public static LocalDeployment start(DeploymentSize size, Launcher launcher) throws IOException {
-        LocalDeployment deployment = new LocalDeployment(size, launcher);
+        return start(size, launcher, LOG_RETENTION_MILLIS);
+    }
+
+    /**
+     * Starts a deployment whose log service keeps records for a short time.
+     *
+     * @param size the size
+     * @param launcher starts the programs
+     * @param retentionMillis the time for which the log service keeps a record
+     * @return the deployment
+     * @throws IOException when a process cannot be started
+     */
+    public static LocalDeployment start(DeploymentSize size, Launcher launcher, long retentionMillis)
+            throws IOException {
+        LocalDeployment deployment = new LocalDeployment(size, launcher, retentionMillis);
         try {
             deployment.startAll();
             return deployment;
@@ -256,7 +272,7 @@
     }
 
     private void startAll() throws IOException {
-        startEmulator("log", "log", "--retain-millis", Long.toString(LOG_RETENTION_MILLIS));
+        startEmulator("log", "log", "--retain-millis", Long.toString(retentionMillis));
         startEmulator("vmlist", "vmlist", "--lag-millis", "200");
         startEmulator("weights", "weights");
         awaitEmulators(List.of("log", "vmlist", "weights"));
@@ -378,7 +394,7 @@
                 "[platform]",
                 "log = \"" + endpoints.get("log").getUrl() + "\"",
                 "vm_list = \"" + endpoints.get("vmlist").getUrl() + "\"",
-                "log_retention_millis = " + LOG_RETENTION_MILLIS,
+                "log_retention_millis = " + retentionMillis,
                 "vm_list_poll_millis = 300",
                 "[logging]",
                 "level = \"info\"",
