--- a/systemtests/src/main/java/org/magnoliavane/systemtest/DeploymentOptions.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/DeploymentOptions.java
@@ -11,8 +11,11 @@
  * @param configurationFile the configuration text that is published at the start
  * @param engineOptions options of engines, beyond those that follow from the configuration
  * @param ports the ports by which nodes reach other processes
+ * @param logRetentionMillis the time for which the log service keeps a record
  */
-public record DeploymentOptions(Path configurationFile, List<String> engineOptions, PortMap ports) {
+public record DeploymentOptions(
+        Path configurationFile, List<String> engineOptions, PortMap ports, long logRetentionMillis) {
+    private static final long DEFAULT_LOG_RETENTION_MILLIS = 600_000;
 
     /**
      * Creates the options of the example.
@@ -21,7 +24,8 @@
      * @return the options
      */
     public static DeploymentOptions of(DeploymentSize size) {
-        return new DeploymentOptions(size.getConfigurationFile(), List.of(), (kind, port) -> port);
+        return new DeploymentOptions(
+                size.getConfigurationFile(), List.of(), (kind, port) -> port, DEFAULT_LOG_RETENTION_MILLIS);
     }
 
     /**
@@ -31,7 +35,7 @@
      * @return the copy
      */
     public DeploymentOptions withConfigurationFile(Path file) {
-        return new DeploymentOptions(file, engineOptions, ports);
+        return new DeploymentOptions(file, engineOptions, ports, logRetentionMillis);
     }
 
     /**
@@ -41,7 +45,7 @@
      * @return the copy
      */
     public DeploymentOptions withEngineOptions(String... options) {
-        return new DeploymentOptions(configurationFile, List.of(options), ports);
+        return new DeploymentOptions(configurationFile, List.of(options), ports, logRetentionMillis);
     }
 
     /**
@@ -51,7 +55,17 @@
      * @return the copy
      */
     public DeploymentOptions withPorts(PortMap map) {
-        return new DeploymentOptions(configurationFile, engineOptions, map);
+        return new DeploymentOptions(configurationFile, engineOptions, map, logRetentionMillis);
+    }
+
+    /**
+     * Returns a copy in which the log service keeps records for another time.
+     *
+     * @param millis the time in milliseconds
+     * @return the copy
+     */
+    public DeploymentOptions withLogRetentionMillis(long millis) {
+        return new DeploymentOptions(configurationFile, engineOptions, ports, millis);
     }
 
     /** Gives the port by which nodes reach a process, for example that of a relay. */
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -32,7 +32,6 @@
     private static final int FIRST_PORT = 10_000;
     private static final int PORT_BLOCKS = 200;
     private static final int PORTS_PER_BLOCK = 100;
-    private static final long LOG_RETENTION_MILLIS = 600_000;
 
     private final DeploymentSize size;
     private final DeploymentOptions options;
@@ -67,6 +66,20 @@
         return start(size, DeploymentOptions.of(size), launcher);
     }
 
+    /**
+     * Starts a deployment whose log service keeps records for a short time.
+     *
+     * @param size the size
+     * @param launcher starts the programs
+     * @param retentionMillis the time for which the log service keeps a record
+     * @return the deployment
+     * @throws IOException when a process cannot be started
+     */
+    public static LocalDeployment start(DeploymentSize size, Launcher launcher, long retentionMillis)
+            throws IOException {
+        return start(size, DeploymentOptions.of(size).withLogRetentionMillis(retentionMillis), launcher);
+    }
+
     /**
      * Starts a deployment, publishes its configuration and waits until every node is ready.
      *
@@ -343,7 +356,7 @@
     }
 
     private void startAll() throws IOException {
-        startEmulator("log", "log", "--retain-millis", Long.toString(LOG_RETENTION_MILLIS));
+        startEmulator("log", "log", "--retain-millis", Long.toString(options.logRetentionMillis()));
         startEmulator("vmlist", "vmlist", "--lag-millis", "200");
         startEmulator("weights", "weights");
         awaitEmulators(List.of("log", "vmlist", "weights"));
@@ -465,7 +478,7 @@
                 "[platform]",
                 "log = \"" + urlForNodes("log") + "\"",
                 "vm_list = \"" + urlForNodes("vmlist") + "\"",
-                "log_retention_millis = " + LOG_RETENTION_MILLIS,
+                "log_retention_millis = " + options.logRetentionMillis(),
                 "vm_list_poll_millis = 300",
                 "[logging]",
                 "level = \"info\"",
