Close a caller's connection after a request that was watched for its close

Cause: reading on during a request leaves the transport's read interest on. When the next request of the connection then came in two packets, Grizzly parsed them on two threads at once and the request was never answered: one of about 8,000 bookings on four kept connections, each with head and body in separate packets, ran into its 8 s limit.

Ruled out: opening the gate for held bytes only when Grizzly has completed the request; this was in place when the fault was seen, because the end of the old request can switch reading on again while the new one is being parsed.

Change: after the body has been read the filter drops what the caller sends, at most 64 KiB, the response says Connection: close, and the connection is closed after it. A request costs one more round trip for the new connection.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -48,6 +48,7 @@
     private final AtomicReference<Runnable> onGone = new AtomicReference<>(() -> {});
     private final AtomicBoolean gone = new AtomicBoolean();
     private final CloseListener<Closeable, ?> closeListener = (closeable, type) -> callerGone();
+    private volatile boolean watched;
     private volatile String shownId;
     private volatile Caller caller;
     private volatile Consumer<CallerExchange> target;
@@ -76,14 +77,14 @@
     /** Suspends the response until the exchange is answered. */
     void suspend() {
         connection.addCloseListener(closeListener);
-        request.getContext().addCompletionListener(context -> OneRequestFilter.open(connection));
         response.suspend();
     }
 
-    /** Watches for the close of the connection while the request is in work. */
+    /** Watches for the close of the connection while the request is in work; it then serves no further request. */
     void watchConnection() {
         try {
-            OneRequestFilter.close(connection);
+            watched = true;
+            OneRequestFilter.watch(connection);
         } catch (IOException e) {
             callerGone();
         }
@@ -243,6 +244,9 @@
         response.setStatus(status);
         sent.forEach(this::setHeader);
         response.setHeader(REQUEST_HEADER, shownId);
+        if (watched) {
+            response.setHeader("Connection", "close");
+        }
     }
 
     private void setHeader(String name, String value) {
--- a/node/src/main/java/org/magnoliavane/node/http/OneRequestFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/OneRequestFilter.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.node.http;
 
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -13,19 +14,20 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.NetworkListener;
-import org.glassfish.grizzly.memory.Buffers;
 
 /**
- * Reads on while a request of a connection is in work, so that a close is noticed although nothing is written, and holds
- * back what the caller sends meanwhile. Without it, Grizzly notices a close only when it writes, and it loses a second
- * request that it reads before the first one is answered.
+ * Reads on while a request is in work, so that a close of the connection is noticed although nothing is written, and
+ * drops what the caller sends meanwhile. The connection is closed after the response. Grizzly parses requests that it
+ * reads before the last one is finished on several threads at once and loses some of them, so a connection that was
+ * read from during a request cannot serve another one.
  */
 final class OneRequestFilter extends BaseFilter {
-    /** Enough for the head of a next request; a caller that sends more than this without an answer is cut off. */
-    private static final int MAX_HELD_BYTES = 64 * 1024;
+    /** A caller that sends more than this without waiting for its answer is cut off. */
+    private static final int MAX_DROPPED_BYTES = 64 * 1024;
 
-    private static final Attribute<Gate> GATE =
-            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.gate", Gate::new);
+    /** Number of bytes dropped; absent until the connection is watched. */
+    private static final Attribute<AtomicLong> DROPPED =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.dropped");
 
     /** Adds the filter before the HTTP codec of a listener. */
     static void addTo(NetworkListener listener) {
@@ -33,67 +35,23 @@
                 chain.add(chain.indexOfType(HttpServerFilter.class), new OneRequestFilter()));
     }
 
-    /** Starts to hold bytes back, once the request has been read and its response is suspended. */
-    static void close(Connection<?> connection) throws IOException {
-        GATE.get(connection).close();
+    /** Starts to read on, once a request has been read and its response is suspended. */
+    static void watch(Connection<?> connection) throws IOException {
+        DROPPED.set(connection, new AtomicLong());
         connection.enableIOEvent(IOEvent.READ);
     }
 
-    /** Hands held bytes on, once the response is complete. */
-    static void open(Connection<?> connection) {
-        GATE.get(connection).open();
-    }
-
     @Override
-    public NextAction handleRead(FilterChainContext context) throws IOException {
-        return GATE.get(context.getConnection()).take(context);
-    }
-
-    /** State of one connection. */
-    private static final class Gate {
-        private boolean closed;
-        private FilterChainContext held;
-
-        synchronized void close() {
-            closed = true;
+    public NextAction handleRead(FilterChainContext context) {
+        AtomicLong dropped = DROPPED.get(context.getConnection());
+        if (dropped == null) {
+            return context.getInvokeAction();
         }
-
-        void open() {
-            FilterChainContext next;
-            synchronized (this) {
-                closed = false;
-                next = held;
-                held = null;
-            }
-            if (next != null) {
-                next.resumeNext();
-            }
-        }
-
-        synchronized NextAction take(FilterChainContext context) throws IOException {
-            if (!closed) {
-                return context.getInvokeAction();
-            }
-            if (held == null) {
-                held = context;
-                context.suspend();
-                context.getConnection().enableIOEvent(IOEvent.READ);
-                return context.getSuspendAction();
-            }
-            append(context);
-            return context.getStopAction();
-        }
-
-        private void append(FilterChainContext context) {
-            Buffer more = context.getMessage();
-            byte[] copy = new byte[more.remaining()];
-            more.get(copy);
-            Buffer all = Buffers.appendBuffers(
-                    context.getMemoryManager(), held.getMessage(), Buffers.wrap(context.getMemoryManager(), copy));
-            held.setMessage(all);
-            if (all.remaining() > MAX_HELD_BYTES) {
-                context.getConnection().closeSilently();
-            }
+        Buffer bytes = context.getMessage();
+        if (dropped.addAndGet(bytes.remaining()) > MAX_DROPPED_BYTES) {
+            context.getConnection().closeSilently();
         }
+        bytes.tryDispose();
+        return context.getStopAction();
     }
 }
--- a/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
@@ -145,6 +145,15 @@
         JsonNode decisions = read(operator("/operator/explain/" + id)).path("decisions");
         assertEquals(decisions.findValuesAsText("stage"), java.util.List.of("route", "admit", "place"));
         assertEquals(decisions.get(2).path("chosen").asText(), "p1>d1");
+        String refused = node.call("GET", "/nowhere", "")
+                .headers()
+                .firstValue("Magnoliavane-Request")
+                .orElseThrow();
+        assertEquals(
+                read(operator("/operator/explain/" + refused))
+                        .at("/decisions/0/chosen")
+                        .asText(),
+                "not_found");
         assertEquals(operator("/operator/explain/unknown").statusCode(), 404);
     }
 
