Refuse requests while the node knows no configuration

Cause: before the first configuration a node answered every caller with an unknown bearer key, which tells the caller not to come back, and its limits are not defined.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.config.Configuration;
 import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.dispatch.Json;
 
@@ -34,6 +35,7 @@
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_HEADERS = 64;
     private static final long IDLE_CHECK_MILLIS = 50;
+    private static final long NO_CONFIGURATION_MILLIS = 1000;
     private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
 
     private final CallerParts parts;
@@ -51,6 +53,7 @@
         this.filters = RequestFilter.chain(
                 List.of(
                         this::answerLocal,
+                        CallerServer::requireConfiguration,
                         new IdentifyFilter(),
                         new RouteFilter(chat, plain),
                         new ReadBodyFilter(parts.timers())),
@@ -129,8 +132,7 @@
      * @return completes when the node may exit
      */
     public CompletionStage<Void> awaitDeparture() {
-        return await(
-                () -> departure.isComplete(parts.configuration().get().limits().addressLifetimeSeconds()));
+        return await(() -> departure.isComplete(getAddressLifetimeSeconds()));
     }
 
     @Override
@@ -138,6 +140,11 @@
         server.shutdownNow();
     }
 
+    private long getAddressLifetimeSeconds() {
+        Configuration configuration = parts.configuration().get();
+        return configuration.version() == 0 ? 0 : configuration.limits().addressLifetimeSeconds();
+    }
+
     private CompletionStage<Void> await(BooleanSupplier condition) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         check(condition, done);
@@ -157,7 +164,7 @@
         String path = exchange.getMethod().equals("GET") ? exchange.getPath() : "";
         switch (path) {
             case "/v1/addresses":
-                addresses.answer(exchange);
+                requireConfiguration(exchange, addresses::answer);
                 break;
             case "/healthz":
                 exchange.answer(200, JSON_HEADERS, Json.write(Json.object().put("status", "ok")));
@@ -174,6 +181,19 @@
         }
     }
 
+    /** Refuses what cannot be judged before the node knows a configuration. */
+    private static void requireConfiguration(CallerExchange exchange, Consumer<CallerExchange> next) {
+        if (exchange.getConfiguration().version() > 0) {
+            next.accept(exchange);
+            return;
+        }
+        exchange.refuse(Fault.notRun(
+                        FaultKind.UNAVAILABLE,
+                        "the node knows no configuration yet",
+                        "repeat the request later or at another node; operators: publish a configuration")
+                .withRetryAfterMillis(NO_CONFIGURATION_MILLIS));
+    }
+
     private void answerReady(CallerExchange exchange) {
         String status = departure.isLeaving()
                 ? "leaving"
--- a/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
@@ -123,6 +123,16 @@
         assertEquals(answer.get(1, TimeUnit.SECONDS).statusCode(), 200);
     }
 
+    @Test
+    public void aNodeWithoutAConfigurationRefusesAndIsNotReady() throws Exception {
+        node.version = 0;
+        assertEquals(node.call("GET", "/readyz", "").statusCode(), 503);
+        assertEquals(node.call("GET", "/v1/addresses", "").statusCode(), 503);
+        HttpResponse<String> response = node.chat(body(1, false));
+        assertEquals(response.statusCode(), 503);
+        assertEquals(error(response).path("ran").asText(), "no");
+    }
+
     @Test
     public void metricsComeAsTextAndAsJson() throws Exception {
         node.chat(body(3, false));
--- a/node/src/test/java/org/magnoliavane/node/http/TestNode.java
+++ b/node/src/test/java/org/magnoliavane/node/http/TestNode.java
@@ -68,6 +68,7 @@
     volatile boolean holdPlacements;
     volatile int transferTokensPerSecond = 100_000;
     volatile int maxBodyBytes = 200_000;
+    volatile long version = 7;
 
     private final NodeRun run;
     private final NodeAddress address;
@@ -206,7 +207,7 @@
                 List.of(new Route("POST", "/payments", false, 400)));
         Service ledger = new Service("ledger", ServiceKind.PLAIN, List.of(), false, Optional.empty(), List.of());
         return new Configuration(
-                7,
+                version,
                 Map.of("briefings", briefings, "bookings", bookings, "payments", payments, "ledger", ledger),
                 Map.of("prompt", new PriceClass("prompt", 3, 500, 70, 1000)),
                 "prompt",
