--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -21,6 +21,7 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.config.Configuration;
 import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.dispatch.Json;
 
@@ -131,8 +132,7 @@
      * @return completes when the node may exit
      */
     public CompletionStage<Void> awaitDeparture() {
-        return await(
-                () -> departure.isComplete(parts.configuration().get().limits().addressLifetimeSeconds()));
+        return await(() -> departure.isComplete(getAddressLifetimeSeconds()));
     }
 
     @Override
@@ -140,6 +140,11 @@
         server.shutdownNow();
     }
 
+    private long getAddressLifetimeSeconds() {
+        Configuration configuration = parts.configuration().get();
+        return configuration.version() == 0 ? 0 : configuration.limits().addressLifetimeSeconds();
+    }
+
     private CompletionStage<Void> await(BooleanSupplier condition) {
         CompletableFuture<Void> done = new CompletableFuture<>();
         check(condition, done);
@@ -159,7 +164,7 @@
         String path = exchange.getMethod().equals("GET") ? exchange.getPath() : "";
         switch (path) {
             case "/v1/addresses":
-                addresses.answer(exchange);
+                requireConfiguration(exchange, addresses::answer);
                 break;
             case "/healthz":
                 exchange.answer(200, JSON_HEADERS, Json.write(Json.object().put("status", "ok")));
@@ -195,7 +200,7 @@
                         FaultKind.UNAVAILABLE,
                         message,
                         "send the request to another address, or here after the stated time");
-        exchange.fail(fault.withRetryAfterMillis(NO_CONFIGURATION_RETRY_MILLIS));
+        exchange.refuse(fault.withRetryAfterMillis(NO_CONFIGURATION_RETRY_MILLIS));
     }
 
     private void answerReady(CallerExchange exchange) {
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/ManagedProcess.java
@@ -84,7 +84,7 @@
      *
      * @return the file
      */
-    public Path getOutput() {
+    public Path getOutputFile() {
         return output;
     }
 
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/ProcessFigures.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/ProcessFigures.java
@@ -22,7 +22,7 @@
         return ProcessHandle.of(process.getPid())
                 .flatMap(handle -> handle.info().totalCpuDuration())
                 .map(duration -> duration.toNanos() / 1e9)
-                .orElseThrow(() -> new IllegalStateException(process + " has ended; see " + process.getOutput()));
+                .orElseThrow(() -> new IllegalStateException(process + " has ended; see " + process.getOutputFile()));
     }
 
     /** Gets the resident memory, in MB of 2^20 bytes. */
@@ -38,7 +38,7 @@
 
     /** Gets the least heap after a collection in the output beyond a number of lines, in MB. */
     static OptionalLong findHeapMegabytes(ManagedProcess process, long skippedLines) {
-        return readLines(process.getOutput())
+        return readLines(process.getOutputFile())
                 .skip(skippedLines)
                 .map(HEAP::matcher)
                 .filter(Matcher::find)
@@ -47,7 +47,7 @@
     }
 
     static long countLines(ManagedProcess process) {
-        return readLines(process.getOutput()).count();
+        return readLines(process.getOutputFile()).count();
     }
 
     private static java.util.stream.Stream<String> readLines(Path file) {
