Ask something new with each measured chat, and calculate the target size

Cause: a memory trial at a load average of 43 got 1 of 100 streams. Content that has not been answered once runs one request at a time, which is the rule against poison requests, and every chat had the same content.

Ruled out: memory of the engines (159 of 160 pieces were free) and targets of the class (slack 1.4 s).

Change: each chat asks something new. The idle section counts the bytes that nodes exchange for a chat. Configuration changes come at 25/s, since 36 changes did not stand out from the idle time of the nodes. After all sections the program calculates the figures at the size to build towards.

The figures need an idle machine.

--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Calls.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Calls.java
@@ -6,6 +6,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -26,6 +27,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String QUESTION = "Tide and wind for the morning lesson, with safety notes for beginners";
 
+    private final AtomicLong asked = new AtomicLong();
     private final LocalDeployment deployment;
     private final DeploymentSize size;
 
@@ -61,7 +63,7 @@
                 "max_tokens",
                 tokens,
                 "messages",
-                List.of(Map.of("role", "user", "content", QUESTION)));
+                List.of(Map.of("role", "user", "content", ask())));
         HttpRequest request = withKey(deployment.getEndpoint(node).request("POST", "/v1/chat/completions"))
                 .withBody("application/json", Endpoint.toBytes(body))
                 .withTimeoutMillis(0);
@@ -74,7 +76,7 @@
         String attempt = UUID.randomUUID().toString().replace("-", "") + "-1";
         Endpoint source = deployment.getEndpoint(prefill);
         Map<String, Object> body =
-                Map.of("attempt", attempt, "model", size.models().get(0), "prompt", "user: " + QUESTION, "priority", 5);
+                Map.of("attempt", attempt, "model", size.models().get(0), "prompt", "user: " + ask(), "priority", 5);
         HttpRequest request =
                 source.request("POST", "/v1/prefills").withBody("application/json", Endpoint.toBytes(body));
         return deployment.getClient().send(request).thenCompose(answer -> {
@@ -87,6 +89,11 @@
         });
     }
 
+    /** Asks something new each time, because content that has not yet been answered once runs one request at a time. */
+    private String ask() {
+        return QUESTION + ", group " + asked.incrementAndGet();
+    }
+
     private TimedStream decode(
             Endpoint source,
             String prefill,
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/ConfigurationChanges.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/ConfigurationChanges.java
@@ -20,7 +20,7 @@
  */
 final class ConfigurationChanges {
     private static final double MICROS = 1e6;
-    private static final double CHANGES_PER_SECOND = 8;
+    private static final double CHANGES_PER_SECOND = 25;
 
     private final LocalDeployment deployment;
     private final Report report;
@@ -37,7 +37,7 @@
 
     void measure(int[] callers) {
         report.begin("configuration");
-        changeMany(callers[callers.length - 1], (int) (30 * scale) + 5);
+        changeMany(callers[callers.length - 1], (int) (60 * scale) + 5);
         List<double[]> inputs = new ArrayList<>();
         List<Double> costs = new ArrayList<>();
         for (int count : callers) {
@@ -46,7 +46,7 @@
             Histogram times = timeChanges(count, (int) (16 * scale) + 3);
             report.add(name + "in force at all nodes, median", times.getValueAtPercentile(50) / 1000.0, "ms");
             report.add(name + "in force at all nodes, longest", times.getMaxValue() / 1000.0, "ms");
-            double cost = changeMany(count, (int) (32 * scale) + 4);
+            double cost = changeMany(count, (int) (100 * scale) + 4);
             report.add(name + "processor time of a node for each change", MICROS * cost, "us");
             inputs.add(new double[] {1, kilobytes});
             costs.add(cost);
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Idle.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Idle.java
@@ -39,6 +39,7 @@
     void measure(int[] nodes, int[] workers) {
         report.begin("idle");
         Waiting.sleep((long) (4000 * scale));
+        measurePlacements();
         for (int count : nodes) {
             grow(count);
             observe(workers[0]);
@@ -52,6 +53,18 @@
         fitFigures();
     }
 
+    /** Places chats at a coordinator on another node and counts what the two nodes say to each other. */
+    private void measurePlacements() {
+        String node = calls.getOtherNode();
+        long before = relay.getSent("peer") + relay.getReceived("peer");
+        TimedStream.Times ignored = TimedStream.Times.create();
+        OpenLoop.Outcome outcome = OpenLoop.run(
+                20, 5 * scale + 1, () -> calls.chat(node, 10, ignored).getTokens());
+        double bytes = relay.getSent("peer") + relay.getReceived("peer") - before;
+        report.add("peers: bytes both ways for each chat, heartbeats included", bytes / outcome.calls(), "bytes");
+        report.add("chats without a complete answer, of " + outcome.calls(), outcome.failed(), "calls");
+    }
+
     private void grow(int count) {
         try {
             while (calls.deployment().getNodes().size() < count) {
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Measure.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Measure.java
@@ -76,6 +76,9 @@
         if (wants("idle")) {
             measureIdle();
         }
+        if (arguments.sections.contains("all")) {
+            TargetSize.calculate(report);
+        }
         report.finish();
     }
 
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Report.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Report.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 
 import org.magnoliavane.systemtest.Endpoint;
 
@@ -37,6 +38,14 @@
         }
     }
 
+    /** Finds a figure by its section and name. */
+    OptionalDouble find(String section, String name) {
+        return figures.stream()
+                .filter(f -> f.section().equals(section) && f.name().equals(name))
+                .mapToDouble(Figure::value)
+                .findFirst();
+    }
+
     void finish() {
         if (json) {
             byte[] document = Endpoint.toBytes(Map.of("sections", sections, "figures", figures));
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Throughput.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Throughput.java
@@ -38,7 +38,7 @@
     private void measureChats() {
         String node = calls.getOtherNode();
         TimedStream.Times ignored = TimedStream.Times.create();
-        OpenLoop.run(60, 3 + 6 * scale, () -> calls.chat(node, 40, ignored).getTokens());
+        OpenLoop.run(60, 3 + 10 * scale, () -> calls.chat(node, 40, ignored).getTokens());
         List<double[]> inputs = new ArrayList<>();
         List<Double> nodeSeconds = new ArrayList<>();
         List<double[]> placements = new ArrayList<>();
