Measure numbers of workers in an order without drift

Cause: the fitted processor time of a node for each worker in the VM list was -117 us/s in a run of all sections. The numbers of workers rose with time, and the compiler made the idle nodes faster in the same time.

Ruled out: an error of the fit, whose test with exact observations passes; the single values of a node fall from 5.6% to 3.8% of a core.

Change: nodes idle for 10 s first, and the numbers of workers are 10, 200, 50, 100 and 10 again. Workers can be taken off the VM list for this.

--- a/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/LocalDeployment.java
@@ -206,16 +206,18 @@
     }
 
     /**
-     * Lists backend servers under further ids, at the ports of those that run, until each role has a number of entries.
+     * Lists backend servers of a role under further ids, at the ports of those that run. Ids that were listed before in
+     * this way are taken off the list.
      *
      * @param role the role
-     * @param count the number of entries in the VM list
+     * @param count the number of entries in the VM list; those that run stay listed when it is smaller
      */
     public void listWorkers(String role, int count) {
         synchronized (this) {
             List<String> running = processes.keySet().stream()
                     .filter(id -> id.startsWith(role + "-"))
                     .toList();
+            vms.keySet().removeIf(id -> id.startsWith(role + "-") && !running.contains(id));
             for (int i = running.size(); i < count; i++) {
                 describeWorker(role, role + "-" + (i + 1), running.get(i % running.size()), i);
             }
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Idle.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Idle.java
@@ -31,14 +31,15 @@
     }
 
     /**
-     * Measures with more and more nodes, then with more and more workers.
+     * Measures with more and more nodes, then with each number of workers. The last of these is also the first, so that
+     * the slope for workers is not that of code which the compiler makes faster with time.
      *
      * @param nodes the numbers of nodes, the first of which run already
      * @param workers the numbers of model workers in the VM list, the first of which are listed already
      */
     void measure(int[] nodes, int[] workers) {
         report.begin("idle");
-        Waiting.sleep((long) (4000 * scale));
+        Waiting.sleep((long) (10_000 * scale));
         measurePlacements();
         for (int count : nodes) {
             grow(count);
--- a/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Measure.java
+++ b/systemtests/src/main/java/org/magnoliavane/systemtest/measure/Measure.java
@@ -129,7 +129,7 @@
                 LocalDeployment deployment =
                         start(size, DeploymentOptions.of(size).withPorts(relay::toPort), openLauncher("idle"))) {
             int[] nodes = arguments.quick ? new int[] {2, 4} : new int[] {2, 4, 6, 8};
-            int[] workers = arguments.quick ? new int[] {10, 100} : new int[] {10, 50, 100, 200};
+            int[] workers = arguments.quick ? new int[] {10, 100, 10} : new int[] {10, 200, 50, 100, 10};
             new Idle(new Calls(deployment), relay, report, scale).measure(nodes, workers);
         }
     }
