--- a/bench/src/main/java/org/magnoliavane/bench/Main.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Main.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.bench;
 
+import java.io.File;
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
@@ -51,19 +52,26 @@
                 arguments.faults);
         OUT.println("policy          load seed offered  good bound ratio wasted% refused  price jain  past mem lapse"
                 + " end held  pre  mem  p50us  p99us");
+        Plots plots = new Plots();
         for (double load : loads(arguments.load)) {
             for (long seed = arguments.seed; seed < arguments.seed + arguments.seeds; seed++) {
                 List<Job> jobs = Workload.draw(deployment, load, seed, seconds);
                 double bound = GoodputBound.of(deployment, jobs);
+                plots.addGoodput("bound", load, bound / seconds);
                 for (Policy policy : policies(arguments)) {
                     RunResult result = new Simulation(deployment, policy, jobs, seed, seconds, arguments.faults).run();
                     line(policy, load, seed, bound, result);
+                    plots.addGoodput(policy.name(), load, (double) result.good() / seconds);
+                    plots.addWasted(policy.name(), load, 100 * result.wastedShare());
                     if (arguments.classes) {
                         classLines(deployment, result);
                     }
                 }
             }
         }
+        if (arguments.plots != null) {
+            plots.write(new File(arguments.plots), deployment.name());
+        }
     }
 
     private static void line(Policy policy, double load, long seed, double bound, RunResult result) {
--- a/bench/src/main/java/org/magnoliavane/bench/Workload.java
+++ b/bench/src/main/java/org/magnoliavane/bench/Workload.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.magnoliavane.config.PriceClass;
 
@@ -10,6 +12,7 @@
  * Draws the requests of a run. The same arguments give the same requests.
  */
 final class Workload {
+    private static final Map<String, Double> CAPACITIES = new ConcurrentHashMap<>();
     private static final int SAMPLE = 20_000;
     private static final long SAMPLE_SEED = 1;
     private static final double ON_FACTOR = 1.6;
@@ -36,6 +39,10 @@
      * every shared prefix cached and decode memory full.
      */
     static double capacityPerSecond(Deployment deployment) {
+        return CAPACITIES.computeIfAbsent(deployment.name(), name -> computeCapacity(deployment));
+    }
+
+    private static double computeCapacity(Deployment deployment) {
         Workload sample = new Workload(deployment, SAMPLE_SEED);
         double prefill = 0;
         double decode = 0;
--- a/core/src/main/java/org/magnoliavane/pool/PrefillState.java
+++ b/core/src/main/java/org/magnoliavane/pool/PrefillState.java
@@ -44,6 +44,11 @@
         return Math.max(now, overdue ? headStartMicros + head.longestPrefillMicros : expected);
     }
 
+    /** Says whether a prefill that was sent is expected to find a part of its prompt in the cache. */
+    boolean reliesOnHint() {
+        return sent.stream().anyMatch(each -> each.prefillMicros < each.longestPrefillMicros);
+    }
+
     void add(StartedAttempt attempt, long startMicros) {
         if (sent.isEmpty()) {
             headStartMicros = startMicros;
--- a/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
+++ b/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
@@ -271,7 +271,7 @@
         int pieces = model.piecesToReserve(request);
         long hold = prefill + transfer + decode;
         double decodeCost = model.decodeCost(request, pieces, prefill + transfer) / Math.max(1, decodes.size());
-        double prefillCost = (double) prefill / Math.max(1, prefills.size());
+        double prefillCost = (double) leastPrefillMicros(request, now) / Math.max(1, prefills.size());
         return new QueuedRequest(request, sequence++, now, due, latest, prefill, hold, pieces, prefillCost, decodeCost);
     }
 
@@ -387,7 +387,7 @@
                 continue;
             }
             long free = each.freeMicros(now);
-            ready |= free - now <= tuning.leadMicros();
+            ready |= isReady(each, free, now);
             long done = free + prefillMicros(entry.request(), each, now) + zonePenalty(entry, each.worker);
             if (done < bestDone) {
                 bestDone = done;
@@ -397,7 +397,7 @@
         if (!ready) {
             return false;
         }
-        if (best.freeMicros(now) - now > tuning.leadMicros()) {
+        if (!isReady(best, best.freeMicros(now), now)) {
             return true;
         }
         DecodeState decode = chooseDecode(entry, best, bestDone, now);
@@ -407,11 +407,24 @@
         return true;
     }
 
+    /** Says whether the worker is free soon; one whose prefill relies on a cache hint may take longer than expected. */
+    private boolean isReady(PrefillState prefill, long free, long now) {
+        return free - now <= tuning.leadMicros() && (prefill.sent.isEmpty() || !prefill.reliesOnHint());
+    }
+
     private long prefillMicros(PlacementRequest request, PrefillState prefill, long now) {
         int cached = hints.cachedPieces(prefill.worker.id(), request.prefixHashes(), now) * model.pieceTokens();
         return model.prefillMicros(Math.max(0, request.promptTokens() - cached));
     }
 
+    private long leastPrefillMicros(PlacementRequest request, long now) {
+        long least = model.prefillMicros(request.promptTokens());
+        for (PrefillState each : prefills.values()) {
+            least = Math.min(least, prefillMicros(request, each, now));
+        }
+        return least;
+    }
+
     private static long zonePenalty(QueuedRequest entry, PoolWorker worker) {
         return worker.zone().equals(entry.request().zone()) ? 0 : 2_000;
     }
@@ -425,7 +438,7 @@
                 continue;
             }
             long begin = Math.max(prefillDone, Math.max(prefill.linkFreeMicros, each.linkFreeMicros));
-            if (begin - prefillDone > model.lifetimeMicros() / 2) {
+            if (begin - prefillDone > model.longestLinkWaitMicros()) {
                 continue;
             }
             int streams = each.streams() + 1;
--- a/core/src/main/java/org/magnoliavane/pool/WorkModel.java
+++ b/core/src/main/java/org/magnoliavane/pool/WorkModel.java
@@ -10,6 +10,9 @@
 final class WorkModel {
     private static final long MICROS = 1_000_000L;
 
+    private static final double LINK_WAIT_SHARE = 0.75;
+    private static final double MARGIN_PER_WEIGHT = 0.1;
+
     private final ModelSettings settings;
     private final SchedulerTuning tuning;
 
@@ -34,8 +37,10 @@
         return tokens * MICROS / settings.transferTokensPerSecond();
     }
 
-    long lifetimeMicros() {
-        return settings.prefillLifetimeMillis() * 1000;
+    /** Gets the longest estimated wait for a link; the rest of the lifetime covers what the estimate misses. */
+    long longestLinkWaitMicros() {
+        double share = LINK_WAIT_SHARE * (1 - settings.wastedPrefillWeight() / 2);
+        return (long) (settings.prefillLifetimeMillis() * 1000 * share);
     }
 
     long stepMicros(int streams) {
@@ -60,9 +65,16 @@
         return Math.max(1, (tokens + settings.pieceTokens() - 1) / settings.pieceTokens());
     }
 
-    /** Gets the pieces to reserve, which never exceed what the longest possible answer needs. */
+    /** Gets the output margin; where waste weighs more, fewer answers outgrow their memory and take it from transfers. */
+    private double outputMargin() {
+        return tuning.outputMargin() * (1 + MARGIN_PER_WEIGHT * settings.wastedPrefillWeight());
+    }
+
+    /** Gets the pieces to reserve; the margin exceeds neither the longest possible answer nor a whole worker. */
     int piecesToReserve(PlacementRequest request) {
-        int output = (int) Math.min(request.maxOutputTokens(), request.expectedOutputTokens() * tuning.outputMargin());
-        return pieces(request.promptTokens() + Math.max(1, output));
+        int output = (int) Math.min(request.maxOutputTokens(), request.expectedOutputTokens() * outputMargin());
+        int wanted = pieces(request.promptTokens() + Math.max(1, output));
+        int least = pieces(request.promptTokens() + request.expectedOutputTokens());
+        return Math.min(wanted, Math.max(least, settings.decodePieces()));
     }
 }
