Know an empty stream of claims at once

Cause: the first read of the stream claims was a long poll of 5 s. On an empty stream a node did not know until its end that it knew all claims, so that in a log outage within 5 s after the start it answered keys without run token with ran unknown in place of ran no. Ruled out: a lost run (none was lost), a node that did not promise (all three were up and answered), an append with unknown outcome (status 503 is certain). Change: reads do not wait until one has reached the end of the stream.

--- a/node/src/main/java/org/magnoliavane/node/keyed/ClaimStream.java
+++ b/node/src/main/java/org/magnoliavane/node/keyed/ClaimStream.java
@@ -138,14 +138,17 @@
 
     private void read() {
         long from;
+        long wait;
         synchronized (this) {
             if (stopped) {
                 return;
             }
             from = next;
+            // An empty stream answers a long poll only at its end; until then this node could refuse no key as not run.
+            wait = syncedMillis.isPresent() ? POLL_MILLIS : 0;
         }
         long startMillis = timers.nowMillis();
-        log.read(STREAM, from, PAGE, POLL_MILLIS).whenComplete((page, cause) -> {
+        log.read(STREAM, from, PAGE, wait).whenComplete((page, cause) -> {
             if (cause != null) {
                 timers.after(RETRY_MILLIS, this::read);
                 return;
