--- a/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
@@ -125,7 +125,7 @@
 
     @Test
     public void aNodeWithoutAConfigurationRefusesAndIsNotReady() throws Exception {
-        node.version = 0;
+        node.hasConfiguration = false;
         assertEquals(node.call("GET", "/readyz", "").statusCode(), 503);
         assertEquals(node.call("GET", "/v1/addresses", "").statusCode(), 503);
         HttpResponse<String> response = node.chat(body(1, false));
@@ -133,6 +133,19 @@
         assertEquals(error(response).path("ran").asText(), "no");
     }
 
+    /** Guards against a restarted node that takes a known caller for unknown, or a key that has run for not run. */
+    @Test
+    public void aNodeWithoutConfigurationSendsCallersElsewhere() throws Exception {
+        node.hasConfiguration = false;
+        HttpResponse<String> keyed = node.call("POST", "/bookings", "{}", "Idempotency-Key", "k");
+        assertEquals(keyed.statusCode(), 503);
+        assertEquals(read(keyed).path("error").path("ran").asText(), "unknown");
+        assertEquals(keyed.headers().firstValue("Retry-After").orElse(""), "1");
+        HttpResponse<String> lookup = node.call("GET", "/schedule", "");
+        assertEquals(lookup.statusCode(), 503);
+        assertEquals(read(lookup).path("error").path("ran").asText(), "no");
+    }
+
     @Test
     public void metricsComeAsTextAndAsJson() throws Exception {
         node.chat(body(3, false));
--- a/node/src/test/java/org/magnoliavane/node/http/TestNode.java
+++ b/node/src/test/java/org/magnoliavane/node/http/TestNode.java
@@ -68,7 +68,7 @@
     volatile boolean holdPlacements;
     volatile int transferTokensPerSecond = 100_000;
     volatile int maxBodyBytes = 200_000;
-    volatile long version = 7;
+    volatile boolean hasConfiguration = true;
 
     private final NodeRun run;
     private final NodeAddress address;
@@ -187,6 +187,9 @@
     }
 
     private Configuration configuration() {
+        if (!hasConfiguration) {
+            return Configuration.empty();
+        }
         ModelSettings model = new ModelSettings(
                 List.of("tide-1"), 2048, 20, 100_000, 20, transferTokensPerSecond, 800, 64, 6000, 0.5);
         Service briefings =
@@ -207,7 +210,7 @@
                 List.of(new Route("POST", "/payments", false, 400)));
         Service ledger = new Service("ledger", ServiceKind.PLAIN, List.of(), false, Optional.empty(), List.of());
         return new Configuration(
-                version,
+                7,
                 Map.of("briefings", briefings, "bookings", bookings, "payments", payments, "ledger", ledger),
                 Map.of("prompt", new PriceClass("prompt", 3, 500, 70, 1000)),
                 "prompt",
