--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /** Guards against a request that takes down one worker after the other while its caller sends it again and again. */
@@ -86,6 +87,7 @@
             StreamsDeployment.assertWhole(innocents.get(i), chats.get(i));
         }
         streams.awaitNoMemory(8_000);
+        assertEquals(alive - countWorkers(), lost, "a worker was lost after the final refusal");
     }
 
     private long countWorkers() {
