Keep the suspicion of a crash when the coordinator dies with the worker

Cause: only the coordinator knew which requests were in work on a worker that crashed. When the coordinator died within the same moment, its successor placed the second attempt of a poison request like any other, which cost a second worker before the content ran alone on a third.

Ruled out: a lost or late verdict of a live coordinator. Isolating every retry is too much: retries after timeouts and refused memory would run one by one.

Change: the node that drives an attempt asks for the retry to run alone when the worker closed the connection in the middle of a prefill, or refuses connections after it had accepted the decode. A coordinator takes such a request as a suspicion of its content. New test: the coordinator is killed at the first crash while the caller goes on at other nodes. The stream tests keep their files in the target directory.

Conclusion: at most two workers are lost as long as the node of the caller survives. When the caller's node is the coordinator and dies too, nobody remembers the first crash; this is not covered.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -84,6 +85,8 @@
         CANCELLED,
         /** Nothing was sent, because the worker refused the connection. */
         NOT_SENT,
+        /** The worker refuses connections after it had accepted the attempt: it has crashed. */
+        CRASH,
         /** The worker failed. */
         WORKER
     }
@@ -136,7 +139,7 @@
         if (cause instanceof ConnectException && !lost.replacement) {
             fail(Failure.NOT_SENT, cause.getMessage());
         } else if (lost.replacement && !lost.proven) {
-            fail(Failure.WORKER, cause.getMessage());
+            fail(toFailure(cause), cause.getMessage());
         } else {
             engines.describe(worker, attempt)
                     .whenComplete((found, failure) -> serial.execute(() -> reconnect(found, failure)));
@@ -148,7 +151,7 @@
             return;
         }
         if (failure != null) {
-            fail(Failure.WORKER, failure.getMessage());
+            fail(toFailure(failure), failure.getMessage());
         } else if (found.isEmpty()) {
             fail(Failure.WORKER, "the engine no longer knows the attempt");
         } else if (!engines.isSelf(found.get())) {
@@ -213,6 +216,11 @@
                 completion);
     }
 
+    private static Failure toFailure(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof ConnectException ? Failure.CRASH : Failure.WORKER;
+    }
+
     private static Failure toFailure(String kind) {
         switch (kind) {
             case "prefill_lapsed":
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.node.dispatch;
 
+import java.io.IOException;
 import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -67,6 +69,10 @@
     private int cachedTokens;
     private boolean imported;
     private boolean mayHaveRun;
+
+    /** True when a worker crashed under this request; the coordinator that saw the crash may be lost before the retry. */
+    private boolean suspect;
+
     private int resumedFrom;
     private ScheduledFuture<?> stepTimer;
     private ScheduledFuture<?> deadlineTimer;
@@ -202,7 +208,7 @@
                 call.getLeftMillis(call.priceClass().ttftMillis()),
                 call.priceClass().tbtMillis(),
                 call.getLeftMillis(call.priceClass().maxWaitMillis()),
-                false);
+                suspect);
     }
 
     private void giveUpPlacement() {
@@ -258,6 +264,7 @@
         prefill = null;
         Throwable failure = cause instanceof CompletionException ? cause.getCause() : cause;
         mayHaveRun |= !(failure instanceof ConnectException);
+        suspect |= isCutOff(failure);
         String what = "prefill worker " + placement.prefillWorker().id() + " ";
         if (failure != null) {
             retry(AttemptPhase.PREFILL_FAILED, what + "failed: " + failure.getMessage());
@@ -275,6 +282,13 @@
         startDecode(placement, id);
     }
 
+    /** Says whether the worker closed the connection instead of an answer, as a process that dies does. */
+    private static boolean isCutOff(Throwable failure) {
+        return failure instanceof IOException
+                && !(failure instanceof ConnectException)
+                && !(failure instanceof SocketTimeoutException);
+    }
+
     private void startDecode(Placement placement, String prefillId) {
         BackendServer worker = placement.decodeWorker();
         decodeWorker = Optional.of(worker);
@@ -351,6 +365,7 @@
 
     private void takeFailure(DecodeStream.Failure failure, BackendServer worker, String message) {
         String what = "decode worker " + worker.id() + ": " + message;
+        suspect |= failure == DecodeStream.Failure.CRASH;
         switch (failure) {
             case MEMORY:
                 retry(imported ? AttemptPhase.DECODE_FAILED : AttemptPhase.MEMORY_REFUSED, what);
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -100,6 +100,10 @@
     void place(PlacementRequest request, NodeRun run, PlacementListener listener, long now) {
         PoolAttempt known = attempts.get(request.attempt());
         if (known == null) {
+            if (request.isolated() && request.contentHash() != 0) {
+                // The coordinator that saw the crash may be gone, and its suspicion with it.
+                poison.crashed(Set.of(request.contentHash()), Optional.empty());
+            }
             add(new PoolAttempt(request, run, listener, now));
             decide(now);
             return;
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/EngineMemoryTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/EngineMemoryTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 
-import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.systemtest.ChatStream;
 import org.magnoliavane.systemtest.LocalDeployment;
 import org.magnoliavane.systemtest.streams.StreamsDeployment.Chat;
@@ -84,7 +83,7 @@
 
     @Test(dependsOnMethods = "callersClosedInDecodeLeaveNoMemory", alwaysRun = true)
     public void callersLostWithTheCoordinatorLeaveNoMemory() throws IOException {
-        loseNodeWithItsCallers(getCoordinator());
+        loseNodeWithItsCallers(streams.getCoordinator());
     }
 
     @Test(dependsOnMethods = "callersLostWithTheCoordinatorLeaveNoMemory", alwaysRun = true)
@@ -136,13 +135,8 @@
         return callers;
     }
 
-    private String getCoordinator() {
-        String pool = "pool/" + streams.get().getSize().modelService();
-        return Rendezvous.first(pool, streams.get().getNodes(), node -> node).orElseThrow();
-    }
-
     private String getOther() {
-        String coordinator = getCoordinator();
+        String coordinator = streams.getCoordinator();
         return streams.get().getNodes().stream()
                 .filter(node -> !node.equals(coordinator))
                 .findFirst()
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
@@ -47,6 +47,65 @@
         sendPoison("poison-prefill", "prefill", NODES);
     }
 
+    /**
+     * Guards against suspicions that die with the coordinator: it is killed when the first worker crashes, and the caller
+     * goes on.
+     */
+    @Test(
+            dependsOnMethods = "contentThatCrashesPrefillsIsRefusedAfterTwoWorkersThoughThreeCopiesAreSentAtOnce",
+            alwaysRun = true)
+    public void contentIsRefusedAfterTwoWorkersThoughTheCoordinatorDiesAtTheFirstCrash() throws IOException {
+        replaceLostWorkers();
+        String coordinator = streams.getCoordinator();
+        List<String> others = streams.get().getNodes().stream()
+                .filter(n -> !n.equals(coordinator))
+                .toList();
+        setMarker("poison-both", "decode");
+        long alive = countWorkers();
+        Chat poison = Chat.of("lesson poison-both", "0000f002", 20).withClass("patient");
+        ChatStream first = streams.send(others.get(0), poison);
+        StreamsDeployment.awaitTrue("a worker crashes", 5_000, this::isWorkerDead);
+        streams.get().killNode(coordinator);
+        List<String> errors = new ArrayList<>();
+        errors.add(awaitError(first));
+        for (int i = 1; i < SENDS; i++) {
+            errors.add(awaitError(streams.send(others.get(i % others.size()), poison)));
+        }
+        long lost = alive - countWorkers();
+        System.out.println("poison while the coordinator dies: " + lost + " workers lost, errors " + errors);
+        streams.get().restartNode(coordinator);
+        assertTrue(lost <= MAX_LOST, lost + " workers lost");
+        assertTrue(errors.get(errors.size() - 1).contains("\"poison\""), errors.toString());
+    }
+
+    private boolean isWorkerDead() {
+        return Stream.of("prefill", "decode")
+                .flatMap(role -> streams.get().getWorkers(role).stream())
+                .anyMatch(w -> !streams.get().getProcess(w).isAlive());
+    }
+
+    private void replaceLostWorkers() throws IOException {
+        for (String role : List.of("prefill", "decode")) {
+            for (String worker : streams.get().getWorkers(role)) {
+                if (!streams.get().getProcess(worker).isAlive()) {
+                    streams.get().replaceWorker(worker);
+                }
+            }
+        }
+    }
+
+    private static String awaitError(ChatStream stream) {
+        assertTrue(stream.awaitEnd(40_000), "the poison request has no end");
+        assertTrue(!stream.isDone(), "the poison request has an answer");
+        return stream.getStatus() + " " + stream.findError().orElse("none");
+    }
+
+    private void setMarker(String marker, String phase) {
+        Stream.concat(streams.workers("prefill"), streams.workers("decode"))
+                .forEach(w ->
+                        streams.get().getEndpoint(w).control(Map.of("crash_marker", marker, "crash_phase", phase)));
+    }
+
     private void sendPoison(String marker, String phase, int copies) {
         long alive = countWorkers();
         Stream.concat(streams.workers("prefill"), streams.workers("decode"))
@@ -70,9 +129,7 @@
                 sent.add(streams.send("entry-" + (1 + (round + i) % NODES), poison));
             }
             for (ChatStream stream : sent) {
-                assertTrue(stream.awaitEnd(40_000), "the poison request has no end");
-                assertTrue(!stream.isDone(), "the poison request has an answer");
-                errors.add(stream.getStatus() + " " + stream.findError().orElse("none"));
+                errors.add(awaitError(stream));
             }
         }
         long lost = alive - countWorkers();
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
@@ -14,6 +14,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.systemtest.ChatStream;
 import org.magnoliavane.systemtest.DeploymentSize;
 import org.magnoliavane.systemtest.Launcher;
@@ -41,7 +42,7 @@
 
     static StreamsDeployment start(int nodes, int prefillWorkers, int decodeWorkers) throws IOException {
         DeploymentSize size = DeploymentSize.wellenbund().withProcesses(nodes, prefillWorkers, decodeWorkers, 1);
-        Path directory = Files.createTempDirectory("magnoliavane-streams");
+        Path directory = Files.createTempDirectory(Path.of("target"), "streams");
         return new StreamsDeployment(LocalDeployment.start(size, Launcher.of(Path.of(".."), directory)));
     }
 
@@ -69,7 +70,7 @@
 
     /** Publishes the example with one line of its text replaced, and waits until it is in force at every node. */
     void publish(String line, String replacement, long version) throws IOException {
-        Path file = Files.createTempFile("magnoliavane-streams", ".toml");
+        Path file = Files.createTempFile(Path.of("target"), "streams", ".toml");
         String text = Files.readString(deployment.getSize().getConfigurationFile());
         assertTrue(text.contains(line), "the example has no line '" + line + "'");
         Files.writeString(file, text.replace(line, replacement));
@@ -136,6 +137,12 @@
                 .findFirst();
     }
 
+    /** Gets the node that coordinates the pool of the model service while all nodes are up. */
+    String getCoordinator() {
+        String pool = "pool/" + deployment.getSize().modelService();
+        return Rendezvous.first(pool, deployment.getNodes(), node -> node).orElseThrow();
+    }
+
     JsonNode getCounters(String worker) {
         try {
             return deployment.getEndpoint(worker).get("/control/counters");
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/TakeoverTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/TakeoverTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 
 import org.magnoliavane.http.HttpRequest;
-import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.systemtest.ChatStream;
 import org.magnoliavane.systemtest.streams.StreamsDeployment.Chat;
 import org.testng.annotations.AfterSuite;
@@ -84,9 +83,7 @@
 
     @Test
     public void pausedNodeDisturbsNothingAfterItsStreamsWereResumedElsewhere() {
-        String pool = "pool/" + streams.get().getSize().modelService();
-        String paused =
-                Rendezvous.first(pool, streams.get().getNodes(), node -> node).orElseThrow();
+        String paused = streams.getCoordinator();
         List<String> others =
                 streams.get().getNodes().stream().filter(n -> !n.equals(paused)).toList();
         List<Chat> chats = new ArrayList<>();
