Hold requests until a new coordinator has read the VM list

Cause: a restarted node is ready as soon as it has a configuration, and is coordinator of a pool from then on. Requests that arrive before its first read of the VM list were refused with "the pool has no worker of a role workers=0x0", although the workers were up.

Ruled out: workers counted as down; the refusal came 0.1 s after the node had begun to serve, and its pool had no server at all. Readiness alone is not enough, since peers choose the coordinator without asking for it.

Change: in the first 2 s of a node a pool without any server holds its requests instead of offering them to the scheduler. The bounds on waiting still hold.

Conclusion: the refusal can no longer come from a list that was not read. A request that waits past its bound in these 2 s still gets the message about the same content being in work.

--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -36,6 +36,9 @@
     /** Bounds the time for which a node may be out of reach before what it drives is given up. */
     static final long NODE_GRACE_MICROS = 5_000_000;
 
+    /** Time after the start of the clock, which starts with the node, for which an empty pool is one not yet read. */
+    private static final long FIRST_LIST_MICROS = 2_000_000;
+
     /** A transfer that fails earlier than this met a lapsed prefill or a dead worker and not a stalled link. */
     private static final long STALL_MICROS = 1_000_000;
 
@@ -356,7 +359,9 @@
     }
 
     private void releaseHeld(long now) {
-        if (!held.isEmpty()) {
+        // Peers may choose a node as coordinator before it has read the VM list for the first time.
+        boolean unread = servers.isEmpty() && now < FIRST_LIST_MICROS;
+        if (!held.isEmpty() && !unread) {
             new ArrayList<>(held.values()).forEach(attempt -> release(attempt, now));
         }
     }
