--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/StreamsDeployment.java
@@ -14,10 +14,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.systemtest.ChatStream;
 import org.magnoliavane.systemtest.DeploymentSize;
 import org.magnoliavane.systemtest.Launcher;
 import org.magnoliavane.systemtest.LocalDeployment;
+import org.magnoliavane.systemtest.ManagedProcess;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -28,6 +30,9 @@
     static final String MODEL = "tide-briefing";
 
     private static final long POLL_MILLIS = 20;
+    private static final long END_MILLIS = 2_000;
+
+    private static StreamsDeployment shared;
 
     private final LocalDeployment deployment;
 
@@ -37,17 +42,35 @@
 
     static StreamsDeployment start(int nodes, int prefillWorkers, int decodeWorkers) throws IOException {
         DeploymentSize size = DeploymentSize.wellenbund().withProcesses(nodes, prefillWorkers, decodeWorkers, 1);
-        Path directory = Files.createTempDirectory("magnoliavane-streams");
+        Path directory = Files.createTempDirectory(Path.of("target"), "streams");
         return new StreamsDeployment(LocalDeployment.start(size, Launcher.of(Path.of(".."), directory)));
     }
 
+    /**
+     * Starts or gets the deployment of the classes that leave nodes and workers as many as they were. It saves the time
+     * of several starts.
+     */
+    static synchronized StreamsDeployment share() throws IOException {
+        if (shared == null) {
+            shared = start(3, 2, 3);
+        }
+        return shared;
+    }
+
+    static synchronized void closeShared() {
+        if (shared != null) {
+            shared.close();
+            shared = null;
+        }
+    }
+
     LocalDeployment get() {
         return deployment;
     }
 
     /** Publishes the example with one line of its text replaced, and waits until it is in force at every node. */
     void publish(String line, String replacement, long version) throws IOException {
-        Path file = Files.createTempFile("magnoliavane-streams", ".toml");
+        Path file = Files.createTempFile(Path.of("target"), "streams", ".toml");
         String text = Files.readString(deployment.getSize().getConfigurationFile());
         assertTrue(text.contains(line), "the example has no line '" + line + "'");
         Files.writeString(file, text.replace(line, replacement));
@@ -114,6 +137,12 @@
                 .findFirst();
     }
 
+    /** Gets the node that coordinates the pool of the model service while all nodes are up. */
+    String getCoordinator() {
+        String pool = "pool/" + deployment.getSize().modelService();
+        return Rendezvous.first(pool, deployment.getNodes(), node -> node).orElseThrow();
+    }
+
     JsonNode getCounters(String worker) {
         try {
             return deployment.getEndpoint(worker).get("/control/counters");
@@ -169,8 +198,22 @@
 
     /** The workers of a role that run; a killed one has no memory any more. */
     Stream<String> workers(String role) {
-        return deployment.getWorkers(role).stream()
-                .filter(w -> deployment.getProcess(w).isAlive());
+        return deployment.getWorkers(role).stream().filter(this::isUp);
+    }
+
+    /** A worker that refuses connections is about to end, although its process may count as alive for a moment. */
+    private boolean isUp(String worker) {
+        ManagedProcess process = deployment.getProcess(worker);
+        if (!process.isAlive()) {
+            return false;
+        }
+        try {
+            deployment.getEndpoint(worker).get("/control/counters");
+            return true;
+        } catch (IOException e) {
+            assertTrue(process.awaitEnd(END_MILLIS).isPresent(), worker + " runs and does not answer: " + e);
+            return false;
+        }
     }
 
     @Override
--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/TakeoverTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/TakeoverTest.java
@@ -5,10 +5,9 @@
 import java.util.List;
 
 import org.magnoliavane.http.HttpRequest;
-import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.systemtest.ChatStream;
 import org.magnoliavane.systemtest.streams.StreamsDeployment.Chat;
-import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterSuite;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 
@@ -26,14 +25,12 @@
 
     @BeforeClass
     public void start() throws IOException {
-        streams = StreamsDeployment.start(3, 1, 2);
+        streams = StreamsDeployment.share();
     }
 
-    @AfterClass(alwaysRun = true)
+    @AfterSuite(alwaysRun = true)
     public void close() {
-        if (streams != null) {
-            streams.close();
-        }
+        StreamsDeployment.closeShared();
     }
 
     @Test
@@ -86,9 +83,7 @@
 
     @Test
     public void pausedNodeDisturbsNothingAfterItsStreamsWereResumedElsewhere() {
-        String pool = "pool/" + streams.get().getSize().modelService();
-        String paused =
-                Rendezvous.first(pool, streams.get().getNodes(), node -> node).orElseThrow();
+        String paused = streams.getCoordinator();
         List<String> others =
                 streams.get().getNodes().stream().filter(n -> !n.equals(paused)).toList();
         List<Chat> chats = new ArrayList<>();
