Let copies of new content start at the first token of the first copy

Cause: copies of content that was never answered waited for the whole first answer. Ruled out: no wait at all, because one poison request sent to six nodes at once would take down a worker for each copy; a fixed number of copies, which still refuses most of a burst while the first answer runs. Change: a copy waits only for the first token of the copy in work.

--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -193,6 +193,9 @@
             return List.of();
         }
         known.progress = report;
+        if (report.outputTokens() > 0 && !known.isolated) {
+            uncount(known);
+        }
         if (report.phase() == AttemptPhase.PREFILLED) {
             known.prefilledMicros = now;
         }
@@ -373,8 +376,8 @@
             refuse(attempt, FaultKind.POISON, "the content crashed a worker that it had to itself");
             return;
         }
-        // One copy at a time until the content has been answered once: copies that run side by side could crash more
-        // workers than the two that a conviction costs.
+        // Copies wait for the first token of the first one: copies that run side by side could crash more workers than
+        // the two that a conviction costs. Waiting for the whole answer would refuse urgent callers who ask the same.
         boolean alone = content != 0 && !poison.isProven(content);
         if (tested.containsKey(content) || alone && inWork.containsKey(content)) {
             return;
@@ -456,7 +459,7 @@
     private PoolAttempt remove(String id) {
         PoolAttempt attempt = attempts.remove(id);
         held.remove(id);
-        if (attempt != null && attempt.isInWork()) {
+        if (attempt != null) {
             uncount(attempt);
         }
         return attempt;
@@ -469,12 +472,18 @@
             uncount(attempt);
             held.put(attempt.getId(), attempt);
         } else if (!before && attempt.isInWork()) {
+            attempt.counted = true;
             inWork.merge(attempt.request.contentHash(), 1, Integer::sum);
             held.remove(attempt.getId());
         }
     }
 
+    /** Lets copies of the content start, as far as this attempt is concerned. */
     private void uncount(PoolAttempt attempt) {
+        if (!attempt.counted) {
+            return;
+        }
+        attempt.counted = false;
         inWork.computeIfPresent(attempt.request.contentHash(), (key, count) -> count > 1 ? count - 1 : null);
     }
 
--- a/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PoolAttempt.java
@@ -31,6 +31,9 @@
     State state = State.HELD;
     boolean isolated;
 
+    /** True while copies of its content wait for it. */
+    boolean counted;
+
     /** True when its node was lost: the engines may go on with it. */
     boolean lost;
 
--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -94,6 +94,18 @@
         assertEquals(before.attempt(), "started-1");
     }
 
+    /** Guards against refusing most of many callers who ask the same new question at once. */
+    @Test
+    public void copiesOfNewContentStartAtTheFirstTokenOfTheFirst() throws Exception {
+        nodes.get(0).place("first-1", 42).get();
+        CompletableFuture<Either<Fault, Placement>> copy = nodes.get(1).send("copy-1", 42);
+        nodes.get(0).advance("first-1", 2);
+        Thread.sleep(150);
+        assertFalse(copy.isDone());
+        nodes.get(0).service.report(new AttemptProgress("first-1", AttemptPhase.DECODING, 1, 0));
+        assertTrue(copy.get(3, TimeUnit.SECONDS).isRight());
+    }
+
     @Test
     public void aRequestThatNoCoordinatorAnswersIsRefusedWithATimeToComeBack() throws Exception {
         for (int i = 0; i < 4; i++) {
