--- a/systemtests/src/test/java/org/magnoliavane/systemtest/configuration/ConfigurationTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/configuration/ConfigurationTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.magnoliavane.systemtest.DeploymentSize;
 import org.magnoliavane.systemtest.Launcher;
@@ -20,10 +21,12 @@
 
 /** Guards against versions that are late, that differ between nodes, or that revert. */
 public class ConfigurationTest {
+    private static final System.Logger LOG = System.getLogger(ConfigurationTest.class.getName());
     private static final Path ROOT = Files.isDirectory(Path.of("examples")) ? Path.of("") : Path.of("..");
     private static final long IN_FORCE_MILLIS = 3000;
     private static final long COMMAND_MILLIS = 30_000;
     private static final int CONFLICT = 4;
+    private static final int ROUNDS = 20;
 
     private LocalDeployment deployment;
     private Operators operators;
@@ -52,6 +55,22 @@
         deployment.getEndpoint("log").control(Map.of("outage", false, "slow_millis", 0));
     }
 
+    @Test
+    public void everyVersionIsInForceEverywhereWithinThreeSecondsOfItsRecord() throws Exception {
+        long base = current();
+        long slowest = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+            long start = System.nanoTime();
+            operators.appendVersions(base + i, 1);
+            assertInForce(base + i + 1);
+            slowest = Math.max(slowest, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start));
+            // Falls into different moments of the polls of the nodes.
+            Thread.sleep(17 * i);
+        }
+        assertTrue(slowest <= IN_FORCE_MILLIS, slowest + " ms");
+        LOG.log(System.Logger.Level.INFO, "{0} versions, the slowest everywhere in {1} ms", ROUNDS, slowest);
+    }
+
     @Test
     public void ofTwoOperatorsThatRaceOneWinsAndTheOtherIsToldWhoWon() throws Exception {
         long base = current();
