--- a/emulators/src/main/java/org/magnoliavane/emulator/http/Timers.java
+++ b/emulators/src/main/java/org/magnoliavane/emulator/http/Timers.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import org.magnoliavane.http.DaemonTimers;
+
 /**
  * Runs delayed actions on one daemon thread.
  *
@@ -22,12 +24,7 @@
      * @return the timers
      */
     public static Timers start(String name) {
-        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, name);
-            thread.setDaemon(true);
-            return thread;
-        });
-        executor.setRemoveOnCancelPolicy(true);
+        ScheduledThreadPoolExecutor executor = DaemonTimers.open(name, 1);
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         return new Timers(executor);
     }
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -52,12 +52,7 @@
                         .add(new ExchangeFilter())
                         .build())
                 .build();
-        timers = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, name + "-timers");
-            thread.setDaemon(true);
-            return thread;
-        });
-        timers.setRemoveOnCancelPolicy(true);
+        timers = DaemonTimers.open(name + "-timers", 1);
         transport.start();
     }
 
--- a/node/src/main/java/org/magnoliavane/node/Node.java
+++ b/node/src/main/java/org/magnoliavane/node/Node.java
@@ -17,6 +17,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.NodeRun;
 import org.magnoliavane.config.Service;
+import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.NodeAddress;
 import org.magnoliavane.node.configuration.ConfigurationController;
@@ -158,12 +159,7 @@
     }
 
     private ScheduledThreadPoolExecutor openTimers() {
-        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(TIMER_THREADS, task -> {
-            Thread thread = new Thread(task, "request-timers");
-            thread.setDaemon(true);
-            return thread;
-        });
-        timers.setRemoveOnCancelPolicy(true);
+        ScheduledThreadPoolExecutor timers = DaemonTimers.open("request-timers", TIMER_THREADS);
         parts.push(timers::shutdownNow);
         return timers;
     }
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
@@ -17,7 +16,6 @@
 import io.vavr.control.Either;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.Fault;
-import org.magnoliavane.FaultKind;
 import org.magnoliavane.Ran;
 import org.magnoliavane.http.HttpResponse;
 import org.magnoliavane.http.SerialExecutor;
@@ -45,8 +43,6 @@
     /** Allowance for other transfers on the link, beyond twice the time of the transfer itself. */
     private static final long TRANSFER_MARGIN_MILLIS = 1000;
 
-    private static final long RETRY_AFTER_MILLIS = 1000;
-
     /** Tokens between two progress reports of a decode. */
     private static final int REPORT_STEP_TOKENS = 32;
 
@@ -100,7 +96,7 @@
                 releaseEngines();
                 parts.placements().withdraw(attempt);
                 meter.discardPrefill();
-                fault = Optional.of(callerGone());
+                fault = Optional.of(RunFaults.callerGone());
                 outcome.complete(Optional.empty());
             }
         });
@@ -117,7 +113,7 @@
             AnswerListener old = listener;
             listener = next;
             if (!closed) {
-                old.onFault(superseded());
+                old.onFault(RunFaults.superseded());
             }
             relayed.forEach(next::onEarlierToken);
             end.ifPresent(next::onEnd);
@@ -173,13 +169,7 @@
     }
 
     private void expire() {
-        Fault late = new Fault(
-                FaultKind.DEADLINE_EXCEEDED,
-                ranSoFar(),
-                "no complete answer within the deadline of " + call.deadlineMillis() + " ms",
-                "send the request with a later deadline, or at a time of lower load",
-                OptionalLong.empty());
-        abandon(late);
+        abandon(RunFaults.deadlinePassed(ranSoFar(), call.deadlineMillis()));
     }
 
     private void place() {
@@ -225,13 +215,7 @@
     }
 
     private void giveUpPlacement() {
-        Fault silent = new Fault(
-                FaultKind.UNAVAILABLE,
-                ranSoFar(),
-                "the coordinator of pool " + call.service() + " did not answer in time",
-                "repeat the request later",
-                OptionalLong.of(RETRY_AFTER_MILLIS));
-        abandon(silent);
+        abandon(RunFaults.coordinatorSilent(ranSoFar(), call.service()));
     }
 
     private void takePlacement(String current, Either<Fault, Placement> answer, Throwable cause) {
@@ -241,16 +225,11 @@
         }
         cancelTimer(stepTimer);
         if (cause != null) {
-            finish(new Fault(
-                    FaultKind.INTERNAL,
-                    ranSoFar(),
-                    "the placement failed: " + cause.getMessage(),
-                    "repeat the request; operators: see the log of the node",
-                    OptionalLong.of(RETRY_AFTER_MILLIS)));
+            finish(RunFaults.placementFailed(ranSoFar(), cause));
         } else if (answer.isLeft()) {
             Fault refusal = answer.getLeft();
             log.record("refuse", "pool " + call.service(), refusal.kind().toWire(), refusal.message());
-            finish(mayHaveRun ? withRan(refusal) : refusal);
+            finish(mayHaveRun ? RunFaults.withUnknownRun(refusal) : refusal);
         } else {
             startPrefill(answer.get());
         }
@@ -352,13 +331,13 @@
             return;
         }
         if (!relayed.get(index).text().equals(token.text())) {
-            abandon(diverged("token " + at + " of the new attempt differs from the one already sent"));
+            abandon(RunFaults.diverged("token " + at + " of the new attempt differs from the one already sent"));
         }
     }
 
     private void takeDone(String finishReason, int promptTokens, int completionTokens) {
         if (completionTokens - resumedFrom < relayed.size()) {
-            abandon(diverged("the new attempt ended before the tokens already sent"));
+            abandon(RunFaults.diverged("the new attempt ended before the tokens already sent"));
             return;
         }
         report(AttemptPhase.COMPLETED);
@@ -370,14 +349,6 @@
         listener.onEnd(complete);
     }
 
-    private Fault diverged(String what) {
-        return Fault.unknown(
-                        FaultKind.BACKEND_FAILED,
-                        "a decode worker failed and its answer could not be continued: " + what,
-                        "discard the partial answer and send the request again")
-                .withRetryAfterMillis(0);
-    }
-
     private void takeFailure(DecodeStream.Failure failure, BackendServer worker, String message) {
         String what = "decode worker " + worker.id() + ": " + message;
         suspect |= failure == DecodeStream.Failure.CRASH;
@@ -389,7 +360,8 @@
                 retry(AttemptPhase.TRANSFER_FAILED, what);
                 break;
             case CANCELLED:
-                abandon(ended("the attempt was cancelled at decode worker " + worker.id()));
+                abandon(RunFaults.endedForOthers(
+                        ranSoFar(), "the attempt was cancelled at decode worker " + worker.id()));
                 break;
             default:
                 retry(AttemptPhase.DECODE_FAILED, what);
@@ -400,30 +372,16 @@
     private void endByCoordinator(String ended, String reason) {
         if (!closed && ended.equals(attempt)) {
             log.record("refuse", "attempt " + attempt, "end", reason);
-            abandon(ended("the coordinator ended the attempt: " + reason));
+            abandon(RunFaults.endedForOthers(ranSoFar(), "the coordinator ended the attempt: " + reason));
         }
     }
 
-    private Fault ended(String message) {
-        return new Fault(
-                FaultKind.OVERLOADED,
-                ranSoFar(),
-                message,
-                "send the request again later, or with a smaller max_tokens",
-                OptionalLong.of(RETRY_AFTER_MILLIS));
-    }
-
     private void retry(AttemptPhase phase, String what) {
         report(phase);
         stopSteps();
         releaseEngines();
         if (attemptNumber >= MAX_ATTEMPTS) {
-            finish(new Fault(
-                    FaultKind.BACKEND_FAILED,
-                    ranSoFar(),
-                    what,
-                    "send the request again",
-                    OptionalLong.of(RETRY_AFTER_MILLIS)));
+            finish(RunFaults.workersFailed(ranSoFar(), what));
             return;
         }
         log.record("retry", "attempt " + attempt + " " + phase, "new placement", what);
@@ -452,22 +410,7 @@
     }
 
     private void endTaken() {
-        finish(superseded());
-    }
-
-    private Fault superseded() {
-        return Fault.unknown(
-                FaultKind.IN_PROGRESS,
-                "superseded: the caller has taken this answer over on another connection",
-                "read the answer on the newer connection");
-    }
-
-    private static Fault callerGone() {
-        return Fault.unknown(
-                        FaultKind.UNAVAILABLE,
-                        "the request was cancelled because the connection it came on was closed",
-                        "send the request again")
-                .withRetryAfterMillis(0);
+        finish(RunFaults.superseded());
     }
 
     private void releaseEngines() {
@@ -502,10 +445,6 @@
         return mayHaveRun || prefillWorker.isPresent() ? Ran.UNKNOWN : Ran.NO;
     }
 
-    private static Fault withRan(Fault refusal) {
-        return new Fault(refusal.kind(), Ran.UNKNOWN, refusal.message(), refusal.remedy(), refusal.retryAfterMillis());
-    }
-
     private ScheduledFuture<?> schedule(Runnable task, long millis) {
         Runnable guarded = () -> {
             if (!closed) {
--- a/node/src/main/java/org/magnoliavane/node/keyed/SystemTimers.java
+++ b/node/src/main/java/org/magnoliavane/node/keyed/SystemTimers.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
+import org.magnoliavane.http.DaemonTimers;
+
 /**
  * Tells the time by the monotonic clock of the machine and runs tasks on one thread.
  *
@@ -15,12 +17,7 @@
     private final ScheduledThreadPoolExecutor executor;
 
     SystemTimers() {
-        executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "keyed-timers");
-            thread.setDaemon(true);
-            return thread;
-        });
-        executor.setRemoveOnCancelPolicy(true);
+        executor = DaemonTimers.open("keyed-timers", 1);
     }
 
     @Override
--- a/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
+++ b/node/src/main/java/org/magnoliavane/node/membership/MembershipController.java
@@ -25,6 +25,7 @@
 import org.magnoliavane.NodeRun;
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.membership.NodeAddress;
 import org.magnoliavane.node.peer.PeerNetwork;
@@ -65,11 +66,7 @@
         this.network = network;
         this.configuration = configuration;
         view = new AtomicReference<>(new ClusterView(self, List.of(self), List.of()));
-        executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "membership");
-            thread.setDaemon(true);
-            return thread;
-        });
+        executor = DaemonTimers.open("membership", 1);
     }
 
     /**
--- a/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
+++ b/node/src/main/java/org/magnoliavane/node/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import java.util.function.BiConsumer;
 
 import org.magnoliavane.NodeRun;
+import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.membership.NodeAddress;
 import org.magnoliavane.protocol.PeerClose;
 import org.magnoliavane.protocol.PeerConnection;
@@ -58,12 +59,7 @@
         this.self = self;
         this.zone = zone;
         this.source = source;
-        timers = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "peer-timers");
-            thread.setDaemon(true);
-            return thread;
-        });
-        timers.setRemoveOnCancelPolicy(true);
+        timers = DaemonTimers.open("peer-timers", 1);
     }
 
     /**
--- a/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
@@ -21,6 +21,7 @@
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.NodeRun;
 import org.magnoliavane.Ran;
+import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.membership.NodeAddress;
 import org.magnoliavane.node.decision.Decision;
@@ -70,11 +71,7 @@
         this.peers = peers;
         this.coordinator = coordinator;
         this.decisions = decisions;
-        timers = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "placement-timers");
-            thread.setDaemon(true);
-            return thread;
-        });
+        timers = DaemonTimers.open("placement-timers", 1);
         timers.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
@@ -25,6 +25,7 @@
 import org.magnoliavane.NodeRun;
 import org.magnoliavane.config.Configuration;
 import org.magnoliavane.config.Service;
+import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.pool.AttemptPhase;
@@ -69,12 +70,7 @@
         this.factory = factory;
         this.poison = poison;
         this.engines = engines;
-        executor = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "placement");
-            thread.setDaemon(true);
-            return thread;
-        });
-        executor.setRemoveOnCancelPolicy(true);
+        executor = DaemonTimers.open("placement", 1);
     }
 
     /**
