Leave workers to others while suspects wait to run alone

Cause: each suspect set a pair of workers apart and waited until both were empty. Ruled out: lost memory (31 to 37 pieces of each decode worker were free), workers missing from the view (3 and 4 were listed), the shadow prices (the reason was the passed latest start, not the cost). A pool with one prefill worker still waits for a suspect.

--- a/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
+++ b/core/src/main/java/org/magnoliavane/pool/SlackScheduler.java
@@ -494,6 +494,9 @@
 
     /** Sets a pair of workers apart and starts the request once both are empty. */
     private void startIsolated(QueuedRequest entry, long now) {
+        if (!ownsPair(entry) && countPairsSetApart() >= getMostPairsSetApart()) {
+            return;
+        }
         PrefillState prefill = null;
         for (PrefillState each : prefills.values()) {
             boolean usable = entry.attempt().equals(each.isolated) || each.isOpen(now);
@@ -524,6 +527,23 @@
         }
     }
 
+    private boolean ownsPair(QueuedRequest entry) {
+        return prefills.values().stream().anyMatch(each -> owns(entry, each));
+    }
+
+    private long countPairsSetApart() {
+        return prefills.values().stream().filter(each -> each.isolated != null).count();
+    }
+
+    /**
+     * Gets how many pairs may be set apart at a time. A crash of a busy worker makes suspects of all that it served; if
+     * each set a pair apart, they would close the pool to everything else while they wait for their pairs to be empty.
+     */
+    private int getMostPairsSetApart() {
+        int pairs = Math.min(prefills.size(), decodes.size());
+        return Math.max(1, Math.min(pairs - 1, (pairs + 1) / 2));
+    }
+
     private static boolean owns(QueuedRequest entry, PrefillState prefill) {
         return prefill != null && entry.attempt().equals(prefill.isolated);
     }
--- a/core/src/test/java/org/magnoliavane/pool/SlackSchedulerTest.java
+++ b/core/src/test/java/org/magnoliavane/pool/SlackSchedulerTest.java
@@ -58,6 +58,29 @@
         assertTrue(refuse.retryAfterMillis() > 0);
     }
 
+    /** Guards against suspects that close the pool while they wait for workers that do not become empty. */
+    @Test
+    public void suspectsThatWaitForEmptyWorkersLeaveWorkersToOthers() {
+        scheduler.workers(workers(3, 4), 0);
+        long now = 0;
+        for (int i = 0; i < 12; i++) {
+            now += 500_000;
+            scheduler.offer(request("running" + i, 1_000, 5_000, 4_000, false), now);
+            scheduler.decide(now);
+            report("running" + i, AttemptPhase.PREFILLED, now);
+            report("running" + i, AttemptPhase.IMPORTED, now);
+        }
+        for (int i = 0; i < 3; i++) {
+            scheduler.offer(request("suspect" + i, 1_000, 25_000, 25_000, true), now);
+        }
+        scheduler.decide(now);
+        now += 500_000;
+        scheduler.offer(request("other", 1_000, 5_000, 4_000, false), now);
+        assertTrue(scheduler.decide(now).stream()
+                .anyMatch(
+                        d -> d instanceof SchedulerDecision.Start && d.attempt().equals("other")));
+    }
+
     @Test
     public void aPoolWithoutDecodeWorkersRefusesAsUnavailable() {
         scheduler.workers(workers(1, 0), 0);
