--- a/node/src/main/java/org/magnoliavane/cli/StatusCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/StatusCommand.java
@@ -11,7 +11,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 
 /** Prints the state of the nodes. */
-@Parameters(commandDescription = "Print node, zone, version in force, leaving flag and active requests of each node")
+@Parameters(
+        commandDescription =
+                "Print the nodes with the version in force and the active requests, and the workers that they know")
 final class StatusCommand extends OperatorCommand {
     private static final String PATH = "/operator/status";
 
@@ -27,6 +29,7 @@
     Report run() throws CommandException {
         Map<String, Optional<JsonNode>> answers = nodes.ask(PATH);
         TextTable table = new TextTable("node", "zone", "version", "leaving", "active requests");
+        WorkerTable workers = new WorkerTable();
         Set<Long> versions = new TreeSet<>();
         int answered = 0;
         for (Map.Entry<String, Optional<JsonNode>> answer : answers.entrySet()) {
@@ -43,8 +46,10 @@
                     status.path("configuration_version").asText(),
                     status.path("leaving").asText(),
                     status.path("active_requests").asText());
+            workers.add(status.path("backend_servers"));
         }
-        return Report.of(toStatus(answered, answers.size()), table + summarise(answered, answers.size(), versions))
+        String text = table + "\n" + workers + "\n" + summarise(answered, answers.size(), versions);
+        return Report.of(toStatus(answered, answers.size()), text)
                 .without("message")
                 .with("nodes", toJson(answers))
                 .with("versions", versions);
--- a/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
@@ -177,6 +177,7 @@
             String url = "http://127.0.0.1:" + node.getAddress().getPort();
             assertEquals(run("status", "--vm-list", url), ExitStatus.FAILED);
             assertTrue(out.contains("entry-1  a          7        false    3\nentry-2  no answer\n"), out);
+            assertTrue(out.contains("decode-1  briefings  decode  b     true     1 of 1\n"), out);
             assertTrue(out.contains("1 of 2 nodes answered"), out);
             assertEquals(run("status", "--node", url, "--json"), ExitStatus.OK);
             assertEquals(json().get("versions").toString(), "[7]");
@@ -259,7 +260,9 @@
         serve(
                 node,
                 "/operator/status",
-                "{\"node\":\"entry-1\",\"zone\":\"a\",\"configuration_version\":7,\"leaving\":false,\"active_requests\":3}");
+                "{\"node\":\"entry-1\",\"zone\":\"a\",\"configuration_version\":7,\"leaving\":false,\"active_requests\":3,"
+                        + "\"backend_servers\":[{\"id\":\"decode-1\",\"service\":\"briefings\",\"role\":\"decode\","
+                        + "\"zone\":\"b\",\"leaving\":true}]}");
         serve(
                 node,
                 "/operator/explain/",
