Unwrap the failures of completion stages in one place

Cause: seven classes each took the cause out of a CompletionException, two of them guarding against an absent cause and five not. Ruled out: leaving the unguarded ones, which would answer null where a stage fails without a cause. Change: Failures.unwrap in the module http, called by all seven. The system tests were not run again.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -15,6 +14,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.magnoliavane.BackendServer;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpExchange;
 import org.magnoliavane.http.ResponseListener;
 import org.magnoliavane.http.ServerSentEvent;
@@ -220,7 +220,7 @@
     }
 
     private static Failure toFailure(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Throwable cause = Failures.unwrap(failure);
         return cause instanceof ConnectException ? Failure.CRASH : Failure.WORKER;
     }
 
--- a/node/src/main/java/org/magnoliavane/node/dispatch/HttpPlainDispatcher.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/HttpPlainDispatcher.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -24,6 +23,7 @@
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.config.Configuration;
 import org.magnoliavane.config.Service;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.HttpResponse;
@@ -247,7 +247,7 @@
     }
 
     private static Throwable unwrap(Throwable cause) {
-        Throwable inner = cause instanceof CompletionException && cause.getCause() != null ? cause.getCause() : cause;
+        Throwable inner = Failures.unwrap(cause);
         return inner instanceof IOException ? inner : new IOException(inner.toString(), inner);
     }
 }
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +16,7 @@
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.Fault;
 import org.magnoliavane.Ran;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpResponse;
 import org.magnoliavane.http.SerialExecutor;
 import org.magnoliavane.node.decision.RequestDecisions;
@@ -254,7 +254,7 @@
 
     private void takePrefill(Placement placement, HttpResponse response, Throwable cause) {
         prefill = null;
-        Throwable failure = cause instanceof CompletionException ? cause.getCause() : cause;
+        Throwable failure = Failures.unwrap(cause);
         mayHaveRun |= !(failure instanceof ConnectException);
         suspect |= isCutOff(failure);
         String what = "prefill worker " + placement.prefillWorker().id() + " ";
--- a/node/src/main/java/org/magnoliavane/node/keyed/ClaimStream.java
+++ b/node/src/main/java/org/magnoliavane/node/keyed/ClaimStream.java
@@ -9,9 +9,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 
 import org.magnoliavane.NodeRun;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.idempotency.Claim;
 import org.magnoliavane.idempotency.ClaimFold;
 import org.magnoliavane.node.log.LogPage;
@@ -131,7 +131,7 @@
     }
 
     private static Append classify(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Throwable cause = Failures.unwrap(failure);
         boolean certain = cause instanceof LogUnavailableException log && !log.isOutcomeUnknown();
         return certain ? Append.NOT_DONE : Append.UNKNOWN;
     }
--- a/node/src/main/java/org/magnoliavane/node/log/HttpLogService.java
+++ b/node/src/main/java/org/magnoliavane/node/log/HttpLogService.java
@@ -12,6 +12,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.HttpResponse;
@@ -54,7 +55,7 @@
                 .withTimeoutMillis(APPEND_TIMEOUT_MILLIS);
         return client.send(request).handle((response, cause) -> {
             if (cause != null) {
-                throw failed("append to " + stream, cause, !(unwrap(cause) instanceof ConnectException));
+                throw failed("append to " + stream, cause, !(Failures.unwrap(cause) instanceof ConnectException));
             }
             return toOffset(stream, response);
         });
@@ -87,7 +88,7 @@
         return client.send(request)
                 .handle((response, cause) -> {
                     if (cause != null) {
-                        adaptMargin(margin, unwrap(cause) instanceof SocketTimeoutException);
+                        adaptMargin(margin, Failures.unwrap(cause) instanceof SocketTimeoutException);
                         throw failed("read of " + stream, cause, false);
                     }
                     adaptMargin(margin, false);
@@ -142,12 +143,8 @@
     }
 
     private CompletionException failed(String action, Throwable cause, boolean outcomeUnknown) {
-        Throwable root = unwrap(cause);
+        Throwable root = Failures.unwrap(cause);
         String message = action + " at the log service " + endpoint + " failed: " + root.getMessage() + REMEDY;
         return new CompletionException(new LogUnavailableException(message, outcomeUnknown, root));
     }
-
-    private static Throwable unwrap(Throwable cause) {
-        return cause instanceof CompletionException && cause.getCause() != null ? cause.getCause() : cause;
-    }
 }
--- a/node/src/main/java/org/magnoliavane/node/placement/HttpEngines.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/HttpEngines.java
@@ -6,11 +6,11 @@
 import java.lang.System.Logger.Level;
 import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.magnoliavane.BackendServer;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.HttpResponse;
@@ -66,7 +66,7 @@
     }
 
     private static CompletionStage<EngineReport> classify(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Throwable cause = Failures.unwrap(failure);
         // The client also reports a connection that timed out as a ConnectException; only the one of the socket itself
         // says that the port is closed.
         boolean refused = cause instanceof ConnectException && cause.getCause() instanceof ConnectException;
--- a/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
@@ -26,6 +25,7 @@
 import org.magnoliavane.config.Configuration;
 import org.magnoliavane.config.Service;
 import org.magnoliavane.http.DaemonTimers;
+import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.pool.AttemptPhase;
@@ -325,7 +325,7 @@
     }
 
     private static boolean isRefused(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Throwable cause = Failures.unwrap(failure);
         return cause instanceof RefusedException;
     }
 
