--- a/node/src/main/java/org/magnoliavane/node/dispatch/Json.java
+++ b/core/src/main/java/org/magnoliavane/json/Json.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.dispatch;
+package org.magnoliavane.json;
 
 import java.io.IOException;
 import java.util.Optional;
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/json/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads and writes JSON.
+ */
+package org.magnoliavane.json;
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/routing/EngineProfile.java
@@ -0,0 +1,12 @@
+package org.magnoliavane.routing;
+
+/**
+ * Describes the model engines of a service.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param slots the number of requests that an engine runs at once
+ * @param memoryTokens the number of tokens that fit into the memory of an engine
+ * @param handleMillis how long the KV cache of a finished prefill is kept for a decode worker
+ */
+public record EngineProfile(int slots, int memoryTokens, long handleMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/routing/ServiceProfile.java
@@ -0,0 +1,14 @@
+package org.magnoliavane.routing;
+
+import java.util.Optional;
+
+/**
+ * Describes a service.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name the name of the service
+ * @param maxConnections the number of connections that one worker accepts from all nodes together
+ * @param engine the model engines; empty for a plain service
+ */
+public record ServiceProfile(String name, int maxConnections, Optional<EngineProfile> engine) {}
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -40,12 +40,12 @@
     private final Attribute<HttpExchange> exchanges;
     private final ScheduledThreadPoolExecutor timers;
 
-    private HttpClient(String name) throws IOException {
+    private HttpClient(String name, long connectTimeoutMillis) throws IOException {
         exchanges = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.exchange." + name);
         transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name)
                 .setTcpNoDelay(true)
-                .setConnectionTimeout(CONNECT_TIMEOUT_MILLIS)
+                .setConnectionTimeout((int) connectTimeoutMillis)
                 .setProcessor(FilterChainBuilder.stateless()
                         .add(new TransportFilter())
                         .add(new HttpClientFilter())
@@ -64,7 +64,19 @@
      * @throws IOException when the transport cannot be started
      */
     public static HttpClient open(String name) throws IOException {
-        return new HttpClient(name);
+        return open(name, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Opens a client with a transport of its own.
+     *
+     * @param name the name of its threads
+     * @param connectTimeoutMillis the longest time that the opening of a connection may take
+     * @return the client
+     * @throws IOException when the transport cannot be started
+     */
+    public static HttpClient open(String name, long connectTimeoutMillis) throws IOException {
+        return new HttpClient(name, connectTimeoutMillis);
     }
 
     /**
@@ -116,9 +128,13 @@
                 .method(request.method())
                 .uri(request.path())
                 .protocol(Protocol.HTTP_1_1)
-                .host(request.host() + ":" + request.port())
+                .host(request.headers().getOrDefault("Host", request.host() + ":" + request.port()))
                 .contentLength(request.body().length);
-        request.headers().forEach(head::header);
+        request.headers().forEach((name, value) -> {
+            if (!name.equals("Host")) {
+                head.header(name, value);
+            }
+        });
         return head.build()
                 .httpContentBuilder()
                 .content(Buffers.wrap(null, request.body()))
--- a/node/src/main/java/org/magnoliavane/node/http/NoUpgradeFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/NoUpgradeFilter.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.http;
+package org.magnoliavane.http.server;
 
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
@@ -14,10 +14,10 @@
  * without content headers, and closes the connection after it without saying so. Clients that would also speak HTTP/2
  * make such an offer with their first request.
  */
-final class NoUpgradeFilter extends BaseFilter {
+public final class NoUpgradeFilter extends BaseFilter {
 
     /** Adds the filter behind the HTTP codec of a listener. */
-    static void addTo(NetworkListener listener) {
+    public static void addTo(NetworkListener listener) {
         listener.registerAddOn((NetworkListener of, FilterChainBuilder chain) ->
                 chain.add(chain.indexOfType(HttpServerFilter.class) + 1, new NoUpgradeFilter()));
     }
--- a/node/src/main/java/org/magnoliavane/node/http/OneRequestFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/OneRequestFilter.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.http;
+package org.magnoliavane.http.server;
 
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicLong;
@@ -21,7 +21,7 @@
  * reads before the last one is finished on several threads at once and loses some of them, so a connection that was
  * read from during a request cannot serve another one.
  */
-final class OneRequestFilter extends BaseFilter {
+public final class OneRequestFilter extends BaseFilter {
     /** A caller that sends more than this without waiting for its answer is cut off. */
     private static final int MAX_DROPPED_BYTES = 64 * 1024;
 
@@ -30,13 +30,13 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.dropped");
 
     /** Adds the filter before the HTTP codec of a listener. */
-    static void addTo(NetworkListener listener) {
+    public static void addTo(NetworkListener listener) {
         listener.registerAddOn((NetworkListener of, FilterChainBuilder chain) ->
                 chain.add(chain.indexOfType(HttpServerFilter.class), new OneRequestFilter()));
     }
 
     /** Starts to read on, once a request has been read and its response is suspended. */
-    static void watch(Connection<?> connection) throws IOException {
+    public static void watch(Connection<?> connection) throws IOException {
         DROPPED.set(connection, new AtomicLong());
         connection.enableIOEvent(IOEvent.READ);
     }
--- a/node/src/main/java/org/magnoliavane/node/http/StreamWriter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.http;
+package org.magnoliavane.http.server;
 
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -16,7 +16,7 @@
  *
  * <p>Thread-safe.
  */
-final class StreamWriter {
+public final class StreamWriter {
     private final NIOOutputStream out;
     private final Runnable onComplete;
     private final Runnable onBroken;
@@ -38,14 +38,14 @@
      * @param onComplete runs once, after the last byte or after a failure
      * @param onBroken runs before {@code onComplete} when the caller is gone or too slow
      */
-    StreamWriter(NIOOutputStream out, long limitBytes, Runnable onComplete, Runnable onBroken) {
+    public StreamWriter(NIOOutputStream out, long limitBytes, Runnable onComplete, Runnable onBroken) {
         this.out = out;
         this.limitBytes = new AtomicLong(limitBytes);
         this.onComplete = onComplete;
         this.onBroken = onBroken;
     }
 
-    void write(byte[] bytes) {
+    public void write(byte[] bytes) {
         if (waitingBytes.addAndGet(bytes.length) > limitBytes.get()) {
             breakOff();
             return;
@@ -54,12 +54,12 @@
     }
 
     /** Writes bytes that exist already and are no sign of a slow caller. */
-    void writeEarlier(byte[] bytes) {
+    public void writeEarlier(byte[] bytes) {
         limitBytes.addAndGet(bytes.length);
         write(bytes);
     }
 
-    void end() {
+    public void end() {
         serial.execute(() -> {
             ending = true;
             drain();
@@ -67,11 +67,11 @@
     }
 
     /** Ends the stream at once and drops what was not written. */
-    void abort() {
+    public void abort() {
         serial.execute(this::finish);
     }
 
-    long getIdleMillis() {
+    public long getIdleMillis() {
         return (System.nanoTime() - lastWriteNanos) / 1_000_000;
     }
 
--- a/node/src/main/java/org/magnoliavane/cli/CommandLine.java
+++ b/node/src/main/java/org/magnoliavane/cli/CommandLine.java
@@ -38,6 +38,7 @@
         this.out = out;
         this.err = err;
         commands.put("node", new NodeCommand(starter));
+        commands.put("route", new RouteCommand());
         commands.put("check", new CheckCommand());
         commands.put("publish", new PublishCommand());
         commands.put("show", new ShowCommand());
--- a/node/src/main/java/org/magnoliavane/cli/NodeCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/NodeCommand.java
@@ -60,7 +60,7 @@
     }
 
     /** Ends the process with the documented status; without this a signal would give 143 after a graceful stop too. */
-    private static void stop(AutoCloseable node) {
+    static void stop(AutoCloseable node) {
         int status = ExitStatus.OK;
         try {
             node.close();
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
@@ -0,0 +1,74 @@
+package org.magnoliavane.cli;
+
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.converters.PathConverter;
+import io.vavr.control.Either;
+import org.magnoliavane.config.TextProblem;
+import org.magnoliavane.node.settings.Logging;
+import org.magnoliavane.platform.PlatformRouter;
+import org.magnoliavane.router.settings.RouterSettings;
+import sun.misc.Signal;
+
+/** Runs a router on the users' platform until the process is told to stop. */
+@Parameters(commandDescription = "Run a router on the platform until the process is told to stop (SIGTERM)")
+final class RouteCommand extends OperatorCommand {
+    @Parameter(
+            names = "--settings",
+            converter = PathConverter.class,
+            description = "Settings file of the router; the platform names it in the environment otherwise")
+    private Path settings;
+
+    @Parameter(names = "--check", description = "Check the settings file and exit")
+    private boolean check;
+
+    @Override
+    String[] getExamples() {
+        return new String[] {"", "--settings router.toml", "--settings router.toml --check"};
+    }
+
+    @Override
+    Report run() throws InterruptedException {
+        Optional<Path> file = Optional.ofNullable(settings).or(PlatformRouter::findSettings);
+        if (file.isEmpty()) {
+            return Report.failure(ExitStatus.USAGE, "no settings file is named", "Give --settings FILE.");
+        }
+        Either<List<TextProblem>, RouterSettings> read = RouterSettings.read(file.get());
+        if (read.isLeft()) {
+            return Report.problems(file.get().toString(), read.getLeft());
+        }
+        if (check) {
+            return Report.of(ExitStatus.OK, "the settings are valid");
+        }
+        Logging.toStandardOutput(read.get().logLevel());
+        AutoCloseable router;
+        try {
+            router = PlatformRouter.start(read.get());
+        } catch (Exception e) {
+            System.getLogger(RouteCommand.class.getName()).log(Level.ERROR, "the router cannot be started", e);
+            return Report.failure(
+                    ExitStatus.FAILED,
+                    "the router cannot be started: " + e,
+                    "Check that the addresses of [listen] are of this VM and that their ports are free.");
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> NodeCommand.stop(router), "stop"));
+        // Without a handler the signal would end the process.
+        Signal.handle(new Signal("HUP"), signal -> reload(file.get(), read.get()));
+        new CountDownLatch(1).await();
+        return Report.of(ExitStatus.OK, "stopped");
+    }
+
+    private static void reload(Path file, RouterSettings running) {
+        Either<List<TextProblem>, RouterSettings> read = RouterSettings.read(file);
+        String outcome = read.fold(
+                problems -> "rejected problems=\"" + problems + '"',
+                changed -> changed.equals(running) ? "unchanged" : "changed, in force after the next start");
+        System.getLogger(RouteCommand.class.getName()).log(Level.INFO, () -> "event=reload outcome=" + outcome);
+    }
+}
--- a/node/src/main/java/org/magnoliavane/node/dispatch/AttemptCanceller.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/AttemptCanceller.java
@@ -6,6 +6,7 @@
 
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.http.HttpResponse;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.membership.ClusterView;
 
 /**
--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -19,6 +19,7 @@
 import org.magnoliavane.http.ResponseListener;
 import org.magnoliavane.http.ServerSentEvent;
 import org.magnoliavane.http.ServerSentEventParser;
+import org.magnoliavane.json.Json;
 
 /**
  * Reads the event stream of one decode attempt. A connection that breaks or goes silent is replaced by a new one that
--- a/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
@@ -13,6 +13,7 @@
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.HttpResponse;
 import org.magnoliavane.http.ResponseListener;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.node.placement.Placement;
 
 /**
--- a/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/ModelRun.java
@@ -19,6 +19,7 @@
 import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.HttpResponse;
 import org.magnoliavane.http.SerialExecutor;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.node.decision.RequestDecisions;
 import org.magnoliavane.node.placement.Placement;
 import org.magnoliavane.pool.AttemptPhase;
--- a/node/src/main/java/org/magnoliavane/node/http/AddressesEndpoint.java
+++ b/node/src/main/java/org/magnoliavane/node/http/AddressesEndpoint.java
@@ -8,9 +8,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.membership.NodeAddress;
-import org.magnoliavane.node.dispatch.Json;
 
 /** Tells callers which nodes to use, and for how long they may keep the answer. */
 final class AddressesEndpoint {
--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -19,8 +19,11 @@
 import org.magnoliavane.Fault;
 import org.magnoliavane.config.Caller;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.http.server.OneRequestFilter;
+import org.magnoliavane.http.server.StreamWriter;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.node.decision.RequestDecisions;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.router.front.FaultBody;
 
 /**
  * Holds one request of a caller on its way through the filters, and its response.
--- a/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerServer.java
@@ -22,8 +22,11 @@
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.http.server.NoUpgradeFilter;
+import org.magnoliavane.http.server.OneRequestFilter;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.node.decision.RequestDecisions;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.router.front.MetricsBody;
 
 /**
  * Serves callers. Each request passes the filters identify, route, read body, and then its endpoint; no thread waits
--- a/node/src/main/java/org/magnoliavane/node/http/ChatFormat.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatFormat.java
@@ -5,8 +5,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.node.dispatch.AnswerEnd;
-import org.magnoliavane.node.dispatch.Json;
 import org.magnoliavane.node.dispatch.ModelCall;
 import org.magnoliavane.node.dispatch.StreamPosition;
 
--- a/node/src/main/java/org/magnoliavane/node/http/ChatRelay.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatRelay.java
@@ -9,10 +9,12 @@
 import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.Fault;
 import org.magnoliavane.http.SerialExecutor;
+import org.magnoliavane.http.server.StreamWriter;
 import org.magnoliavane.node.dispatch.AnswerEnd;
 import org.magnoliavane.node.dispatch.AnswerListener;
 import org.magnoliavane.node.dispatch.ModelCall;
 import org.magnoliavane.node.dispatch.Token;
+import org.magnoliavane.router.front.FaultBody;
 
 /**
  * Relays an answer to a caller, as events or whole.
--- a/node/src/main/java/org/magnoliavane/node/http/ChatRequest.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ChatRequest.java
@@ -8,7 +8,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 
 /**
  * Holds the parts of a chat-completions request that the router understands. Other fields are ignored.
--- a/node/src/main/java/org/magnoliavane/node/http/ModelsEndpoint.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ModelsEndpoint.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.magnoliavane.config.Service;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 
 /** Lists the models that the caller may use. */
 final class ModelsEndpoint {
--- a/node/src/main/java/org/magnoliavane/node/http/OperatorServer.java
+++ b/node/src/main/java/org/magnoliavane/node/http/OperatorServer.java
@@ -14,10 +14,12 @@
 import org.glassfish.grizzly.http.server.Response;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.http.server.NoUpgradeFilter;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.membership.ClusterView;
 import org.magnoliavane.node.configuration.VersionedText;
 import org.magnoliavane.node.decision.Decision;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.router.front.FaultBody;
 
 /**
  * Serves operators, read-only.
--- a/node/src/main/java/org/magnoliavane/node/settings/Logging.java
+++ b/node/src/main/java/org/magnoliavane/node/settings/Logging.java
@@ -52,6 +52,21 @@
         OWN.setLevel(least);
     }
 
+    /**
+     * Writes log lines to standard output from a thread of their own, so that logging never holds up a request. Lines that
+     * come faster than they can be written are dropped and counted.
+     *
+     * @param level the least level that is logged
+     */
+    public static void toStandardOutput(Level level) {
+        configure(level, LogFormat.TEXT);
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        root.addHandler(new QueueHandler(System.out, new TextLines()));
+    }
+
     private static String toLevelName(java.util.logging.Level level) {
         for (Map.Entry<Level, java.util.logging.Level> entry : LEVELS.entrySet()) {
             if (entry.getValue().equals(level)) {
--- /dev/null
+++ b/node/src/main/java/org/magnoliavane/node/settings/QueueHandler.java
@@ -0,0 +1,70 @@
+package org.magnoliavane.node.settings;
+
+import java.io.PrintStream;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+
+/**
+ * Hands log records to a thread that writes them.
+ *
+ * <p>Thread-safe.
+ */
+final class QueueHandler extends Handler {
+    /** Number of lines that may wait; at the volume of a busy node this is several seconds. */
+    private static final int CAPACITY = 4096;
+
+    private static final long FLUSH_WAIT_MILLIS = 500;
+
+    private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(CAPACITY);
+    private final AtomicLong dropped = new AtomicLong();
+    private final PrintStream out;
+    private final Formatter lines;
+
+    QueueHandler(PrintStream out, Formatter lines) {
+        this.out = out;
+        this.lines = lines;
+        Thread writer = new Thread(this::write, "log");
+        writer.setDaemon(true);
+        writer.start();
+    }
+
+    @Override
+    public void publish(LogRecord event) {
+        if (!queue.offer(event)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private void write() {
+        try {
+            while (true) {
+                out.print(lines.format(queue.take()));
+                long lost = dropped.getAndSet(0);
+                if (lost > 0) {
+                    out.println("event=log_dropped lines=" + lost);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void flush() {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_WAIT_MILLIS);
+        while (!queue.isEmpty() && System.nanoTime() < end) {
+            Thread.onSpinWait();
+        }
+        out.flush();
+    }
+
+    @Override
+    public void close() {
+        flush();
+    }
+}
--- a/node/src/test/java/org/magnoliavane/node/http/ChatTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/ChatTest.java
@@ -15,7 +15,7 @@
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 import org.magnoliavane.pool.AttemptPhase;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
--- a/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/EndpointsTest.java
@@ -11,7 +11,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
--- a/node/src/test/java/org/magnoliavane/node/http/FakeEngine.java
+++ b/node/src/test/java/org/magnoliavane/node/http/FakeEngine.java
@@ -17,7 +17,7 @@
 import com.sun.net.httpserver.HttpServer;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 
 /** Speaks the engine protocol, as one worker, with faults that tests switch on. */
 final class FakeEngine implements AutoCloseable {
--- a/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
@@ -22,7 +22,7 @@
 import com.sun.net.httpserver.HttpServer;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/NodeController.java
@@ -0,0 +1,60 @@
+package org.magnoliavane.router;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.magnoliavane.router.peer.PeerTable;
+import org.magnoliavane.router.store.EntryFormat;
+import org.magnoliavane.router.store.KeyedRecord;
+import org.magnoliavane.router.store.NodeListing;
+import org.magnoliavane.router.store.TopicListener;
+
+/** Keeps the table of the other nodes. */
+final class NodeController implements TopicListener {
+    private static final Logger LOG = System.getLogger(NodeController.class.getName());
+
+    private final PeerTable peers;
+    private final EntryFormat entries;
+    private final NodeListing self;
+    private final LongSupplier millis;
+
+    NodeController(PeerTable peers, EntryFormat entries, NodeListing self, LongSupplier millis) {
+        this.peers = peers;
+        this.entries = entries;
+        this.self = self;
+        this.millis = millis;
+    }
+
+    @Override
+    public void onChange(KeyedRecord change) {
+        if (change.isRemoval()) {
+            peers.remove(change.key());
+            return;
+        }
+        try {
+            entries.readNode(change)
+                    .filter(node -> !node.name().equals(self.name()))
+                    .ifPresent(this::put);
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "event=node_unreadable key={0} reason=\"{1}\"", change.key(), e.getMessage());
+        }
+    }
+
+    private void put(NodeListing node) {
+        LOG.log(Level.INFO, "event=node_listed node={0} run={1}", node.name(), Long.toString(node.run()));
+        peers.put(node, millis.getAsLong());
+    }
+
+    @Override
+    public void onSnapshot(Set<String> keys) {
+        peers.retain(keys);
+    }
+
+    @Override
+    public void onOutageEnd() {
+        // Nodes tell of themselves in their reports.
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/WorkerController.java
@@ -0,0 +1,106 @@
+package org.magnoliavane.router;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.WorkerLedger;
+import org.magnoliavane.balance.WorkerRoster;
+import org.magnoliavane.router.store.EntryFormat;
+import org.magnoliavane.router.store.KeyedRecord;
+import org.magnoliavane.router.store.TopicListener;
+
+/** Keeps the list of workers. */
+final class WorkerController implements TopicListener {
+    private static final Logger LOG = System.getLogger(WorkerController.class.getName());
+
+    private final Fleet fleet;
+    private final WorkerLedger ledger;
+    private final EntryFormat entries;
+    private final LongSupplier millis;
+    private final WorkerRoster roster;
+    private final Set<String> unreadable = new HashSet<>();
+
+    WorkerController(
+            Fleet fleet, WorkerLedger ledger, EntryFormat entries, long lapseGraceMillis, LongSupplier millis) {
+        this.fleet = fleet;
+        this.ledger = ledger;
+        this.entries = entries;
+        this.millis = millis;
+        this.roster = new WorkerRoster(lapseGraceMillis);
+    }
+
+    @Override
+    public synchronized void onChange(KeyedRecord change) {
+        if (change.isRemoval()) {
+            remove(change.key());
+            return;
+        }
+        try {
+            put(entries.readWorker(change));
+            unreadable.remove(change.key());
+        } catch (IOException e) {
+            if (unreadable.add(change.key())) {
+                LOG.log(Level.WARNING, "event=worker_unreadable key={0} reason=\"{1}\"", change.key(), e.getMessage());
+            }
+        }
+    }
+
+    private void put(ListedWorker worker) {
+        Optional<ListedWorker> before = roster.put(worker);
+        if (before.isPresent() && before.get().equals(worker)) {
+            return;
+        }
+        boolean newStart = before.isEmpty() || !before.get().isSameStart(worker);
+        if (newStart) {
+            ledger.forgetHealth(worker.id());
+        }
+        LOG.log(
+                Level.INFO,
+                "event=worker_listed worker={0} service={1} role={2} leaving={3} new_start={4}",
+                worker.id(),
+                worker.server().service(),
+                worker.server().role(),
+                worker.server().leaving(),
+                newStart);
+        publish();
+    }
+
+    private void remove(String id) {
+        if (roster.remove(id, millis.getAsLong())) {
+            LOG.log(Level.INFO, "event=worker_gone worker={0}", id);
+            publish();
+        }
+    }
+
+    @Override
+    public synchronized void onSnapshot(Set<String> keys) {
+        for (String id : roster.getIds()) {
+            if (!keys.contains(id)) {
+                remove(id);
+            }
+        }
+    }
+
+    @Override
+    public synchronized void onOutageEnd() {
+        roster.outageEnded(millis.getAsLong());
+    }
+
+    /** Removes the workers whose listing has not come back after an outage of the store. */
+    synchronized void expire() {
+        for (String id : roster.expire(millis.getAsLong())) {
+            LOG.log(Level.INFO, "event=worker_gone worker={0} reason=\"not listed again after an outage\"", id);
+            publish();
+        }
+    }
+
+    private void publish() {
+        fleet.setWorkers(roster.toServices());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RetryBudgets.java
@@ -0,0 +1,46 @@
+package org.magnoliavane.router.dispatch;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.magnoliavane.balance.RetryBudget;
+
+/**
+ * The retry budget of each service.
+ *
+ * <p>Thread-safe.
+ */
+public final class RetryBudgets {
+    private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+    private final Supplier<RetryBudget> factory;
+    private final IntSupplier nodes;
+    private final LongSupplier millis;
+
+    /**
+     * Creates budgets that are unused.
+     *
+     * @param factory creates the budget of a service
+     * @param nodes gives the number of nodes that share a budget
+     * @param millis a monotonic clock in milliseconds
+     */
+    public RetryBudgets(Supplier<RetryBudget> factory, IntSupplier nodes, LongSupplier millis) {
+        this.factory = factory;
+        this.nodes = nodes;
+        this.millis = millis;
+    }
+
+    void countRequest(String service) {
+        of(service).countRequest(millis.getAsLong());
+    }
+
+    boolean tryTake(String service) {
+        return of(service).tryTake(millis.getAsLong(), nodes.getAsInt());
+    }
+
+    private RetryBudget of(String service) {
+        return budgets.computeIfAbsent(service, s -> factory.get());
+    }
+}
--- a/node/src/main/java/org/magnoliavane/node/http/FaultBody.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FaultBody.java
@@ -1,11 +1,11 @@
-package org.magnoliavane.node.http;
+package org.magnoliavane.router.front;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.magnoliavane.Fault;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 
 /** Writes faults in the error shape of chat-completions clients. */
-final class FaultBody {
+public final class FaultBody {
     private FaultBody() {}
 
     /**
@@ -14,7 +14,7 @@
      * @param fault the fault
      * @param param the field of the request at fault; empty when there is none
      */
-    static ObjectNode of(Fault fault, String param) {
+    public static ObjectNode of(Fault fault, String param) {
         ObjectNode body = Json.object();
         ObjectNode error = body.putObject("error")
                 .put("message", fault.message())
@@ -28,7 +28,7 @@
     }
 
     /** Gets the seconds of the header {@code Retry-After}, rounded up. */
-    static long toSeconds(long millis) {
+    public static long toSeconds(long millis) {
         return (millis + 999) / 1000;
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontParts.java
@@ -0,0 +1,37 @@
+package org.magnoliavane.router.front;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.router.Fleet;
+import org.magnoliavane.router.dispatch.Dispatcher;
+import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.router.settings.RouterSettings;
+
+/**
+ * What the server for callers uses.
+ *
+ * @param settings the settings of the process
+ * @param fleet configuration and workers
+ * @param wire translates requests
+ * @param dispatcher runs requests
+ * @param freshness says whether the configuration is current
+ * @param directory lists the nodes
+ * @param ready says whether this node is ready
+ * @param timers runs timeouts
+ * @param millis a monotonic clock in milliseconds
+ * @param metrics counters and histograms
+ */
+public record FrontParts(
+        RouterSettings settings,
+        Fleet fleet,
+        WireFormat wire,
+        Dispatcher dispatcher,
+        Freshness freshness,
+        NodeDirectory directory,
+        BooleanSupplier ready,
+        ScheduledExecutorService timers,
+        LongSupplier millis,
+        MetricRegistry metrics) {}
--- a/node/src/main/java/org/magnoliavane/node/http/MetricsBody.java
+++ b/router/src/main/java/org/magnoliavane/router/front/MetricsBody.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.node.http;
+package org.magnoliavane.router.front;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -8,15 +8,15 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.magnoliavane.node.dispatch.Json;
+import org.magnoliavane.json.Json;
 
 /** Writes metrics as lines of name and value, or as JSON. */
-final class MetricsBody {
+public final class MetricsBody {
     private static final double NANOS_PER_MILLI = 1e6;
 
     private MetricsBody() {}
 
-    static byte[] toText(MetricRegistry metrics) {
+    public static byte[] toText(MetricRegistry metrics) {
         StringBuilder text = new StringBuilder();
         valuesOf(metrics)
                 .forEach((name, value) -> text.append(name.replace('.', '_'))
@@ -26,7 +26,7 @@
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    static byte[] toJson(MetricRegistry metrics) {
+    public static byte[] toJson(MetricRegistry metrics) {
         ObjectNode json = Json.object();
         valuesOf(metrics).forEach((name, value) -> {
             if (value instanceof Double d) {
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
@@ -0,0 +1,135 @@
+package org.magnoliavane.router.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.magnoliavane.protocol.generated.NodeReport;
+import org.magnoliavane.router.store.NodeListing;
+
+/**
+ * The other nodes: those that list themselves in the store, and what they report. A node that was heard of and has become
+ * silent is left out of the addresses for callers, unless most nodes are silent, which is rather this node's fault.
+ *
+ * <p>Thread-safe.
+ */
+public final class PeerTable {
+    /** Silence after which a node is left out; several of its reports. */
+    private static final long SILENT_MILLIS = 1500;
+
+    /** Time that a listed node has to send its first report. */
+    private static final long FIRST_REPORT_MILLIS = 3000;
+
+    private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+
+    /**
+     * Takes the listing of a node.
+     *
+     * @param listing the listing
+     * @param nowMillis the current time
+     */
+    public void put(NodeListing listing, long nowMillis) {
+        peers.compute(
+                listing.name(),
+                (name, old) -> old != null && old.listing.run() == listing.run()
+                        ? old
+                        : new Peer(listing, nowMillis, false, false, true, 0));
+    }
+
+    /**
+     * Takes the removal of a listing.
+     *
+     * @param name the name of the node
+     */
+    public void remove(String name) {
+        peers.remove(name);
+    }
+
+    /**
+     * Keeps only the named nodes.
+     *
+     * @param names the names
+     */
+    public void retain(Set<String> names) {
+        peers.keySet().retainAll(names);
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param report the report
+     * @param nowMillis the current time
+     */
+    public void heard(NodeReport report, long nowMillis) {
+        peers.computeIfPresent(
+                report.getNode(),
+                (name, old) -> old.listing.run() != report.getRun()
+                        ? old
+                        : new Peer(
+                                old.listing,
+                                nowMillis,
+                                true,
+                                report.getLeaving(),
+                                report.getReady(),
+                                report.getConfigurationVersion()));
+    }
+
+    /**
+     * Gets the listings of all other nodes.
+     *
+     * @return the listings
+     */
+    public List<NodeListing> getListings() {
+        return peers.values().stream().map(Peer::listing).toList();
+    }
+
+    /**
+     * Counts the nodes that share budgets.
+     *
+     * @param nowMillis the current time
+     * @return the nodes that do not appear to be gone, this one included
+     */
+    public int countNodes(long nowMillis) {
+        return 1
+                + (int) peers.values().stream()
+                        .filter(p -> !p.isSilent(nowMillis))
+                        .count();
+    }
+
+    /**
+     * Gets the other nodes that callers may use.
+     *
+     * @param nowMillis the current time
+     * @return their addresses for callers
+     */
+    public List<String> getCallerAddresses(long nowMillis) {
+        long silent = peers.values().stream().filter(p -> p.isSilent(nowMillis)).count();
+        boolean trusted = silent * 2 <= peers.size();
+        List<String> addresses = new ArrayList<>();
+        for (Peer peer : peers.values()) {
+            boolean usable = !trusted || !peer.isSilent(nowMillis) && peer.ready;
+            if (usable && !peer.leaving) {
+                addresses.add(peer.listing.host() + ":" + peer.listing.callerPort());
+            }
+        }
+        return addresses;
+    }
+
+    /**
+     * Gets the newest version of the configuration that another node has in force.
+     *
+     * @return the version; 0 when none is known
+     */
+    public long getNewestVersion() {
+        return peers.values().stream().mapToLong(Peer::version).max().orElse(0);
+    }
+
+    private record Peer(
+            NodeListing listing, long heardMillis, boolean everHeard, boolean leaving, boolean ready, long version) {
+        boolean isSilent(long nowMillis) {
+            return nowMillis - heardMillis > (everHeard ? SILENT_MILLIS : FIRST_REPORT_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -0,0 +1,129 @@
+package org.magnoliavane.router.settings;
+
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Either;
+import org.magnoliavane.config.TextProblem;
+import org.magnoliavane.config.TomlTable;
+
+/**
+ * Settings of a router process. Unknown keys are ignored, since the platform that fills in the file may know more.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param name the name of this node
+ * @param zone its availability zone
+ * @param callers where callers are served
+ * @param readiness where readiness is told
+ * @param directory where callers learn the addresses of nodes
+ * @param peerPort the UDP port for reports between nodes
+ * @param metricsPort the TCP port of the metrics
+ * @param store the store
+ * @param addressLifetimeSeconds how long callers may keep the addresses of nodes
+ * @param retryRatio the number of extra sends to a service for each request
+ * @param retryAllowance further extra sends in a window, over all nodes
+ * @param retryWindowMillis the window of the two figures above
+ * @param stopGraceMillis the time between a request to stop and the end of the process
+ * @param lapseGraceMillis how long a listing may take to come back after an outage of the store
+ * @param logLevel the least level that is logged
+ */
+public record RouterSettings(
+        String name,
+        String zone,
+        HostPort callers,
+        HostPort readiness,
+        HostPort directory,
+        int peerPort,
+        int metricsPort,
+        HostPort store,
+        double addressLifetimeSeconds,
+        double retryRatio,
+        double retryAllowance,
+        long retryWindowMillis,
+        long stopGraceMillis,
+        long lapseGraceMillis,
+        Level logLevel) {
+
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
+    private static final String NAME_FORM = "1 to 128 letters, digits, ., - or _, not ., - or _ first";
+    private static final Pattern ANY = Pattern.compile("(?s).*");
+    private static final List<String> LEVELS = List.of("error", "warning", "info", "debug");
+    private static final int MAX_PORT = 65_535;
+    private static final double MILLIS = 1000;
+
+    /**
+     * Reads the settings file.
+     *
+     * @param file the file
+     * @return the settings, or every problem found
+     */
+    public static Either<List<TextProblem>, RouterSettings> read(Path file) {
+        try {
+            return parse(Files.readString(file, StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            return Either.left(List.of(new TextProblem(
+                    file.toString(),
+                    "cannot be read (" + e + ")",
+                    "a TOML file in UTF-8",
+                    "name a file that exists and that this user may read")));
+        }
+    }
+
+    /**
+     * Reads the settings.
+     *
+     * @param text TOML
+     * @return the settings, or every problem found
+     */
+    public static Either<List<TextProblem>, RouterSettings> parse(String text) {
+        List<TextProblem> problems = new ArrayList<>();
+        TomlTable root = TomlTable.parse(text, problems);
+        if (!problems.isEmpty()) {
+            return Either.left(List.copyOf(problems));
+        }
+        RouterSettings settings = read(root);
+        return problems.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(problems));
+    }
+
+    private static RouterSettings read(TomlTable root) {
+        TomlTable node = root.getTable("node");
+        TomlTable listen = root.getTable("listen");
+        TomlTable retries = root.getTable("retries");
+        TomlTable timing = root.getTable("timing");
+        TomlTable logging = root.getTable("logging");
+        return new RouterSettings(
+                node.getText("name", NAME, NAME_FORM),
+                node.getText("zone", NAME, NAME_FORM),
+                address(listen, "callers"),
+                address(listen, "readiness"),
+                address(listen, "directory"),
+                (int) listen.getLong("peer_port", 1, MAX_PORT),
+                (int) listen.getLong("metrics_port", 1, MAX_PORT),
+                address(root.getTable("store"), "address"),
+                timing.getDouble("address_lifetime_seconds", 0.5, 600),
+                retries.getDouble("ratio", 0, 10),
+                retries.getDouble("allowance", 0, 1_000_000),
+                (long) (MILLIS * retries.getDouble("window_seconds", 0.1, 3600)),
+                (long) (MILLIS * timing.getDouble("stop_grace_seconds", 0.5, 3600)),
+                (long) (MILLIS * timing.getDouble("lapse_grace_seconds", 0, 3600)),
+                Level.valueOf(logging.getWord("level", LEVELS, "info").toUpperCase(Locale.ROOT)));
+    }
+
+    private static HostPort address(TomlTable table, String key) {
+        String text = table.getText(key, ANY, HostPort.FORM);
+        return HostPort.parse(text).orElseGet(() -> {
+            if (!text.isEmpty()) {
+                table.addProblem(key, '"' + text + '"', HostPort.FORM, "write the IP address in place of a name");
+            }
+            return new HostPort("", 0);
+        });
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of the router process.
+ */
+package org.magnoliavane.router.settings;
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/store/HistoryLostException.java
@@ -0,0 +1,18 @@
+package org.magnoliavane.router.store;
+
+import java.io.IOException;
+
+/** Says that records were deleted before they were read, so that a new snapshot is needed. */
+public final class HistoryLostException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param topic the topic
+     * @param from the offset that was asked for
+     */
+    public HistoryLostException(Topic topic, long from) {
+        super("records of " + topic + " from offset " + from + " are no longer kept; read a snapshot");
+    }
+}
