Order waiting requests by what they can still earn, and tell loads on change

Callers leave after 3.6 s without a first event, while requests waited longer. Ruled out: slow prefill workers (the ledger shows queues, an idle worker needs 0.034 ms a token).

--- a/core/src/main/java/org/magnoliavane/balance/Placement.java
+++ b/core/src/main/java/org/magnoliavane/balance/Placement.java
@@ -22,6 +22,12 @@
     /** Cost of a worker in another availability zone, in units of one request in work on one slot. */
     private static final double REMOTE_ZONE_COST = 0.02;
 
+    /** Cost of a KV cache that crosses zones, which takes twice as long, in units of one prompt in work. */
+    private static final double REMOTE_TRANSFER_COST = 0.15;
+
+    /** A prompt of this size is one request in work. */
+    private static final double TYPICAL_PROMPT_TOKENS = 5000;
+
     /** Spreads nodes with the same view over equal workers, in units of one request in work on one slot. */
     private static final double SPREAD = 0.05;
 
@@ -29,7 +35,7 @@
     private static final double AVOIDED_COST = 1000;
 
     /** Share of an engine's memory that is filled; the rest covers blocks that are partly used and longer answers. */
-    private static final double MEMORY_SHARE = 0.92;
+    private static final double MEMORY_SHARE = 0.95;
 
     private final WorkerLedger ledger;
     private final String zone;
@@ -61,18 +67,19 @@
     }
 
     /**
-     * Chooses the prefill worker with the fewest tokens waiting.
+     * Chooses the prefill worker with the fewest tokens waiting, with some preference for the zone of the decode worker.
      *
      * @param workers the workers of the service
      * @param excluded ids of workers that must not be chosen
+     * @param decodeZone the availability zone to which the KV cache will go
      * @param nowMillis the current time
      * @return the worker; empty when there is none
      */
     public Optional<ListedWorker> choosePrefill(
-            Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+            Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
         return choose(workers, excluded, WorkerRole.PREFILL, nowMillis, w -> {
-            // A prefill of a few thousand tokens is the unit here, as one request is elsewhere.
-            return ledger.countTokens(w.id(), nowMillis) / 5000.0;
+            double transfer = w.server().zone().equals(decodeZone) ? 0 : REMOTE_TRANSFER_COST;
+            return ledger.countTokens(w.id(), nowMillis) / TYPICAL_PROMPT_TOKENS + transfer;
         });
     }
 
--- a/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.ToDoubleFunction;
 
@@ -26,9 +27,19 @@
     /** Failure rate above which a worker gets work only when there is no better one. */
     private static final double UNHEALTHY_RATE = 0.45;
 
+    private final Runnable onChange;
     private final Map<String, Entry> entries = new ConcurrentHashMap<>();
     private final Map<String, PeerReport> peers = new ConcurrentHashMap<>();
 
+    /**
+     * Creates an empty ledger.
+     *
+     * @param onChange called when this node has taken or given back tokens at a worker
+     */
+    public WorkerLedger(Runnable onChange) {
+        this.onChange = onChange;
+    }
+
     /**
      * Takes a send into account.
      *
@@ -39,6 +50,7 @@
         Entry entry = entry(worker);
         entry.requests.incrementAndGet();
         entry.tokens.addAndGet(tokens);
+        signal(tokens);
     }
 
     /**
@@ -51,6 +63,13 @@
         Entry entry = entry(worker);
         entry.requests.decrementAndGet();
         entry.tokens.addAndGet(-tokens);
+        signal(tokens);
+    }
+
+    private void signal(int tokens) {
+        if (tokens > 0) {
+            onChange.run();
+        }
     }
 
     /**
@@ -211,7 +230,6 @@
         final AtomicInteger requests = new AtomicInteger();
         final AtomicInteger tokens = new AtomicInteger();
         final AtomicReference<Health> health = new AtomicReference<>(Health.GOOD);
-        final java.util.concurrent.atomic.AtomicLong suspendedUntilMillis =
-                new java.util.concurrent.atomic.AtomicLong();
+        final AtomicLong suspendedUntilMillis = new AtomicLong();
     }
 }
--- a/core/src/main/java/org/magnoliavane/routing/Route.java
+++ b/core/src/main/java/org/magnoliavane/routing/Route.java
@@ -32,6 +32,12 @@
         int maxAttempts,
         boolean resumable) {
 
+    /** What callers wait for an event at least, and how many targets or pauses; the callers' protocol says so. */
+    private static final long MIN_EVENT_PATIENCE_MILLIS = 2000;
+
+    private static final int PATIENCE_TARGETS = 4;
+    private static final int PATIENCE_GAPS = 8;
+
     /**
      * Says whether a request may run a second time.
      *
@@ -41,6 +47,16 @@
         return kind == RequestKind.IDEMPOTENT || kind == RequestKind.STREAM && resumable;
     }
 
+    /**
+     * Gets how long a caller waits for the next event of a stream, the first one included, before it leaves.
+     *
+     * @return the patience in milliseconds
+     */
+    public long getEventPatienceMillis() {
+        return Math.max(
+                MIN_EVENT_PATIENCE_MILLIS, Math.max(PATIENCE_TARGETS * targetMillis, PATIENCE_GAPS * targetGapMillis));
+    }
+
     /**
      * Picks a service by weight.
      *
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -26,6 +26,7 @@
 import org.magnoliavane.router.dispatch.DispatchParts;
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.RetryBudgets;
+import org.magnoliavane.router.dispatch.RoomQueues;
 import org.magnoliavane.router.dispatch.WireFormat;
 import org.magnoliavane.router.front.Freshness;
 import org.magnoliavane.router.front.FrontParts;
@@ -89,7 +90,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final Fleet fleet = new Fleet();
     private final PeerTable peers = new PeerTable();
-    private final WorkerLedger ledger = new WorkerLedger();
+    private final WorkerLedger ledger = new WorkerLedger(this::loadChanged);
     private final HttpClient client;
     private final TopicFollower configuration;
     private final TopicFollower workers;
@@ -132,6 +133,7 @@
                 fleet,
                 ledger,
                 placement,
+                new RoomQueues(timers, millis, () -> ThreadLocalRandom.current().nextDouble()),
                 budgets,
                 crashes,
                 reports::addCrash,
@@ -259,6 +261,10 @@
         }
     }
 
+    private void loadChanged() {
+        reports.changed();
+    }
+
     private void list() {
         if (leaving.get()) {
             return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchParts.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchParts.java
@@ -18,6 +18,7 @@
  * @param fleet configuration and workers
  * @param ledger load and health of the workers
  * @param placement chooses workers
+ * @param rooms requests that wait for room at engines
  * @param budgets limit repeats
  * @param crashes contents that crash workers
  * @param onCrash takes the content and the crash when a worker died while it ran a request
@@ -32,6 +33,7 @@
         Fleet fleet,
         WorkerLedger ledger,
         Placement placement,
+        RoomQueues rooms,
         RetryBudgets budgets,
         CrashLedger crashes,
         BiConsumer<Long, String> onCrash,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/Run.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/Run.java
@@ -9,6 +9,7 @@
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.http.SerialExecutor;
 
 /** What the runs of plain and of streamed requests share: time limit, budget, refusals, the end. */
@@ -138,13 +139,11 @@
     }
 
     final void log(String event, WorkerSend send, String detail) {
-        LOG.log(
-                Level.INFO,
-                "event={0} request={1} worker={2} {3}",
-                event,
-                call.id(),
-                send.worker().id(),
-                detail);
+        log(event, send.worker(), detail);
+    }
+
+    final void log(String event, ListedWorker worker, String detail) {
+        LOG.log(Level.INFO, "event={0} request={1} worker={2} {3}", event, call.id(), worker.id(), detail);
     }
 
     private void limitReached() {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.http.EventFramer;
 import org.magnoliavane.http.server.StreamWriter;
@@ -20,12 +21,32 @@
  * <p>A KV cache can be taken once. So a decode that got no sign of life may be sent to a second worker with the same
  * cache: at most one of the two can run it.
  */
-final class StreamRun extends Run {
-    /** Tokens that a prefill worker reads in a millisecond; the sheets of both deployments say 55.6. */
-    static final double PREFILL_TOKENS_PER_MILLI = 55;
+final class StreamRun extends Run implements RoomQueues.Waiting {
+    /** Time that a prefill takes for each token on an idle worker; measured on both sites, a third above the sheets. */
+    private static final double PREFILL_MILLIS_PER_TOKEN = 0.034;
 
-    /** Time that a prefill may take beyond twice its expected time, for connection, queue and answer. */
-    private static final long PREFILL_SLACK_MILLIS = 250;
+    /** Time that a prefill takes whatever its size: connection, first step, answer. */
+    private static final long PREFILL_BASE_MILLIS = 25;
+
+    /** Time from the end of a prefill to the first event, as measured on both sites, with a reserve. */
+    private static final long FIRST_EVENT_MILLIS = 80;
+
+    /** How many times its expected time a prefill may take before its worker is taken for dead. */
+    private static final int PREFILL_PATIENCE = 3;
+
+    /** Time that a prefill may take beyond that, for sends of other nodes that are not known yet. */
+    private static final long PREFILL_SLACK_MILLIS = 600;
+
+    /** Prompt tokens that may wait at a prefill worker; memory at the decode worker is held meanwhile. */
+    private static final int MAX_QUEUED_TOKENS = 16_000;
+
+    /** Time that is left for the way to the caller when a request that waits is given up. */
+    private static final long RETURN_LEAD_MILLIS = 150;
+
+    /** Bounds of the time after which a caller that found all workers full may come back; drawn, so that few do at once. */
+    private static final long MIN_FULL_RETRY_MILLIS = 800;
+
+    private static final long MAX_FULL_RETRY_MILLIS = 2500;
 
     /** Largest number of prefills for one request; after that the decode worker reads the prompt itself. */
     private static final int MAX_PREFILLS = 2;
@@ -42,12 +63,6 @@
     /** Pause between events after which a resumable stream goes on elsewhere; callers give up after two seconds. */
     private static final long STALL_MILLIS = 1200;
 
-    /** Pause between looks for room when all decode workers are full. */
-    private static final long ROOM_RETRY_MILLIS = 20;
-
-    /** Share of the caller's patience that a request waits for room; later it could hardly be on time. */
-    private static final double MAX_WAIT_SHARE = 0.25;
-
     private final Generation generation;
     private final EventFramer framer = new EventFramer();
     private final List<WorkerSend> decodes = new ArrayList<>();
@@ -58,6 +73,7 @@
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
     private Map<String, String> headers = Map.of();
     private int status;
+    private volatile boolean waiting;
     private int prefills;
     private int refusedDecodes;
     private int ranOn;
@@ -74,53 +90,96 @@
         place();
     }
 
-    private Collection<ListedWorker> workers() {
-        return parts.fleet().getWorkers(service);
+    /** Waits for room; the queue calls {@link #tryPlace} at once when there is some. */
+    private void place() {
+        if (!hasWorkers()) {
+            giveUp("no worker is available", NO_WORKER_RETRY_MILLIS);
+            return;
+        }
+        waiting = true;
+        long expected = prefillMillis(generation.promptTokens());
+        long startBy = call.arrivalMillis() + call.route().targetMillis() - expected - FIRST_EVENT_MILLIS;
+        parts.rooms().enqueue(service, this, call.arrivalMillis(), startBy);
+        if (waiting) {
+            long patienceEnd = call.arrivalMillis() + call.route().getEventPatienceMillis();
+            long hopeless =
+                    Math.min(patienceEnd, call.limitMillis()) - expected - FIRST_EVENT_MILLIS - RETURN_LEAD_MILLIS;
+            after(hopeless - now(), this::giveUpWaiting);
+        }
     }
 
-    private Optional<EngineProfile> engine() {
-        return parts.fleet().getRouting().flatMap(r -> r.findService(service)).flatMap(s -> s.engine());
+    /** Lets the caller come back later rather than leave without an answer. */
+    private void giveUpWaiting() {
+        if (waiting) {
+            waiting = false;
+            long spread = MAX_FULL_RETRY_MILLIS - MIN_FULL_RETRY_MILLIS;
+            giveUp(
+                    "all workers are full",
+                    MIN_FULL_RETRY_MILLIS + (long) (spread * parts.random().getAsDouble()));
+        }
     }
 
-    private void place() {
-        Optional<EngineProfile> engine = engine();
-        Optional<ListedWorker> decode = engine.isPresent()
-                ? parts.placement().chooseDecode(workers(), engine.get(), generation.memoryTokens(), excluded, now())
-                : parts.placement().choosePlain(workers(), excluded, now());
+    private boolean hasWorkers() {
+        return workers().stream()
+                .anyMatch(w ->
+                        w.server().role() != WorkerRole.PREFILL && !w.server().leaving() && !excluded.contains(w.id()));
+    }
+
+    private static long prefillMillis(int tokens) {
+        return PREFILL_BASE_MILLIS + (long) (PREFILL_MILLIS_PER_TOKEN * tokens);
+    }
+
+    @Override
+    public boolean isOver() {
+        return !waiting;
+    }
+
+    @Override
+    public boolean tryPlace() {
+        Optional<ListedWorker> decode = chooseDecode();
         if (decode.isEmpty()) {
-            waitForRoom();
-            return;
+            return false;
         }
         Optional<ListedWorker> reader = prefills < MAX_PREFILLS && generation.promptTokens() > 0
-                ? parts.placement().choosePrefill(workers(), excluded, now())
+                ? parts.placement()
+                        .choosePrefill(
+                                workers(), excluded, decode.get().server().zone(), now())
                 : Optional.empty();
-        if (reader.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
-            sendDecode(decode.get(), Optional.empty());
-            return;
+        if (reader.isPresent() && parts.ledger().countTokens(reader.get().id(), now()) > MAX_QUEUED_TOKENS) {
+            return false;
         }
+        waiting = false;
         reserve(decode.get());
-        sendPrefill(reader.get());
+        serial.execute(() -> {
+            if (ended) {
+                release();
+            } else if (reader.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
+                release();
+                sendDecode(decode.get(), Optional.empty());
+            } else {
+                sendPrefill(reader.get());
+            }
+        });
+        return true;
     }
 
-    private void waitForRoom() {
-        long waited = now() - call.arrivalMillis();
-        boolean listed = workers().stream().anyMatch(w -> !w.server().leaving() && !excluded.contains(w.id()));
-        if (!listed || waited > MAX_WAIT_SHARE * (call.limitMillis() - call.arrivalMillis())) {
-            giveUp(listed ? "all workers are full" : "no worker is available", NO_WORKER_RETRY_MILLIS);
-            return;
-        }
-        after(ROOM_RETRY_MILLIS, this::place);
+    private Collection<ListedWorker> workers() {
+        return parts.fleet().getWorkers(service);
+    }
+
+    private Optional<EngineProfile> engine() {
+        return parts.fleet().getRouting().flatMap(r -> r.findService(service)).flatMap(s -> s.engine());
     }
 
     private void sendPrefill(ListedWorker worker) {
         prefills++;
         prefillBody = new ByteArrayOutputStream();
         int queued = parts.ledger().countTokens(worker.id(), now());
-        long expected = (long) ((queued + generation.promptTokens()) / PREFILL_TOKENS_PER_MILLI);
+        long expected = prefillMillis(queued + generation.promptTokens());
         WorkerCall to = new WorkerCall(worker, remainingMillis(), true, Optional.empty(), lastEventId());
         WorkerSend send = WorkerSend.start(parts, call, to, generation.promptTokens(), serial, this);
         prefill = Optional.of(send);
-        after(2 * expected + PREFILL_SLACK_MILLIS, () -> {
+        after(PREFILL_PATIENCE * expected + PREFILL_SLACK_MILLIS, () -> {
             if (prefill.isPresent() && prefill.get() == send) {
                 log("prefill_silent", send, "millis=" + send.getAgeMillis() + " expected=" + expected);
                 send.cancelAsSilent();
@@ -141,13 +200,14 @@
         try {
             CacheHandle cache = parts.wire().readCacheHandle(send.workerCall(), prefillBody.toByteArray());
             cacheMillis = now();
+            log("prefill_done", send, "millis=" + send.getAgeMillis() + " tokens=" + generation.promptTokens());
             Optional<ListedWorker> decode = reserved.filter(w -> !parts.ledger().isAvoided(w.id(), now()))
                     .or(() -> chooseDecode());
             release();
             if (decode.isPresent()) {
                 sendDecode(decode.get(), Optional.of(cache));
             } else {
-                waitForRoom();
+                place();
             }
         } catch (IOException e) {
             log("prefill_unreadable", send, "reason=\"" + e.getMessage() + '"');
@@ -163,6 +223,12 @@
     private void sendDecode(ListedWorker worker, Optional<CacheHandle> cache) {
         sends++;
         WorkerCall to = new WorkerCall(worker, remainingMillis(), false, cache, lastEventId());
+        log(
+                "decode",
+                worker,
+                "cached=" + cache.isPresent() + " requests="
+                        + parts.ledger().countRequests(worker.id(), now()) + " tokens="
+                        + parts.ledger().countTokens(worker.id(), now()) + " own_tokens=" + generation.memoryTokens());
         WorkerSend send = WorkerSend.start(parts, call, to, generation.memoryTokens(), serial, this);
         decodes.add(send);
         lastEventMillis = now();
@@ -250,6 +316,7 @@
         }
         lastEventMillis = now();
         if (writer.isEmpty()) {
+            log("first_event", send, "millis=" + send.getAgeMillis());
             writer = answer.begin(status, parts.wire().toCallerHeaders(headers));
             parts.metrics().histogram("streams.first_event_millis").update(now() - call.arrivalMillis());
         }
@@ -274,7 +341,10 @@
     }
 
     private void finishStream(WorkerSend send) {
-        end("answered", "worker=" + send.worker().id() + " status=" + status);
+        end(
+                "answered",
+                "worker=" + send.worker().id() + " status=" + status + " decode_millis=" + send.getAgeMillis()
+                        + " output_tokens=" + generation.maxOutputTokens());
         if (writer.isPresent()) {
             writer.get().end();
         } else {
@@ -373,11 +443,13 @@
 
     @Override
     void cancelSends() {
+        waiting = false;
         prefill.ifPresent(WorkerSend::cancel);
         prefill = Optional.empty();
         decodes.forEach(WorkerSend::cancel);
         decodes.clear();
         release();
+        parts.rooms().roomFreed(service);
     }
 
     private boolean isPrefill(WorkerSend send) {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -46,6 +47,9 @@
     /** Pause between two rounds of reports. */
     private static final long ROUND_MILLIS = 250;
 
+    /** Least pause between reports of changes, for each node that gets them: two nodes may take the same room within it. */
+    private static final long CHANGE_MILLIS_PER_NODE = 1;
+
     /** Number of nodes that get a report in one round, so that the cost of a node does not grow with the fleet. */
     private static final int NODES_IN_ROUND = 16;
 
@@ -67,6 +71,7 @@
     private final Deque<ContentCrash> newestCrashes = new ArrayDeque<>();
     private final EventLoopGroup group;
     private final Channel channel;
+    private final AtomicBoolean changePending = new AtomicBoolean();
     private int position;
 
     private PeerReports(
@@ -136,6 +141,22 @@
         }
     }
 
+    /** Sends a report soon, because this node has taken or given back room at a worker. */
+    public void changed() {
+        if (changePending.compareAndSet(false, true)) {
+            long pause = CHANGE_MILLIS_PER_NODE
+                    * Math.min(NODES_IN_ROUND, table.getListings().size());
+            group.next()
+                    .schedule(
+                            () -> {
+                                changePending.set(false);
+                                sendRound();
+                            },
+                            pause,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Sends a report to all nodes at once, for example before this node leaves. */
     public void sendToAll() {
         group.next().execute(() -> send(table.getListings()));
