Fetch the prompt from the prefill worker's cache after a refused decode

Change: the same KV cache is offered to another worker while it may live; after that the decode worker fetches what the prefill worker still caches.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainRun.java
@@ -101,7 +101,7 @@
     @Override
     public void onNotRun(WorkerSend send, String reason) {
         remove(send);
-        if (reason.equals("unreachable")) {
+        if (reason.equals(WorkerSend.UNREACHABLE)) {
             sends--;
         }
         log("not_run", send, "reason=\"" + reason + '"');
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -52,11 +52,17 @@
     private static final int MAX_PREFILLS = 2;
 
     /** Largest number of decode sends that did not run, for one request. */
-    private static final int MAX_REFUSED_DECODES = 3;
+    private static final int MAX_REFUSED_DECODES = 4;
 
     /** Time without a sign of life after which a decode is also sent to a second worker; well within a cache's life. */
     private static final long TAKEOVER_MILLIS = 220;
 
+    /** Pause after a refusal, in which a full worker ends some of its requests. */
+    private static final long REFUSED_PAUSE_MILLIS = 40;
+
+    /** Share of its memory below which a decode worker can't be full, whatever the estimates miss. */
+    private static final double MUCH_ROOM_SHARE = 0.7;
+
     /** Part of a cache's life that must be left for another send. */
     private static final long CACHE_MARGIN_MILLIS = 100;
 
@@ -69,6 +75,7 @@
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<ListedWorker> reserved = Optional.empty();
     private Optional<WorkerSend> prefill = Optional.empty();
+    private Optional<ListedWorker> reader = Optional.empty();
     private Optional<StreamWriter> writer = Optional.empty();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
     private Map<String, String> headers = Map.of();
@@ -76,6 +83,7 @@
     private volatile boolean waiting;
     private int prefills;
     private int refusedDecodes;
+    private boolean hadRoom;
     private int ranOn;
     private long cacheMillis;
     private long lastEventMillis;
@@ -140,12 +148,13 @@
         if (decode.isEmpty()) {
             return false;
         }
-        Optional<ListedWorker> reader = prefills < MAX_PREFILLS && generation.promptTokens() > 0
-                ? parts.placement()
+        boolean read = reader.isPresent() || prefills >= MAX_PREFILLS || generation.promptTokens() == 0;
+        Optional<ListedWorker> prefiller = read
+                ? Optional.empty()
+                : parts.placement()
                         .choosePrefill(
-                                workers(), excluded, decode.get().server().zone(), now())
-                : Optional.empty();
-        if (reader.isPresent() && parts.ledger().countTokens(reader.get().id(), now()) > MAX_QUEUED_TOKENS) {
+                                workers(), excluded, decode.get().server().zone(), now());
+        if (prefiller.isPresent() && parts.ledger().countTokens(prefiller.get().id(), now()) > MAX_QUEUED_TOKENS) {
             return false;
         }
         waiting = false;
@@ -153,11 +162,11 @@
         serial.execute(() -> {
             if (ended) {
                 release();
-            } else if (reader.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
+            } else if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
                 release();
                 sendDecode(decode.get(), Optional.empty());
             } else {
-                sendPrefill(reader.get());
+                sendPrefill(prefiller.get());
             }
         });
         return true;
@@ -176,7 +185,8 @@
         prefillBody = new ByteArrayOutputStream();
         int queued = parts.ledger().countTokens(worker.id(), now());
         long expected = prefillMillis(queued + generation.promptTokens());
-        WorkerCall to = new WorkerCall(worker, remainingMillis(), true, Optional.empty(), lastEventId());
+        WorkerCall to =
+                new WorkerCall(worker, remainingMillis(), true, Optional.empty(), Optional.empty(), lastEventId());
         WorkerSend send = WorkerSend.start(parts, call, to, generation.promptTokens(), serial, this);
         prefill = Optional.of(send);
         after(PREFILL_PATIENCE * expected + PREFILL_SLACK_MILLIS, () -> {
@@ -200,6 +210,7 @@
         try {
             CacheHandle cache = parts.wire().readCacheHandle(send.workerCall(), prefillBody.toByteArray());
             cacheMillis = now();
+            reader = Optional.of(send.worker());
             log("prefill_done", send, "millis=" + send.getAgeMillis() + " tokens=" + generation.promptTokens());
             Optional<ListedWorker> decode = reserved.filter(w -> !parts.ledger().isAvoided(w.id(), now()))
                     .or(() -> chooseDecode());
@@ -215,18 +226,27 @@
         }
     }
 
+    private boolean hasMuchRoom(ListedWorker worker) {
+        int tokens = parts.ledger().countTokens(worker.id(), now());
+        return engine().map(e -> tokens < MUCH_ROOM_SHARE * e.memoryTokens()).orElse(true);
+    }
+
     private Optional<ListedWorker> chooseDecode() {
-        return engine().flatMap(
-                        e -> parts.placement().chooseDecode(workers(), e, generation.memoryTokens(), excluded, now()));
+        Optional<EngineProfile> engine = engine();
+        return engine.isPresent()
+                ? parts.placement().chooseDecode(workers(), engine.get(), generation.memoryTokens(), excluded, now())
+                : parts.placement().choosePlain(workers(), excluded, now());
     }
 
     private void sendDecode(ListedWorker worker, Optional<CacheHandle> cache) {
         sends++;
-        WorkerCall to = new WorkerCall(worker, remainingMillis(), false, cache, lastEventId());
+        Optional<ListedWorker> cachedAt = cache.isPresent() ? Optional.empty() : reader;
+        WorkerCall to = new WorkerCall(worker, remainingMillis(), false, cache, cachedAt, lastEventId());
         log(
                 "decode",
                 worker,
-                "cached=" + cache.isPresent() + " requests="
+                "cached=" + cache.isPresent() + " from="
+                        + reader.map(ListedWorker::id).orElse("none") + " requests="
                         + parts.ledger().countRequests(worker.id(), now()) + " tokens="
                         + parts.ledger().countTokens(worker.id(), now()) + " own_tokens=" + generation.memoryTokens());
         WorkerSend send = WorkerSend.start(parts, call, to, generation.memoryTokens(), serial, this);
@@ -363,25 +383,22 @@
         if (!decodes.isEmpty()) {
             return;
         }
-        boolean unreachable = reason.equals("unreachable");
         excluded.add(send.worker().id());
-        Optional<CacheHandle> cache = send.workerCall().cache().filter(c -> unreachable && cacheMayLive());
-        Optional<ListedWorker> next = cache.flatMap(c -> chooseDecode());
-        if (next.isPresent()) {
-            sends--;
-            sendDecode(next.get(), cache);
-            return;
-        }
         refusedDecodes++;
         if (refusedDecodes >= MAX_REFUSED_DECODES || !parts.budgets().tryTake(service)) {
             loseStream(reason);
             return;
         }
-        if (!unreachable && send.workerCall().cache().isPresent()) {
-            // The cache was gone rather than the worker full; the worker may take the request with another cache.
-            excluded.remove(send.worker().id());
+        // A worker that is full or gone has not taken the cache; one with room refuses because the cache has lapsed.
+        boolean lapsed = reason.equals(WorkerSend.REFUSED) && hadRoom;
+        Optional<CacheHandle> cache = send.workerCall().cache().filter(c -> !lapsed && cacheMayLive());
+        Optional<ListedWorker> next = cache.flatMap(c -> chooseDecode());
+        if (next.isPresent()) {
+            sendDecode(next.get(), cache);
+            return;
         }
-        place();
+        excluded.remove(send.worker().id());
+        after(REFUSED_PAUSE_MILLIS, this::place);
     }
 
     private boolean cacheMayLive() {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerCall.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerCall.java
@@ -11,6 +11,7 @@
  * @param remainingMillis how long the caller will still wait
  * @param prefillOnly true when only the prompt is to be read
  * @param cache the KV cache to start from; empty when the worker reads the prompt itself
+ * @param cachedAt the worker that read the prompt and may still have it in its cache; empty when none did
  * @param lastEventId the event after which a stream goes on; empty at its start
  */
 public record WorkerCall(
@@ -18,6 +19,7 @@
         long remainingMillis,
         boolean prefillOnly,
         Optional<CacheHandle> cache,
+        Optional<ListedWorker> cachedAt,
         Optional<String> lastEventId) {
 
     /**
@@ -28,6 +30,6 @@
      * @return the call
      */
     public static WorkerCall whole(ListedWorker worker, long remainingMillis) {
-        return new WorkerCall(worker, remainingMillis, false, Optional.empty(), Optional.empty());
+        return new WorkerCall(worker, remainingMillis, false, Optional.empty(), Optional.empty(), Optional.empty());
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerSend.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerSend.java
@@ -25,6 +25,12 @@
     /** Failure that an error status counts as: some requests fail at any worker. */
     private static final double ERROR_FAILURE = 0.2;
 
+    /** Reason of a worker that states that it did not run the request. */
+    static final String REFUSED = "refused";
+
+    /** Reason of a worker that accepts no connection. */
+    static final String UNREACHABLE = "unreachable";
+
     /** Takes what happens to a send. */
     interface Listener {
         /** The worker runs the request. */
@@ -153,7 +159,7 @@
             outcome(1);
             if (cause instanceof ConnectException) {
                 parts.ledger().suspend(worker().id(), parts.millis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS);
-                listener.onNotRun(this, "unreachable");
+                listener.onNotRun(this, UNREACHABLE);
             } else {
                 recordCrash();
                 listener.onBroken(this, cause.getMessage());
@@ -173,7 +179,7 @@
                 break;
             case NOT_RUN:
                 close(REFUSAL_FAILURE);
-                listener.onNotRun(this, "refused with " + responseStatus);
+                listener.onNotRun(this, REFUSED);
                 break;
             case OTHER_WORKER:
                 parts.ledger().suspend(worker().id(), parts.millis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS);
