--- a/core/src/main/java/org/magnoliavane/balance/Placement.java
+++ b/core/src/main/java/org/magnoliavane/balance/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
@@ -31,9 +32,6 @@
     /** Spreads nodes with the same view over equal workers, in units of one request in work on one slot. */
     private static final double SPREAD = 0.05;
 
-    /** Cost that puts avoided workers behind all others. */
-    private static final double AVOIDED_COST = 1000;
-
     /** Share of an engine's memory that is filled; the rest covers blocks that are partly used and longer answers. */
     private static final double MEMORY_SHARE = 0.95;
 
@@ -110,20 +108,26 @@
             long nowMillis,
             ToDoubleFunction<ListedWorker> load) {
         record Scored(ListedWorker worker, double cost) {}
-        return workers.stream()
+        List<ListedWorker> usable = workers.stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !excluded.contains(w.id()))
-                .map(w -> new Scored(w, cost(w, load.applyAsDouble(w), nowMillis)))
-                .filter(s -> s.cost < Double.POSITIVE_INFINITY)
-                .min(Comparator.comparingDouble(Scored::cost))
-                .map(Scored::worker);
+                .toList();
+        List<ListedWorker> healthy = usable.stream()
+                .filter(w -> !ledger.isAvoided(w.id(), nowMillis))
+                .toList();
+        // A healthy worker that is full is worth waiting for; an avoided one is tried only when all are.
+        return (healthy.isEmpty() ? usable : healthy)
+                .stream()
+                        .map(w -> new Scored(w, cost(w, load.applyAsDouble(w), nowMillis)))
+                        .filter(s -> s.cost < Double.POSITIVE_INFINITY)
+                        .min(Comparator.comparingDouble(Scored::cost))
+                        .map(Scored::worker);
     }
 
     private double cost(ListedWorker worker, double load, long nowMillis) {
         double failures = ledger.getFailureRate(worker.id(), nowMillis);
         double cost = (load + 0.5) * (1 + FAILURE_PENALTY * failures);
         cost += worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
-        cost += SPREAD * random.getAsDouble();
-        return ledger.isAvoided(worker.id(), nowMillis) ? cost + AVOIDED_COST : cost;
+        return cost + SPREAD * random.getAsDouble();
     }
 
     private double usedShare(ListedWorker worker, long nowMillis) {
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -34,18 +34,19 @@
  * <p>Thread-safe.
  */
 public final class HttpClient implements AutoCloseable {
-    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final long CONNECT_TIMEOUT_MILLIS = 1000;
 
     private final TCPNIOTransport transport;
     private final Attribute<HttpExchange> exchanges;
     private final ScheduledThreadPoolExecutor timers;
+    private final long connectTimeoutMillis;
 
     private HttpClient(String name, long connectTimeoutMillis) throws IOException {
+        this.connectTimeoutMillis = connectTimeoutMillis;
         exchanges = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.exchange." + name);
         transport = TCPNIOTransportBuilder.newInstance()
                 .setName(name)
                 .setTcpNoDelay(true)
-                .setConnectionTimeout((int) connectTimeoutMillis)
                 .setProcessor(FilterChainBuilder.stateless()
                         .add(new TransportFilter())
                         .add(new HttpClientFilter())
@@ -113,6 +114,12 @@
                     request.timeoutMillis(),
                     TimeUnit.MILLISECONDS));
         }
+        // The transport's own timeout does not cover connections that are opened without waiting.
+        exchange.setConnectTimeout(timers.schedule(
+                () -> exchange.failUnlessSending(new ConnectException("no connection to " + request.host() + ":"
+                        + request.port() + " within " + connectTimeoutMillis + " ms")),
+                connectTimeoutMillis,
+                TimeUnit.MILLISECONDS));
         transport.connect(new InetSocketAddress(request.host(), request.port()), new ConnectHandler(request, exchange));
         return exchange;
     }
@@ -157,6 +164,10 @@
         public void completed(Connection connection) {
             exchanges.set(connection, exchange);
             exchange.attach(connection);
+            if (!exchange.beginSend()) {
+                connection.closeSilently();
+                return;
+            }
             connection.write(toContent(request), new EmptyCompletionHandler<Object>() {
                 @Override
                 public void failed(Throwable cause) {
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -21,10 +21,12 @@
     private final ResponseListener listener;
     private final SerialExecutor calls = SerialExecutor.create();
     private final AtomicBoolean ended = new AtomicBoolean();
+    private final AtomicBoolean sendDecided = new AtomicBoolean();
     private volatile boolean headSeen;
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
+    private volatile Future<?> connectTimeout;
 
     HttpExchange(ResponseListener listener) {
         this.listener = listener;
@@ -54,6 +56,30 @@
         }
     }
 
+    /**
+     * Decides that the request is written, unless its connection came too late.
+     *
+     * @return false when the exchange has failed before
+     */
+    boolean beginSend() {
+        Future<?> pending = connectTimeout;
+        if (pending != null) {
+            pending.cancel(false);
+        }
+        return sendDecided.compareAndSet(false, true) && !ended.get();
+    }
+
+    /** Fails the exchange when no connection is open yet, so that nothing has been or will be sent. */
+    void failUnlessSending(IOException cause) {
+        if (sendDecided.compareAndSet(false, true)) {
+            fail(cause);
+        }
+    }
+
+    void setConnectTimeout(Future<?> pending) {
+        connectTimeout = pending;
+    }
+
     void setTimeout(Future<?> pending) {
         timeout = pending;
         if (ended.get()) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -384,8 +384,10 @@
             return;
         }
         excluded.add(send.worker().id());
-        refusedDecodes++;
-        if (refusedDecodes >= MAX_REFUSED_DECODES || !parts.budgets().tryTake(service)) {
+        boolean arrived = !reason.equals(WorkerSend.UNREACHABLE);
+        refusedDecodes += arrived ? 1 : 0;
+        if (arrived
+                && (refusedDecodes >= MAX_REFUSED_DECODES || !parts.budgets().tryTake(service))) {
             loseStream(reason);
             return;
         }
