--- /dev/null
+++ b/core/src/test/java/org/magnoliavane/routing/RoutingTableTest.java
@@ -0,0 +1,132 @@
+package org.magnoliavane.routing;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class RoutingTableTest {
+    private static final CallerLimits LIMITS = new CallerLimits(16_384, 4_194_304, 3000, 15_000);
+
+    @Test
+    public void theLongestPrefixThatBeginsThePathWins() {
+        RoutingTable table = tableOf(routeOf("short", "/a/"), routeOf("long", "/a/b/"));
+        assertEquals(nameAt(table, "h.example", "/a/b/c"), "long");
+        assertEquals(nameAt(table, "h.example", "/a/x"), "short");
+    }
+
+    @Test
+    public void aPathWithoutTheClosingSlashOfThePrefixDoesNotMatch() {
+        RoutingTable table = tableOf(routeOf("r", "/a/"));
+        assertTrue(table.findRoute("h.example", "/a").isEmpty());
+        assertTrue(table.findRoute("h.example", "/ab/").isEmpty());
+    }
+
+    @Test
+    public void theHostIsComparedWithoutPortAndCase() {
+        RoutingTable table = tableOf(routeOf("r", "/a/"));
+        assertEquals(nameAt(table, "H.Example:8080", "/a/"), "r");
+        assertTrue(table.findRoute("other.example", "/a/").isEmpty());
+    }
+
+    @Test
+    public void weightsDecideTheServiceByTheDraw() {
+        Route route = new Route(
+                "r",
+                "h.example",
+                "/a/",
+                RequestKind.IDEMPOTENT,
+                800,
+                300,
+                0,
+                2,
+                List.of(new WeightedService("old", 90), new WeightedService("new", 10)),
+                2,
+                false);
+        assertEquals(route.pickService(0), "old");
+        assertEquals(route.pickService(0.899), "old");
+        assertEquals(route.pickService(0.901), "new");
+        assertEquals(route.pickService(0.9999999), "new");
+    }
+
+    @Test
+    public void aServiceOfWeightZeroGetsNothing() {
+        Route route = new Route(
+                "r",
+                "h.example",
+                "/a/",
+                RequestKind.IDEMPOTENT,
+                800,
+                300,
+                0,
+                2,
+                List.of(new WeightedService("off", 0), new WeightedService("on", 10)),
+                2,
+                false);
+        assertEquals(route.pickService(0), "on");
+    }
+
+    @Test
+    public void onlyIdempotentRequestsAndResumableStreamsAreRepeatable() {
+        assertTrue(routeOf(RequestKind.IDEMPOTENT, false).isRepeatable());
+        assertFalse(routeOf(RequestKind.NON_IDEMPOTENT, false).isRepeatable());
+        assertFalse(routeOf(RequestKind.NON_IDEMPOTENT, true).isRepeatable());
+        assertFalse(routeOf(RequestKind.STREAM, false).isRepeatable());
+        assertTrue(routeOf(RequestKind.STREAM, true).isRepeatable());
+    }
+
+    @Test
+    public void callersWaitForEventsTheLongestOfTwoSecondsFourTargetsAndEightPauses() {
+        assertEquals(patience(100, 100), 2000);
+        assertEquals(patience(900, 300), 3600);
+        assertEquals(patience(900, 500), 4000);
+    }
+
+    private static long patience(long targetMillis, long gapMillis) {
+        return new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RequestKind.STREAM,
+                        14_000,
+                        targetMillis,
+                        gapMillis,
+                        1,
+                        List.of(new WeightedService("s", 1)),
+                        1,
+                        false)
+                .getEventPatienceMillis();
+    }
+
+    private static String nameAt(RoutingTable table, String host, String path) {
+        Optional<Route> route = table.findRoute(host, path);
+        return route.map(Route::name).orElse("none");
+    }
+
+    private static RoutingTable tableOf(Route... routes) {
+        return RoutingTable.create(1, List.of(routes), List.of(), LIMITS);
+    }
+
+    private static Route routeOf(String name, String prefix) {
+        return new Route(
+                name,
+                "h.example",
+                prefix,
+                RequestKind.IDEMPOTENT,
+                800,
+                300,
+                0,
+                2,
+                List.of(new WeightedService("s", 1)),
+                2,
+                false);
+    }
+
+    private static Route routeOf(RequestKind kind, boolean resumable) {
+        return new Route("r", "h", "/", kind, 800, 300, 0, 2, List.of(new WeightedService("s", 1)), 2, resumable);
+    }
+}
