--- /dev/null
+++ b/http/src/main/java/org/magnoliavane/http/ExactEndFilter.java
@@ -0,0 +1,56 @@
+package org.magnoliavane.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.function.BiConsumer;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * Reads from the connection like {@link TransportFilter}, which reports a reset as an orderly end. The two differ for a
+ * response that ends with its connection.
+ */
+final class ExactEndFilter extends TransportFilter {
+    private static final int READ_BYTES = 8192;
+
+    private final BiConsumer<Connection<?>, Boolean> onEnd;
+
+    /**
+     * Creates a filter.
+     *
+     * @param onEnd takes a connection that the other side has ended, and whether it did so in an orderly way
+     */
+    ExactEndFilter(BiConsumer<Connection<?>, Boolean> onEnd) {
+        this.onEnd = onEnd;
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) {
+        NIOConnection connection = (NIOConnection) context.getConnection();
+        ByteBuffer bytes = ByteBuffer.allocate(READ_BYTES);
+        int length;
+        boolean orderly = true;
+        try {
+            length = ((SocketChannel) connection.getChannel()).read(bytes);
+        } catch (IOException e) {
+            length = -1;
+            orderly = false;
+        }
+        if (length < 0) {
+            onEnd.accept(connection, orderly);
+            connection.terminateSilently();
+        }
+        if (length <= 0) {
+            return context.getStopAction();
+        }
+        bytes.flip();
+        context.setMessage(Buffers.wrap(connection.getMemoryManager(), bytes));
+        return context.getInvokeAction();
+    }
+}
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -18,7 +18,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -48,7 +47,7 @@
                 .setName(name)
                 .setTcpNoDelay(true)
                 .setProcessor(FilterChainBuilder.stateless()
-                        .add(new TransportFilter())
+                        .add(new ExactEndFilter(this::connectionEnded))
                         .add(new HttpClientFilter())
                         .add(new ExchangeFilter())
                         .build())
@@ -130,6 +129,13 @@
         transport.shutdownNow();
     }
 
+    private void connectionEnded(Connection<?> connection, boolean orderly) {
+        HttpExchange exchange = exchanges.get(connection);
+        if (exchange != null) {
+            exchange.closed(orderly);
+        }
+    }
+
     private static HttpContent toContent(HttpRequest request) {
         HttpRequestPacket.Builder head = HttpRequestPacket.builder()
                 .method(request.method())
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -23,6 +23,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean sendDecided = new AtomicBoolean();
     private volatile boolean headSeen;
+    private volatile boolean framed = true;
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
@@ -99,9 +100,26 @@
         byte[] bytes = new byte[buffer.remaining()];
         buffer.get(bytes);
         boolean last = content.isLast();
+        framed = head.isChunked() || head.getContentLength() >= 0;
         calls.execute(() -> deliver(status, headers, bytes, last));
     }
 
+    /**
+     * Takes the end of the connection. It is the regular end of a response that states neither a length nor chunks, if the
+     * server has not reset the connection.
+     *
+     * @param orderly false after a reset
+     */
+    void closed(boolean orderly) {
+        calls.execute(() -> {
+            if (orderly && headSeen && !framed && ended.compareAndSet(false, true)) {
+                release();
+                listener.onEnd();
+            }
+        });
+        calls.execute(() -> fail(new IOException("connection closed by the server")));
+    }
+
     void fail(IOException cause) {
         if (ended.compareAndSet(false, true)) {
             release();
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -228,6 +228,12 @@
         LOG.log(Level.INFO, "event=stop node={0} active={1}", self.name(), front.countActive());
         front.close();
         reports.close();
+        timers.shutdownNow();
+        try {
+            client.close();
+        } catch (IOException e) {
+            LOG.log(Level.WARNING, "event=close_failed reason=\"{0}\"", e.getMessage());
+        }
     }
 
     private TopicFollower follow(Topic topic, TopicListener listener, long waitMillis, long paceMillis) {
