--- a/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.cli;
 
+import java.io.IOException;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.magnoliavane.config.TextProblem;
 import org.magnoliavane.node.settings.Logging;
 import org.magnoliavane.platform.PlatformRouter;
+import org.magnoliavane.platform.Rehearsal;
 import org.magnoliavane.router.settings.RouterSettings;
 import sun.misc.Signal;
 
@@ -28,13 +30,22 @@
     @Parameter(names = "--check", description = "Check the settings file and exit")
     private boolean check;
 
+    @Parameter(
+            names = "--rehearse",
+            description =
+                    "Start on loopback, serve a few requests and exit; the build records the classes that this loads")
+    private boolean rehearse;
+
     @Override
     String[] getExamples() {
-        return new String[] {"", "--settings router.toml", "--settings router.toml --check"};
+        return new String[] {"", "--settings router.toml", "--settings router.toml --check", "--rehearse"};
     }
 
     @Override
     Report run() throws InterruptedException {
+        if (rehearse) {
+            return rehearse();
+        }
         Optional<Path> file = Optional.ofNullable(settings).or(PlatformRouter::findSettings);
         if (file.isEmpty()) {
             return Report.failure(ExitStatus.USAGE, "no settings file is named", "Give --settings FILE.");
@@ -64,6 +75,16 @@
         return Report.of(ExitStatus.OK, "stopped");
     }
 
+    private static Report rehearse() throws InterruptedException {
+        Logging.toStandardOutput(Level.WARNING);
+        try {
+            Rehearsal.run();
+            return Report.of(ExitStatus.OK, "rehearsed");
+        } catch (IOException e) {
+            return Report.failure(ExitStatus.FAILED, "no port on loopback: " + e, "Free some ports of this machine.");
+        }
+    }
+
     private static void reload(Path file, RouterSettings running) {
         Either<List<TextProblem>, RouterSettings> read = RouterSettings.read(file);
         String outcome = read.fold(
