--- a/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
@@ -93,6 +93,27 @@
         entry(worker).suspendedUntilMillis.accumulateAndGet(untilMillis, Math::max);
     }
 
+    /**
+     * Takes note that a worker has refused a request for lack of room, whatever the sum of the sends says.
+     *
+     * @param worker the id of the worker
+     * @param untilMillis the time until which it counts as full
+     */
+    public void markFull(String worker, long untilMillis) {
+        entry(worker).fullUntilMillis.accumulateAndGet(untilMillis, Math::max);
+    }
+
+    /**
+     * Says whether a worker has refused a request for lack of room a moment ago.
+     *
+     * @param worker the id of the worker
+     * @param nowMillis the current time
+     * @return true while it counts as full
+     */
+    public boolean isFull(String worker, long nowMillis) {
+        return entry(worker).fullUntilMillis.get() > nowMillis;
+    }
+
     /**
      * Forgets a worker that is gone or has started anew.
      *
@@ -231,5 +252,6 @@
         final AtomicInteger tokens = new AtomicInteger();
         final AtomicReference<Health> health = new AtomicReference<>(Health.GOOD);
         final AtomicLong suspendedUntilMillis = new AtomicLong();
+        final AtomicLong fullUntilMillis = new AtomicLong();
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -52,19 +52,22 @@
     private static final int MAX_PREFILLS = 2;
 
     /** Largest number of decode sends that did not run, for one request. */
-    private static final int MAX_REFUSED_DECODES = 4;
+    private static final int MAX_REFUSED_DECODES = 6;
 
     /** Time without a sign of life after which a decode is also sent to a second worker; well within a cache's life. */
     private static final long TAKEOVER_MILLIS = 220;
 
-    /** Pause after a refusal, in which a full worker ends some of its requests. */
-    private static final long REFUSED_PAUSE_MILLIS = 40;
+    /** Time for which a worker that refused for lack of memory gets nothing; some of its requests end within it. */
+    private static final long FULL_MILLIS = 120;
+
+    /** Pause after which a request that needs an extra send looks at the budget again. */
+    private static final long BUDGET_PAUSE_MILLIS = 100;
 
     /** Share of its memory below which a decode worker can't be full, whatever the estimates miss. */
     private static final double MUCH_ROOM_SHARE = 0.7;
 
     /** Part of a cache's life that must be left for another send. */
-    private static final long CACHE_MARGIN_MILLIS = 100;
+    private static final long CACHE_MARGIN_MILLIS = 60;
 
     /** Pause between events after which a resumable stream goes on elsewhere; callers give up after two seconds. */
     private static final long STALL_MILLIS = 1200;
@@ -75,7 +78,7 @@
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<ListedWorker> reserved = Optional.empty();
     private Optional<WorkerSend> prefill = Optional.empty();
-    private Optional<ListedWorker> reader = Optional.empty();
+    private final PromptCache cache = new PromptCache();
     private Optional<StreamWriter> writer = Optional.empty();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
     private Map<String, String> headers = Map.of();
@@ -85,7 +88,6 @@
     private int refusedDecodes;
     private boolean hadRoom;
     private int ranOn;
-    private long cacheMillis;
     private long lastEventMillis;
 
     StreamRun(DispatchParts parts, CallerCall call, String service, CallerAnswer answer) {
@@ -109,13 +111,17 @@
         long startBy = call.arrivalMillis() + call.route().targetMillis() - expected - FIRST_EVENT_MILLIS;
         parts.rooms().enqueue(service, this, call.arrivalMillis(), startBy);
         if (waiting) {
-            long patienceEnd = call.arrivalMillis() + call.route().getEventPatienceMillis();
-            long hopeless =
-                    Math.min(patienceEnd, call.limitMillis()) - expected - FIRST_EVENT_MILLIS - RETURN_LEAD_MILLIS;
-            after(hopeless - now(), this::giveUpWaiting);
+            after(hopelessMillis() - now(), this::giveUpWaiting);
         }
     }
 
+    /** Gets the time after which the first event could not reach the caller before it leaves. */
+    private long hopelessMillis() {
+        long patienceEnd = call.arrivalMillis() + call.route().getEventPatienceMillis();
+        long prefillLeft = cache.findReader().isPresent() ? 0 : prefillMillis(generation.promptTokens());
+        return Math.min(patienceEnd, call.limitMillis()) - prefillLeft - FIRST_EVENT_MILLIS - RETURN_LEAD_MILLIS;
+    }
+
     /** Lets the caller come back later rather than leave without an answer. */
     private void giveUpWaiting() {
         if (waiting) {
@@ -148,7 +154,7 @@
         if (decode.isEmpty()) {
             return false;
         }
-        boolean read = reader.isPresent() || prefills >= MAX_PREFILLS || generation.promptTokens() == 0;
+        boolean read = cache.findReader().isPresent() || prefills >= MAX_PREFILLS || generation.promptTokens() == 0;
         Optional<ListedWorker> prefiller = read
                 ? Optional.empty()
                 : parts.placement()
@@ -164,7 +170,7 @@
                 release();
             } else if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
                 release();
-                sendDecode(decode.get(), Optional.empty());
+                sendDecode(decode.get());
             } else {
                 sendPrefill(prefiller.get());
             }
@@ -208,15 +214,15 @@
     private void prefillDone(WorkerSend send) {
         prefill = Optional.empty();
         try {
-            CacheHandle cache = parts.wire().readCacheHandle(send.workerCall(), prefillBody.toByteArray());
-            cacheMillis = now();
-            reader = Optional.of(send.worker());
+            CacheHandle handle = parts.wire().readCacheHandle(send.workerCall(), prefillBody.toByteArray());
+            long life = engine().map(EngineProfile::handleMillis).orElse(0L);
+            cache.fill(handle, send.worker(), now(), life);
             log("prefill_done", send, "millis=" + send.getAgeMillis() + " tokens=" + generation.promptTokens());
             Optional<ListedWorker> decode = reserved.filter(w -> !parts.ledger().isAvoided(w.id(), now()))
                     .or(() -> chooseDecode());
             release();
             if (decode.isPresent()) {
-                sendDecode(decode.get(), Optional.of(cache));
+                sendDecode(decode.get());
             } else {
                 place();
             }
@@ -238,22 +244,24 @@
                 : parts.placement().choosePlain(workers(), excluded, now());
     }
 
-    private void sendDecode(ListedWorker worker, Optional<CacheHandle> cache) {
+    private void sendDecode(ListedWorker worker) {
         sends++;
-        Optional<ListedWorker> cachedAt = cache.isPresent() ? Optional.empty() : reader;
-        WorkerCall to = new WorkerCall(worker, remainingMillis(), false, cache, cachedAt, lastEventId());
+        Optional<CacheHandle> handle = cache.findHandle(now() + CACHE_MARGIN_MILLIS);
+        Optional<ListedWorker> cachedAt = handle.isPresent() ? Optional.empty() : cache.findReader();
+        hadRoom = hasMuchRoom(worker);
         log(
                 "decode",
                 worker,
-                "cached=" + cache.isPresent() + " from="
-                        + reader.map(ListedWorker::id).orElse("none") + " requests="
+                "cached=" + handle.isPresent() + " from="
+                        + cache.findReader().map(ListedWorker::id).orElse("none") + " requests="
                         + parts.ledger().countRequests(worker.id(), now()) + " tokens="
                         + parts.ledger().countTokens(worker.id(), now()) + " own_tokens=" + generation.memoryTokens());
+        WorkerCall to = new WorkerCall(worker, remainingMillis(), false, handle, cachedAt, lastEventId());
         WorkerSend send = WorkerSend.start(parts, call, to, generation.memoryTokens(), serial, this);
         decodes.add(send);
         lastEventMillis = now();
-        if (cache.isPresent() && decodes.size() == 1) {
-            after(TAKEOVER_MILLIS, () -> takeOver(send, cache.get()));
+        if (handle.isPresent() && decodes.size() == 1) {
+            after(TAKEOVER_MILLIS, () -> takeOver(send));
         }
         if (call.route().resumable() && decodes.size() == 1) {
             after(STALL_MILLIS, () -> checkStall(send));
@@ -261,17 +269,16 @@
     }
 
     /** Offers the KV cache to a second worker when the first one shows no sign of life. */
-    private void takeOver(WorkerSend silent, CacheHandle cache) {
-        long life = engine().map(EngineProfile::handleMillis).orElse(0L);
+    private void takeOver(WorkerSend silent) {
         boolean open = decodes.size() == 1 && decodes.get(0) == silent && !silent.isAnswered();
-        if (!open || now() - cacheMillis > life - CACHE_MARGIN_MILLIS) {
+        if (!open || cache.findHandle(now() + CACHE_MARGIN_MILLIS).isEmpty()) {
             return;
         }
         excluded.add(silent.worker().id());
         Optional<ListedWorker> second = chooseDecode();
         if (second.isPresent() && parts.budgets().tryTake(service)) {
             log("take_over", silent, "second=" + second.get().id() + " millis=" + silent.getAgeMillis());
-            sendDecode(second.get(), Optional.of(cache));
+            sendDecode(second.get());
         }
     }
 
@@ -314,6 +321,7 @@
             }
         }
         mayHaveRun = true;
+        cache.spend();
         if (writer.isEmpty()) {
             status = responseStatus;
             headers = responseHeaders;
@@ -383,29 +391,35 @@
         if (!decodes.isEmpty()) {
             return;
         }
-        excluded.add(send.worker().id());
+        if (reason.equals(WorkerSend.REFUSED) && hadRoom) {
+            // A worker that is full or gone has not taken the cache; one with room refuses because the cache has
+            // lapsed.
+            cache.spend();
+        } else if (reason.equals(WorkerSend.REFUSED)) {
+            parts.ledger().markFull(send.worker().id(), now() + FULL_MILLIS);
+        } else {
+            excluded.add(send.worker().id());
+        }
         boolean arrived = !reason.equals(WorkerSend.UNREACHABLE);
         refusedDecodes += arrived ? 1 : 0;
-        if (arrived
-                && (refusedDecodes >= MAX_REFUSED_DECODES || !parts.budgets().tryTake(service))) {
+        if (refusedDecodes >= MAX_REFUSED_DECODES) {
             loseStream(reason);
-            return;
-        }
-        // A worker that is full or gone has not taken the cache; one with room refuses because the cache has lapsed.
-        boolean lapsed = reason.equals(WorkerSend.REFUSED) && hadRoom;
-        Optional<CacheHandle> cache = send.workerCall().cache().filter(c -> !lapsed && cacheMayLive());
-        Optional<ListedWorker> next = cache.flatMap(c -> chooseDecode());
-        if (next.isPresent()) {
-            sendDecode(next.get(), cache);
-            return;
+        } else if (arrived) {
+            placeWithinBudget();
+        } else {
+            place();
         }
-        excluded.remove(send.worker().id());
-        after(REFUSED_PAUSE_MILLIS, this::place);
     }
 
-    private boolean cacheMayLive() {
-        long life = engine().map(EngineProfile::handleMillis).orElse(0L);
-        return now() - cacheMillis < life;
+    /** Waits for the budget rather than send the caller away: nothing has run, and the prompt has been read. */
+    private void placeWithinBudget() {
+        if (parts.budgets().tryTake(service)) {
+            place();
+        } else if (now() + BUDGET_PAUSE_MILLIS < hopelessMillis()) {
+            after(BUDGET_PAUSE_MILLIS, this::placeWithinBudget);
+        } else {
+            loseStream("the budget for repeats is used up");
+        }
     }
 
     @Override
