--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -103,12 +103,14 @@
     /** Waits for room; the queue calls {@link #tryPlace} at once when there is some. */
     private void place() {
         if (!hasWorkers()) {
-            giveUp("no worker is available", NO_WORKER_RETRY_MILLIS);
+            loseStream("no worker is available");
             return;
         }
         waiting = true;
         long expected = prefillMillis(generation.promptTokens());
-        long startBy = call.arrivalMillis() + call.route().targetMillis() - expected - FIRST_EVENT_MILLIS;
+        long startBy = writer.isPresent()
+                ? hopelessMillis()
+                : call.arrivalMillis() + call.route().targetMillis() - expected - FIRST_EVENT_MILLIS;
         parts.rooms().enqueue(service, this, call.arrivalMillis(), startBy);
         if (waiting) {
             after(hopelessMillis() - now(), this::giveUpWaiting);
@@ -117,7 +119,8 @@
 
     /** Gets the time after which the first event could not reach the caller before it leaves. */
     private long hopelessMillis() {
-        long patienceEnd = call.arrivalMillis() + call.route().getEventPatienceMillis();
+        long lastSign = writer.isPresent() ? lastEventMillis : call.arrivalMillis();
+        long patienceEnd = lastSign + call.route().getEventPatienceMillis();
         long prefillLeft = cache.findReader().isPresent() ? 0 : prefillMillis(generation.promptTokens());
         return Math.min(patienceEnd, call.limitMillis()) - prefillLeft - FIRST_EVENT_MILLIS - RETURN_LEAD_MILLIS;
     }
@@ -126,6 +129,10 @@
     private void giveUpWaiting() {
         if (waiting) {
             waiting = false;
+            if (writer.isPresent()) {
+                loseStream("no room to go on");
+                return;
+            }
             long spread = MAX_FULL_RETRY_MILLIS - MIN_FULL_RETRY_MILLIS;
             giveUp(
                     "all workers are full",
