Read a request's body before anything that may wait

Ruled out: the worker side (the request had the same bytes when it was read in one piece). The test showed a second fault: with handlers on the transport's own thread a body in several parts was never completed. Change: the body is read first, by worker threads. Tests failed first.

--- a/router/src/main/java/org/magnoliavane/router/front/FrontServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontServer.java
@@ -17,10 +17,9 @@
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.http.server.BodyReader;
@@ -40,6 +39,13 @@
     private static final Logger LOG = System.getLogger(FrontServer.class.getName());
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int MAX_HEADERS = 100;
+
+    /** Largest body while no configuration is known; the platform's own limit. */
+    private static final int DEFAULT_MAX_BODY_BYTES = 4_194_304;
+
+    /** Threads that take requests; they never wait, and a VM has one core. */
+    private static final int WORKER_THREADS = 2;
+
     private static final int ACCEPT_BACKLOG = 1024;
 
     /** Time after which a caller may come back to a node that has no configuration yet. */
@@ -58,7 +64,7 @@
         this.parts = parts;
         this.settings = parts.settings();
         this.chain = FrontFilter.chain(
-                List.of(this::awaitCurrent, this::route, this::readBody),
+                List.of(this::readBody, this::awaitCurrent, this::route),
                 exchange -> parts.dispatcher().dispatch(exchange.toCall(), exchange));
     }
 
@@ -84,7 +90,10 @@
         NoUpgradeFilter.addTo(listener);
         OneRequestFilter.addTo(listener);
         TCPNIOTransport transport = listener.getTransport();
-        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
+        transport.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                .setPoolName("callers")
+                .setCorePoolSize(WORKER_THREADS)
+                .setMaxPoolSize(WORKER_THREADS));
         transport.setSelectorRunnersCount(1);
         transport.setTcpNoDelay(true);
         transport.setReuseAddress(true);
@@ -149,8 +158,12 @@
         return route.isPresent();
     }
 
+    /** Comes first: a body can only be read by the thread that brings the request, not after a wait. */
     private void readBody(FrontExchange exchange, Consumer<FrontExchange> next) {
-        int limit = exchange.getRouting().getLimits().maxBodyBytes();
+        int limit = parts.fleet()
+                .getRouting()
+                .map(r -> r.getLimits().maxBodyBytes())
+                .orElse(DEFAULT_MAX_BODY_BYTES);
         long patience = exchange.getHead().patienceMillis().orElse(MAX_BODY_MILLIS);
         BodyReader.read(
                 exchange.getRequest(),
@@ -201,13 +214,6 @@
 
     /** Takes requests from Grizzly. */
     private final class Entry extends HttpHandler {
-        private final RequestExecutorProvider sameThread = new RequestExecutorProvider.SameThreadProvider();
-
-        @Override
-        public RequestExecutorProvider getRequestExecutorProvider() {
-            return sameThread;
-        }
-
         @Override
         public void service(Request request, Response response) {
             int port = request.getLocalPort();
