Let one steward a worker give out the room in its memory

Weighed: telling every change to every node, which leaves the few milliseconds in which thirty waiting nodes take the same room, against one node a worker that decides. Change: stewards by rendezvous hashing over live nodes, leases renewed by holders, datagrams; the engine's own refusal is the backstop.

--- a/core/src/main/java/org/magnoliavane/balance/Placement.java
+++ b/core/src/main/java/org/magnoliavane/balance/Placement.java
@@ -32,9 +32,6 @@
     /** Spreads nodes with the same view over equal workers, in units of one request in work on one slot. */
     private static final double SPREAD = 0.05;
 
-    /** Share of an engine's memory that is filled; the rest covers blocks that are partly used and longer answers. */
-    private static final double MEMORY_SHARE = 0.95;
-
     private final WorkerLedger ledger;
     private final String zone;
     private final DoubleSupplier random;
@@ -96,7 +93,8 @@
         return choose(workers, excluded, WorkerRole.DECODE, nowMillis, w -> {
             int requests = ledger.countRequests(w.id(), nowMillis);
             double filled = ledger.countTokens(w.id(), nowMillis) + tokens;
-            boolean room = requests == 0 || requests < engine.slots() && filled <= MEMORY_SHARE * engine.memoryTokens();
+            boolean fits = requests == 0 || requests < engine.slots() && filled <= engine.usableTokens();
+            boolean room = fits && !ledger.isFull(w.id(), nowMillis);
             return room ? requests : Double.POSITIVE_INFINITY;
         });
     }
--- a/core/src/main/java/org/magnoliavane/routing/EngineProfile.java
+++ b/core/src/main/java/org/magnoliavane/routing/EngineProfile.java
@@ -9,4 +9,16 @@
  * @param memoryTokens the number of tokens that fit into the memory of an engine
  * @param handleMillis how long the KV cache of a finished prefill is kept for a decode worker
  */
-public record EngineProfile(int slots, int memoryTokens, long handleMillis) {}
+public record EngineProfile(int slots, int memoryTokens, long handleMillis) {
+    /** Share of the memory that is filled; the rest covers blocks that are partly used and longer answers. */
+    private static final double USABLE_SHARE = 0.95;
+
+    /**
+     * Gets the tokens that requests may take together.
+     *
+     * @return the usable part of the memory
+     */
+    public int usableTokens() {
+        return (int) (USABLE_SHARE * memoryTokens);
+    }
+}
--- a/core/src/test/java/org/magnoliavane/balance/PlacementTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/PlacementTest.java
@@ -102,6 +102,18 @@
                 .isPresent());
     }
 
+    /** Other nodes may fill a worker of which this node knows nothing; asking it again at once would never end. */
+    @Test
+    public void aWorkerThatDeniedRoomIsNotChosenAgainForAMomentEvenIfItLooksEmpty() {
+        ledger.markFull("a", NOW + 30);
+        ledger.markFull("b", NOW + 30);
+        assertTrue(
+                placement.chooseDecode(decoders(), ENGINE, 5500, Set.of(), NOW).isEmpty());
+        assertTrue(placement
+                .chooseDecode(decoders(), ENGINE, 5500, Set.of(), NOW + 31)
+                .isPresent());
+    }
+
     /** While healthy workers are full, requests wait; trying one that refuses connections only wastes the prefill. */
     @Test
     public void aSuspendedDecodeWorkerIsNotTriedWhileAHealthyOneIsFull() {
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -31,8 +31,10 @@
 import org.magnoliavane.router.front.Freshness;
 import org.magnoliavane.router.front.FrontParts;
 import org.magnoliavane.router.front.FrontServer;
+import org.magnoliavane.router.peer.PeerChannel;
 import org.magnoliavane.router.peer.PeerReports;
 import org.magnoliavane.router.peer.PeerTable;
+import org.magnoliavane.router.peer.RoomStewards;
 import org.magnoliavane.router.settings.RouterSettings;
 import org.magnoliavane.router.store.EntryFormat;
 import org.magnoliavane.router.store.KeyedStore;
@@ -94,6 +96,7 @@
     private final HttpClient client;
     private final TopicFollower configuration;
     private final TopicFollower workers;
+    private final PeerChannel peerChannel;
     private final PeerReports reports;
     private final FrontServer front;
     private final AtomicBoolean leaving = new AtomicBoolean();
@@ -122,7 +125,9 @@
         TopicFollower nodes =
                 follow(Topic.NODES, new NodeController(peers, entries, self, millis), 2 * RARE_WAIT_MILLIS, 0);
         CrashLedger crashes = new CrashLedger(MAX_CRASHES);
-        this.reports = PeerReports.open(self, peers, ledger, crashes, millis, this::createReport, r -> checkVersion());
+        this.peerChannel = PeerChannel.open(self);
+        this.reports =
+                PeerReports.open(peerChannel, peers, ledger, crashes, millis, this::createReport, r -> checkVersion());
         Placement placement = new Placement(
                 ledger, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
         RetryBudgets budgets = new RetryBudgets(
@@ -134,6 +139,7 @@
                 ledger,
                 placement,
                 new RoomQueues(timers, millis, () -> ThreadLocalRandom.current().nextDouble()),
+                RoomStewards.open(self, peers, peerChannel, millis),
                 budgets,
                 crashes,
                 reports::addCrash,
@@ -227,7 +233,7 @@
         }
         LOG.log(Level.INFO, "event=stop node={0} active={1}", self.name(), front.countActive());
         front.close();
-        reports.close();
+        peerChannel.close();
         timers.shutdownNow();
         try {
             client.close();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchParts.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchParts.java
@@ -19,6 +19,7 @@
  * @param ledger load and health of the workers
  * @param placement chooses workers
  * @param rooms requests that wait for room at engines
+ * @param broker gives out that room
  * @param budgets limit repeats
  * @param crashes contents that crash workers
  * @param onCrash takes the content and the crash when a worker died while it ran a request
@@ -34,6 +35,7 @@
         WorkerLedger ledger,
         Placement placement,
         RoomQueues rooms,
+        RoomBroker broker,
         RetryBudgets budgets,
         CrashLedger crashes,
         BiConsumer<Long, String> onCrash,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -57,6 +57,9 @@
     /** Time without a sign of life after which a decode is also sent to a second worker; well within a cache's life. */
     private static final long TAKEOVER_MILLIS = 220;
 
+    /** Time for which a worker whose steward had no room is not asked again. */
+    private static final long DENIED_MILLIS = 30;
+
     /** Time for which a worker that refused for lack of memory gets nothing; some of its requests end within it. */
     private static final long FULL_MILLIS = 120;
 
@@ -77,6 +80,7 @@
     private final List<WorkerSend> decodes = new ArrayList<>();
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<ListedWorker> reserved = Optional.empty();
+    private RoomBroker.Room room = () -> {};
     private Optional<WorkerSend> prefill = Optional.empty();
     private final PromptCache cache = new PromptCache();
     private Optional<StreamWriter> writer = Optional.empty();
@@ -171,20 +175,38 @@
             return false;
         }
         waiting = false;
-        reserve(decode.get());
-        serial.execute(() -> {
-            if (ended) {
-                release();
-            } else if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
-                release();
-                sendDecode(decode.get());
-            } else {
-                sendPrefill(prefiller.get());
-            }
-        });
+        Optional<EngineProfile> engine = engine();
+        if (engine.isPresent()) {
+            reserve(decode.get());
+            room.release();
+            room = parts.broker()
+                    .ask(
+                            decode.get(),
+                            engine.get(),
+                            generation.memoryTokens(),
+                            granted -> serial.execute(() -> roomAnswered(granted, decode.get(), prefiller)));
+        } else {
+            serial.execute(() -> roomAnswered(true, decode.get(), prefiller));
+        }
         return true;
     }
 
+    private void roomAnswered(boolean granted, ListedWorker decode, Optional<ListedWorker> prefiller) {
+        if (ended) {
+            release();
+            room.release();
+        } else if (!granted) {
+            release();
+            parts.ledger().markFull(decode.id(), now() + DENIED_MILLIS);
+            place();
+        } else if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
+            release();
+            sendDecode(decode);
+        } else {
+            sendPrefill(prefiller.get());
+        }
+    }
+
     private Collection<ListedWorker> workers() {
         return parts.fleet().getWorkers(service);
     }
@@ -489,6 +511,7 @@
         decodes.forEach(WorkerSend::cancel);
         decodes.clear();
         release();
+        room.release();
         parts.rooms().roomFreed(service);
     }
 
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
@@ -0,0 +1,124 @@
+package org.magnoliavane.router.peer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.magnoliavane.protocol.generated.PeerDatagram;
+import org.magnoliavane.router.store.NodeListing;
+
+/**
+ * Sends and receives datagrams between nodes. A datagram may be lost.
+ *
+ * <p>Thread-safe.
+ */
+public final class PeerChannel implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(PeerChannel.class.getName());
+
+    private final NodeListing self;
+    private final List<BiConsumer<PeerDatagram, InetSocketAddress>> listeners = new CopyOnWriteArrayList<>();
+    private final EventLoopGroup group;
+    private final Channel channel;
+
+    private PeerChannel(NodeListing self) {
+        this.self = self;
+        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
+        channel = new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver())
+                .bind(self.host(), self.peerPort())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * Binds the port for datagrams of other nodes.
+     *
+     * @param self this node
+     * @return the channel
+     */
+    public static PeerChannel open(NodeListing self) {
+        return new PeerChannel(self);
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** Gets the thread that sends and receives. */
+    ScheduledExecutorService executor() {
+        return group.next();
+    }
+
+    void listen(BiConsumer<PeerDatagram, InetSocketAddress> listener) {
+        listeners.add(listener);
+    }
+
+    PeerDatagram.Builder datagram() {
+        return PeerDatagram.newBuilder().setNode(self.name()).setRun(self.run());
+    }
+
+    void send(PeerDatagram datagram, Collection<NodeListing> nodes) {
+        byte[] bytes = datagram.toByteArray();
+        for (NodeListing node : nodes) {
+            if (!node.name().equals(self.name())) {
+                write(bytes, new InetSocketAddress(node.host(), node.peerPort()));
+            }
+        }
+        channel.flush();
+    }
+
+    void send(PeerDatagram datagram, InetSocketAddress to) {
+        write(datagram.toByteArray(), to);
+        channel.flush();
+    }
+
+    private void write(byte[] bytes, InetSocketAddress to) {
+        channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    }
+
+    /** Takes datagrams. */
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                PeerDatagram datagram = PeerDatagram.parseFrom(ByteBufUtil.getBytes(packet.content()));
+                if (!datagram.getNode().equals(self.name())) {
+                    listeners.forEach(l -> l.accept(datagram, packet.sender()));
+                }
+            } catch (InvalidProtocolBufferException e) {
+                LOG.log(
+                        Level.WARNING,
+                        "event=datagram_unreadable sender={0} reason=\"{1}\"",
+                        packet.sender(),
+                        e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(Level.WARNING, "event=datagram_failed reason=\"" + cause + '"');
+        }
+    }
+}
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -2,7 +2,6 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -15,19 +14,6 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import org.magnoliavane.balance.CrashLedger;
 import org.magnoliavane.balance.WorkerLedger;
 import org.magnoliavane.protocol.generated.ContentCrash;
@@ -41,7 +27,7 @@
  *
  * <p>Thread-safe.
  */
-public final class PeerReports implements AutoCloseable {
+public final class PeerReports {
     private static final Logger LOG = System.getLogger(PeerReports.class.getName());
 
     /** Pause between two rounds of reports. */
@@ -61,7 +47,6 @@
 
     private static final double PERMILLE = 1000.0;
 
-    private final NodeListing self;
     private final PeerTable table;
     private final WorkerLedger ledger;
     private final CrashLedger crashes;
@@ -69,41 +54,37 @@
     private final Supplier<NodeReport> state;
     private final Consumer<NodeReport> onReport;
     private final Deque<ContentCrash> newestCrashes = new ArrayDeque<>();
-    private final EventLoopGroup group;
-    private final Channel channel;
+    private final PeerChannel channel;
     private final AtomicBoolean changePending = new AtomicBoolean();
     private int position;
 
     private PeerReports(
-            NodeListing self,
+            PeerChannel channel,
             PeerTable table,
             WorkerLedger ledger,
             CrashLedger crashes,
             LongSupplier millis,
             Supplier<NodeReport> state,
             Consumer<NodeReport> onReport) {
-        this.self = self;
+        this.channel = channel;
         this.table = table;
         this.ledger = ledger;
         this.crashes = crashes;
         this.millis = millis;
         this.state = state;
         this.onReport = onReport;
-        group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
-        channel = new Bootstrap()
-                .group(group)
-                .channel(NioDatagramChannel.class)
-                .handler(new Receiver())
-                .bind(self.host(), self.peerPort())
-                .syncUninterruptibly()
-                .channel();
-        group.next().scheduleWithFixedDelay(this::sendRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+        channel.listen((datagram, sender) -> {
+            if (datagram.hasReport()) {
+                take(datagram.getReport());
+            }
+        });
+        channel.executor().scheduleWithFixedDelay(this::sendRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
      * Starts to send and to take reports.
      *
-     * @param self this node
+     * @param channel carries the reports
      * @param table the other nodes
      * @param ledger load and health of the workers
      * @param crashes contents that crash workers
@@ -113,14 +94,14 @@
      * @return the running exchange of reports
      */
     public static PeerReports open(
-            NodeListing self,
+            PeerChannel channel,
             PeerTable table,
             WorkerLedger ledger,
             CrashLedger crashes,
             LongSupplier millis,
             Supplier<NodeReport> state,
             Consumer<NodeReport> onReport) {
-        return new PeerReports(self, table, ledger, crashes, millis, state, onReport);
+        return new PeerReports(channel, table, ledger, crashes, millis, state, onReport);
     }
 
     /**
@@ -146,7 +127,7 @@
         if (changePending.compareAndSet(false, true)) {
             long pause = CHANGE_MILLIS_PER_NODE
                     * Math.min(NODES_IN_ROUND, table.getListings().size());
-            group.next()
+            channel.executor()
                     .schedule(
                             () -> {
                                 changePending.set(false);
@@ -159,12 +140,7 @@
 
     /** Sends a report to all nodes at once, for example before this node leaves. */
     public void sendToAll() {
-        group.next().execute(() -> send(table.getListings()));
-    }
-
-    @Override
-    public void close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        channel.executor().execute(() -> send(table.getListings()));
     }
 
     private void sendRound() {
@@ -180,14 +156,7 @@
         if (nodes.isEmpty()) {
             return;
         }
-        byte[] report = createReport().toByteArray();
-        for (NodeListing node : nodes) {
-            if (!node.name().equals(self.name())) {
-                channel.write(new DatagramPacket(
-                        Unpooled.wrappedBuffer(report), new InetSocketAddress(node.host(), node.peerPort())));
-            }
-        }
-        channel.flush();
+        channel.send(channel.datagram().setReport(createReport()).build(), nodes);
     }
 
     private NodeReport createReport() {
@@ -207,9 +176,6 @@
     }
 
     private void take(NodeReport report) {
-        if (report.getNode().equals(self.name())) {
-            return;
-        }
         long now = millis.getAsLong();
         table.heard(report, now);
         Map<String, WorkerLedger.Load> loads = new HashMap<>();
@@ -232,25 +198,4 @@
         }
         onReport.accept(report);
     }
-
-    /** Takes datagrams. */
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            try {
-                take(NodeReport.parseFrom(ByteBufUtil.getBytes(packet.content())));
-            } catch (InvalidProtocolBufferException e) {
-                LOG.log(
-                        Level.WARNING,
-                        "event=report_unreadable sender={0} reason=\"{1}\"",
-                        packet.sender(),
-                        e.getMessage());
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            LOG.log(Level.WARNING, "event=report_failed reason=\"" + cause + '"');
-        }
-    }
 }
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
@@ -17,7 +17,7 @@
  */
 public final class PeerTable {
     /** Silence after which a node is left out; several of its reports. */
-    private static final long SILENT_MILLIS = 1500;
+    private static final long SILENT_MILLIS = 2500;
 
     /** Time that a listed node has to send its first report. */
     private static final long FIRST_REPORT_MILLIS = 3000;
@@ -85,6 +85,19 @@
         return peers.values().stream().map(Peer::listing).toList();
     }
 
+    /**
+     * Gets the listings of the other nodes that are heard of and not leaving.
+     *
+     * @param nowMillis the current time
+     * @return the listings
+     */
+    public List<NodeListing> getLiveListings(long nowMillis) {
+        return peers.values().stream()
+                .filter(p -> p.everHeard && !p.leaving && !p.isSilent(nowMillis))
+                .map(Peer::listing)
+                .toList();
+    }
+
     /**
      * Counts the nodes that share budgets.
      *
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/peer/RoomStewards.java
@@ -0,0 +1,196 @@
+package org.magnoliavane.router.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.RoomTable;
+import org.magnoliavane.membership.Rendezvous;
+import org.magnoliavane.protocol.generated.PeerDatagram;
+import org.magnoliavane.protocol.generated.RoomAnswer;
+import org.magnoliavane.protocol.generated.RoomRelease;
+import org.magnoliavane.protocol.generated.RoomRenewal;
+import org.magnoliavane.protocol.generated.RoomRequest;
+import org.magnoliavane.router.dispatch.RoomBroker;
+import org.magnoliavane.router.store.NodeListing;
+import org.magnoliavane.routing.EngineProfile;
+
+/**
+ * Gives each worker one steward among the live nodes, by rendezvous hashing, which gives out the room in its memory. Holders
+ * renew their room, so that a new steward learns of it. When a steward does not answer, the request goes on as if it had
+ * agreed: the worker itself refuses what does not fit.
+ *
+ * <p>Thread-safe.
+ */
+public final class RoomStewards implements RoomBroker {
+    /** Wait for a steward; between zones an answer takes about two milliseconds. */
+    private static final long ANSWER_MILLIS = 25;
+
+    private static final long RENEW_MILLIS = 700;
+
+    /** Time after which a steward takes back room that is not renewed; three renewals may be lost. */
+    private static final long LEASE_MILLIS = 3000;
+
+    private final NodeListing self;
+    private final PeerTable peers;
+    private final PeerChannel channel;
+    private final LongSupplier millis;
+    private final RoomTable table = new RoomTable(LEASE_MILLIS);
+    private final AtomicLong ids = new AtomicLong();
+    private final Map<Long, Held> held = new ConcurrentHashMap<>();
+
+    private RoomStewards(NodeListing self, PeerTable peers, PeerChannel channel, LongSupplier millis) {
+        this.self = self;
+        this.peers = peers;
+        this.channel = channel;
+        this.millis = millis;
+        channel.listen(this::take);
+        channel.executor().scheduleWithFixedDelay(this::renew, RENEW_MILLIS, RENEW_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts to act as steward and to ask others.
+     *
+     * @param self this node
+     * @param peers the other nodes
+     * @param channel carries the messages
+     * @param millis a monotonic clock in milliseconds
+     * @return the stewards
+     */
+    public static RoomStewards open(NodeListing self, PeerTable peers, PeerChannel channel, LongSupplier millis) {
+        return new RoomStewards(self, peers, channel, millis);
+    }
+
+    @Override
+    public Room ask(ListedWorker worker, EngineProfile engine, int tokens, Consumer<Boolean> answer) {
+        long id = ids.incrementAndGet();
+        RoomRequest request = RoomRequest.newBuilder()
+                .setId(id)
+                .setWorker(worker.id())
+                .setTokens(tokens)
+                .setLimitTokens(engine.usableTokens())
+                .setSlots(engine.slots())
+                .build();
+        Held room = new Held(request, answer);
+        held.put(id, room);
+        NodeListing steward = stewardOf(worker.id());
+        if (steward.name().equals(self.name())) {
+            settle(id, table.tryTake(toTable(request, self.name()), millis.getAsLong()));
+        } else {
+            channel.send(channel.datagram().setRoomRequest(request).build(), List.of(steward));
+            channel.executor().schedule(() -> settle(id, true), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return () -> release(id);
+    }
+
+    /** Room that was denied is forgotten, so that it is not renewed. */
+    private void settle(long id, boolean granted) {
+        Held room = held.get(id);
+        if (room != null && room.answered.compareAndSet(false, true)) {
+            if (!granted) {
+                held.remove(id);
+            }
+            room.onAnswer.accept(granted);
+        }
+    }
+
+    private void release(long id) {
+        Held room = held.remove(id);
+        if (room == null) {
+            return;
+        }
+        String worker = room.request.getWorker();
+        NodeListing steward = stewardOf(worker);
+        if (steward.name().equals(self.name())) {
+            table.release(worker, self.name(), id);
+        } else {
+            RoomRelease release =
+                    RoomRelease.newBuilder().setId(id).setWorker(worker).build();
+            channel.send(channel.datagram().setRoomRelease(release).build(), List.of(steward));
+        }
+    }
+
+    private NodeListing stewardOf(String worker) {
+        List<NodeListing> nodes = new ArrayList<>(peers.getLiveListings(millis.getAsLong()));
+        nodes.add(self);
+        return Rendezvous.first(worker, nodes, NodeListing::name).orElse(self);
+    }
+
+    private void renew() {
+        Map<NodeListing, RoomRenewal.Builder> bySteward = new HashMap<>();
+        for (Held room : held.values()) {
+            bySteward
+                    .computeIfAbsent(stewardOf(room.request.getWorker()), s -> RoomRenewal.newBuilder())
+                    .addRooms(room.request);
+        }
+        bySteward.forEach((steward, rooms) -> {
+            if (steward.name().equals(self.name())) {
+                takeRenewal(rooms.build(), self.name());
+            } else {
+                channel.send(channel.datagram().setRoomRenewal(rooms).build(), List.of(steward));
+            }
+        });
+    }
+
+    private void take(PeerDatagram datagram, InetSocketAddress sender) {
+        switch (datagram.getBodyCase()) {
+            case ROOM_REQUEST -> {
+                RoomRequest request = datagram.getRoomRequest();
+                boolean granted = table.tryTake(toTable(request, datagram.getNode()), millis.getAsLong());
+                RoomAnswer answer = RoomAnswer.newBuilder()
+                        .setId(request.getId())
+                        .setGranted(granted)
+                        .build();
+                channel.send(channel.datagram().setRoomAnswer(answer).build(), sender);
+            }
+            case ROOM_ANSWER -> {
+                settle(
+                        datagram.getRoomAnswer().getId(),
+                        datagram.getRoomAnswer().getGranted());
+            }
+            case ROOM_RELEASE ->
+                table.release(
+                        datagram.getRoomRelease().getWorker(),
+                        datagram.getNode(),
+                        datagram.getRoomRelease().getId());
+            case ROOM_RENEWAL -> takeRenewal(datagram.getRoomRenewal(), datagram.getNode());
+            default -> {
+                // Reports are for another listener.
+            }
+        }
+    }
+
+    private void takeRenewal(RoomRenewal renewal, String node) {
+        renewal.getRoomsList().forEach(r -> table.renew(toTable(r, node), millis.getAsLong()));
+    }
+
+    private static RoomTable.Request toTable(RoomRequest request, String node) {
+        return new RoomTable.Request(
+                request.getWorker(),
+                node,
+                request.getId(),
+                request.getTokens(),
+                request.getLimitTokens(),
+                request.getSlots());
+    }
+
+    private static final class Held {
+        private final RoomRequest request;
+        private final Consumer<Boolean> onAnswer;
+        private final AtomicBoolean answered = new AtomicBoolean();
+
+        Held(RoomRequest request, Consumer<Boolean> onAnswer) {
+            this.request = request;
+            this.onAnswer = onAnswer;
+        }
+    }
+}
