Read the list of workers as often as the drain bound asks for, and check the router's settings

Change: the pause between reads is half the drain bound (it was 700 ms everywhere). Tests of the settings.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -57,8 +57,11 @@
     /** How long a read of the workers waits at the store. */
     private static final long WORKERS_WAIT_MILLIS = 1000;
 
-    /** Pause between two reads of the workers: their heartbeats come in batches, a leaving worker is known in time. */
-    private static final long WORKERS_PACE_MILLIS = 700;
+    /**
+     * Pause between two reads of the workers, as a share of the time within which a leaving worker must be left alone. Their
+     * heartbeats come in batches then; every call to the store has its price.
+     */
+    private static final double WORKERS_PACE_SHARE = 0.5;
 
     /** Longest wait for the store before a request goes on with what is known. */
     private static final long FRESH_WAIT_MILLIS = 800;
@@ -121,7 +124,8 @@
                 new WorkerController(fleet, ledger, entries, settings.lapseGraceMillis(), millis);
         this.configuration =
                 follow(Topic.CONFIGURATION, new ConfigurationController(fleet, entries), RARE_WAIT_MILLIS, 0);
-        this.workers = follow(Topic.WORKERS, workerController, WORKERS_WAIT_MILLIS, WORKERS_PACE_MILLIS);
+        this.workers = follow(Topic.WORKERS, workerController, WORKERS_WAIT_MILLIS, (long)
+                (WORKERS_PACE_SHARE * settings.drainMillis()));
         TopicFollower nodes =
                 follow(Topic.NODES, new NodeController(peers, entries, self, millis), 2 * RARE_WAIT_MILLIS, 0);
         CrashLedger crashes = new CrashLedger(MAX_CRASHES);
--- a/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -32,6 +32,7 @@
  * @param retryAllowance further extra sends in a window, over all nodes
  * @param retryWindowMillis the window of the two figures above
  * @param stopGraceMillis the time between a request to stop and the end of the process
+ * @param drainMillis how soon after its listing says so a leaving worker must get no new work
  * @param lapseGraceMillis how long a listing may take to come back after an outage of the store
  * @param logLevel the least level that is logged
  */
@@ -49,6 +50,7 @@
         double retryAllowance,
         long retryWindowMillis,
         long stopGraceMillis,
+        long drainMillis,
         long lapseGraceMillis,
         Level logLevel) {
 
@@ -113,6 +115,7 @@
                 retries.getDouble("allowance", 0, 1_000_000),
                 (long) (MILLIS * retries.getDouble("window_seconds", 0.1, 3600)),
                 (long) (MILLIS * timing.getDouble("stop_grace_seconds", 0.5, 3600)),
+                timing.getLong("drain_millis", 100, 3_600_000),
                 (long) (MILLIS * timing.getDouble("lapse_grace_seconds", 0, 3600)),
                 Level.valueOf(logging.getWord("level", LEVELS, "info").toUpperCase(Locale.ROOT)));
     }
--- /dev/null
+++ b/router/src/test/java/org/magnoliavane/router/settings/RouterSettingsTest.java
@@ -0,0 +1,52 @@
+package org.magnoliavane.router.settings;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+import org.magnoliavane.config.TextProblem;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class RouterSettingsTest {
+    private static final String VALID = "future = 1\n[node]\nname = \"edge-isar-a-1\"\nzone = \"isar-a\"\n"
+            + "[listen]\ncallers = \"127.0.0.1:8149\"\nreadiness = \"127.0.0.1:8141\"\ndirectory = \"127.0.0.1:8143\"\n"
+            + "peer_port = 7380\nmetrics_port = 9464\n[store]\naddress = \"127.0.0.1:8142\"\n"
+            + "[retries]\nratio = 0.2\nallowance = 54\nwindow_seconds = 10\n"
+            + "[timing]\naddress_lifetime_seconds = 2\nstop_grace_seconds = 8\ndrain_millis = 2000\n"
+            + "lapse_grace_seconds = 2\n";
+
+    @Test
+    public void validSettingsAreReadAndUnknownKeysIgnored() {
+        RouterSettings settings = RouterSettings.parse(VALID).get();
+        assertEquals(settings.name(), "edge-isar-a-1");
+        assertEquals(settings.callers(), new HostPort("127.0.0.1", 8149));
+        assertEquals(settings.stopGraceMillis(), 8000);
+        assertEquals(settings.retryWindowMillis(), 10_000);
+        assertEquals(settings.drainMillis(), 2000);
+    }
+
+    @Test
+    public void everyProblemIsNamedWithItsKeyAndRemedy() {
+        Either<List<TextProblem>, RouterSettings> read =
+                RouterSettings.parse(VALID.replace("\"127.0.0.1:8149\"", "\"front\"")
+                        .replace("peer_port = 7380\n", "")
+                        .replace("ratio = 0.2", "ratio = -1"));
+        List<TextProblem> problems = read.getLeft();
+        assertEquals(problems.size(), 3, problems.toString());
+        assertTrue(problems.toString().contains("listen.callers"), problems.toString());
+        assertTrue(problems.toString().contains("listen.peer_port"), problems.toString());
+        assertTrue(problems.toString().contains("retries.ratio"), problems.toString());
+        problems.forEach(p -> assertTrue(!p.remedy().isEmpty()));
+    }
+
+    @Test
+    public void addressesAreAnIpAddressAndAPort() {
+        assertTrue(HostPort.parse("127.0.0.1:1").isPresent());
+        assertTrue(HostPort.parse("localhost:1").isEmpty());
+        assertTrue(HostPort.parse("127.0.0.1:0").isEmpty());
+        assertTrue(HostPort.parse("127.0.0.1:65536").isEmpty());
+        assertTrue(HostPort.parse("127.0.0.1").isEmpty());
+    }
+}
