Refuse what a leaving node cannot finish, and ask stewards one request at a time

Change: streams are taken in the first 2.5 s of leaving, other requests while their timeout ends before the process; one request of a node asks at a time; a decode that broke before its answer offers the same cache once more.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
@@ -28,6 +27,7 @@
 import org.magnoliavane.router.dispatch.RetryBudgets;
 import org.magnoliavane.router.dispatch.RoomQueues;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.router.front.Departure;
 import org.magnoliavane.router.front.Freshness;
 import org.magnoliavane.router.front.FrontParts;
 import org.magnoliavane.router.front.FrontServer;
@@ -102,7 +102,7 @@
     private final PeerChannel peerChannel;
     private final PeerReports reports;
     private final FrontServer front;
-    private final AtomicBoolean leaving = new AtomicBoolean();
+    private final Departure departure = new Departure();
     private final AtomicReference<CompletableFuture<Void>> current =
             new AtomicReference<>(CompletableFuture.completedFuture(null));
     private long lastTickMillis;
@@ -161,6 +161,7 @@
                 this,
                 this::getCallerAddresses,
                 this::isReady,
+                departure,
                 timers,
                 millis,
                 metrics));
@@ -193,7 +194,7 @@
      * @return true when it knows a configuration and the workers and is not leaving
      */
     public boolean isReady() {
-        return fleet.getRouting().isPresent() && workers.isKnown() && !leaving.get();
+        return fleet.getRouting().isPresent() && workers.isKnown() && !departure.isLeaving();
     }
 
     @Override
@@ -214,10 +215,11 @@
     /** Serves on until callers no longer use this node's address and nothing is in work, and then ends. */
     @Override
     public void close() {
-        if (!leaving.compareAndSet(false, true)) {
+        long start = millis.getAsLong();
+        long last = start + settings.stopGraceMillis() - EXIT_LEAD_MILLIS;
+        if (!departure.start(start, last)) {
             return;
         }
-        long start = millis.getAsLong();
         LOG.log(Level.INFO, "event=leaving node={0} active={1}", self.name(), front.countActive());
         reports.sendToAll();
         store.removeNode(self.name()).whenComplete((done, failure) -> {
@@ -226,7 +228,6 @@
             }
         });
         long addressesGone = start + (long) (KEPT_LIFETIMES * 1000 * settings.addressLifetimeSeconds());
-        long last = start + settings.stopGraceMillis() - EXIT_LEAD_MILLIS;
         while (millis.getAsLong() < last && (millis.getAsLong() < addressesGone || front.countActive() > 0)) {
             try {
                 Thread.sleep(TICK_MILLIS);
@@ -265,7 +266,7 @@
                 .setNode(self.name())
                 .setRun(self.run())
                 .setReady(isReady())
-                .setLeaving(leaving.get())
+                .setLeaving(departure.isLeaving())
                 .setConfigurationVersion(getVersion())
                 .build();
     }
@@ -282,7 +283,7 @@
     }
 
     private void list() {
-        if (leaving.get()) {
+        if (departure.isLeaving()) {
             return;
         }
         store.listNode(self).whenComplete((done, failure) -> {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RoomQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RoomQueues.java
@@ -20,10 +20,23 @@
     /** Longest pause between two looks for room; nodes look at different times, so that they do not all take the same. */
     private static final double MAX_LOOK_MILLIS = 30;
 
+    /** Number of denials in a row after which the next look is a pause away. */
+    private static final int MAX_DENIALS = 2;
+
+    /** What became of a try to place a request. */
+    enum Outcome {
+        /** The request has its room. */
+        PLACED,
+        /** There is no room. */
+        NO_ROOM,
+        /** A steward is asked for room; {@link #answered} tells the outcome. */
+        ASKED
+    }
+
     /** A request that waits for room. */
     interface Waiting {
         /** Takes room, if there is any. */
-        boolean tryPlace();
+        Outcome tryPlace();
 
         /** Says whether the request no longer waits. */
         boolean isOver();
@@ -63,24 +76,53 @@
         }
     }
 
+    /**
+     * Goes on after the answer of a steward. One request of a queue asks at a time, so that the order is kept and a full
+     * service costs few messages.
+     */
+    void answered(String service, boolean granted) {
+        Queue queue = queues.get(service);
+        synchronized (queue) {
+            queue.asking = false;
+            queue.denials = granted ? 0 : queue.denials + 1;
+            if (queue.denials > MAX_DENIALS) {
+                queue.denials = 0;
+                lookLater(queue);
+                return;
+            }
+        }
+        pump(queue);
+    }
+
     private void pump(Queue queue) {
         synchronized (queue) {
-            while (true) {
+            while (!queue.asking) {
                 Optional<WaitingRoom.Seat<Waiting>> next = queue.room.peek(millis.getAsLong());
                 if (next.isEmpty()) {
                     return;
                 }
                 Waiting request = next.get().request();
-                if (!request.isOver() && !request.tryPlace()) {
-                    break;
+                // Set before the try, since the answer may come before it returns.
+                queue.asking = true;
+                Outcome outcome = request.isOver() ? Outcome.PLACED : request.tryPlace();
+                if (outcome == Outcome.ASKED) {
+                    return;
+                }
+                queue.asking = false;
+                if (outcome == Outcome.NO_ROOM) {
+                    lookLater(queue);
+                    return;
                 }
                 queue.room.remove(next.get());
             }
-            if (!queue.lookPending) {
-                queue.lookPending = true;
-                long pause = 1 + (long) (MAX_LOOK_MILLIS * random.getAsDouble());
-                timers.schedule(() -> lookAgain(queue), pause, TimeUnit.MILLISECONDS);
-            }
+        }
+    }
+
+    private void lookLater(Queue queue) {
+        if (!queue.lookPending) {
+            queue.lookPending = true;
+            long pause = 1 + (long) (MAX_LOOK_MILLIS * random.getAsDouble());
+            timers.schedule(() -> lookAgain(queue), pause, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -94,5 +136,7 @@
     private static final class Queue {
         private final WaitingRoom<Waiting> room = new WaitingRoom<>();
         private boolean lookPending;
+        private boolean asking;
+        private int denials;
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -58,7 +58,7 @@
     private static final long TAKEOVER_MILLIS = 220;
 
     /** Time for which a worker whose steward had no room is not asked again. */
-    private static final long DENIED_MILLIS = 30;
+    private static final long DENIED_MILLIS = 100;
 
     /** Time for which a worker that refused for lack of memory gets nothing; some of its requests end within it. */
     private static final long FULL_MILLIS = 120;
@@ -160,10 +160,10 @@
     }
 
     @Override
-    public boolean tryPlace() {
+    public RoomQueues.Outcome tryPlace() {
         Optional<ListedWorker> decode = chooseDecode();
         if (decode.isEmpty()) {
-            return false;
+            return RoomQueues.Outcome.NO_ROOM;
         }
         boolean read = cache.findReader().isPresent() || prefills >= MAX_PREFILLS || generation.promptTokens() == 0;
         Optional<ListedWorker> prefiller = read
@@ -172,37 +172,41 @@
                         .choosePrefill(
                                 workers(), excluded, decode.get().server().zone(), now());
         if (prefiller.isPresent() && parts.ledger().countTokens(prefiller.get().id(), now()) > MAX_QUEUED_TOKENS) {
-            return false;
+            return RoomQueues.Outcome.NO_ROOM;
         }
-        waiting = false;
         Optional<EngineProfile> engine = engine();
-        if (engine.isPresent()) {
-            reserve(decode.get());
-            room.release();
-            room = parts.broker()
-                    .ask(
-                            decode.get(),
-                            engine.get(),
-                            generation.memoryTokens(),
-                            granted -> serial.execute(() -> roomAnswered(granted, decode.get(), prefiller)));
-        } else {
-            serial.execute(() -> roomAnswered(true, decode.get(), prefiller));
+        if (engine.isEmpty()) {
+            waiting = false;
+            serial.execute(() -> start(decode.get(), prefiller));
+            return RoomQueues.Outcome.PLACED;
         }
-        return true;
+        room.release();
+        room = parts.broker()
+                .ask(
+                        decode.get(),
+                        engine.get(),
+                        generation.memoryTokens(),
+                        granted -> serial.execute(() -> roomAnswered(granted, decode.get(), prefiller)));
+        return RoomQueues.Outcome.ASKED;
     }
 
     private void roomAnswered(boolean granted, ListedWorker decode, Optional<ListedWorker> prefiller) {
-        if (ended) {
-            release();
-            room.release();
-        } else if (!granted) {
-            release();
+        if (!granted) {
             parts.ledger().markFull(decode.id(), now() + DENIED_MILLIS);
-            place();
-        } else if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
-            release();
+        } else if (waiting) {
+            waiting = false;
+            start(decode, prefiller);
+        } else {
+            room.release();
+        }
+        parts.rooms().answered(service, granted);
+    }
+
+    private void start(ListedWorker decode, Optional<ListedWorker> prefiller) {
+        if (prefiller.isEmpty() || prefills > 0 && !parts.budgets().tryTake(service)) {
             sendDecode(decode);
         } else {
+            reserve(decode);
             sendPrefill(prefiller.get());
         }
     }
@@ -420,6 +424,10 @@
         if (!decodes.isEmpty()) {
             return;
         }
+        if (mayHaveRun && !call.route().resumable()) {
+            loseStream(reason);
+            return;
+        }
         if (reason.equals(WorkerSend.REFUSED) && hadRoom) {
             // A worker that is full or gone has not taken the cache; one with room refuses because the cache has
             // lapsed.
@@ -462,9 +470,28 @@
             return;
         }
         decodes.remove(send);
-        if (decodes.isEmpty()) {
-            decodeLost(send, reason, false);
+        if (!decodes.isEmpty() || offerCacheAgain(send)) {
+            return;
         }
+        decodeLost(send, reason, false);
+    }
+
+    /**
+     * Offers the KV cache to another worker after a decode that broke before its answer began. Whoever has taken the cache
+     * may have run the request; if another worker can still take it, nobody has.
+     */
+    private boolean offerCacheAgain(WorkerSend broken) {
+        if (broken.isAnswered() || cache.findHandle(now() + CACHE_MARGIN_MILLIS).isEmpty()) {
+            return false;
+        }
+        mayHaveRun = true;
+        excluded.add(broken.worker().id());
+        Optional<ListedWorker> next = chooseDecode();
+        if (next.isEmpty() || !parts.budgets().tryTake(service)) {
+            return false;
+        }
+        sendDecode(next.get());
+        return true;
     }
 
     /** Goes on elsewhere after a decode that may have run, where the stream may be resumed. */
--- a/router/src/main/java/org/magnoliavane/router/front/FrontExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontExchange.java
@@ -127,6 +127,10 @@
         return routing;
     }
 
+    Route getRoute() {
+        return route;
+    }
+
     void setBody(byte[] received) {
         body = received;
     }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontParts.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontParts.java
@@ -20,6 +20,7 @@
  * @param freshness says whether the configuration is current
  * @param directory lists the nodes
  * @param ready says whether this node is ready
+ * @param departure says what a leaving node may still take
  * @param timers runs timeouts
  * @param millis a monotonic clock in milliseconds
  * @param metrics counters and histograms
@@ -32,6 +33,7 @@
         Freshness freshness,
         NodeDirectory directory,
         BooleanSupplier ready,
+        Departure departure,
         ScheduledExecutorService timers,
         LongSupplier millis,
         MetricRegistry metrics) {}
--- a/router/src/main/java/org/magnoliavane/router/front/FrontServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontServer.java
@@ -51,6 +51,9 @@
     /** Time after which a caller may come back to a node that has no configuration yet. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
+    /** Time after which a caller may ask another node in place of one that is about to stop. */
+    private static final long LEAVING_RETRY_MILLIS = 50;
+
     /** Time within which a body must have arrived when the caller states no time limit. */
     private static final long MAX_BODY_MILLIS = 30_000;
 
@@ -64,7 +67,7 @@
         this.parts = parts;
         this.settings = parts.settings();
         this.chain = FrontFilter.chain(
-                List.of(this::readBody, this::awaitCurrent, this::route),
+                List.of(this::readBody, this::awaitCurrent, this::route, this::refuseWhenLeaving),
                 exchange -> parts.dispatcher().dispatch(exchange.toCall(), exchange));
     }
 
@@ -151,6 +154,16 @@
         });
     }
 
+    private void refuseWhenLeaving(FrontExchange exchange, Consumer<FrontExchange> next) {
+        if (parts.departure().mayTake(exchange.getRoute(), parts.millis().getAsLong())) {
+            next.accept(exchange);
+            return;
+        }
+        exchange.fail(
+                Fault.notRun(FaultKind.UNAVAILABLE, "the node is about to stop", "send the request to another address")
+                        .withRetryAfterMillis(LEAVING_RETRY_MILLIS));
+    }
+
     private boolean findRoute(FrontExchange exchange) {
         RoutingTable table = parts.fleet().getRouting().orElseThrow();
         Optional<Route> route = table.findRoute(exchange.getHost(), exchange.getPath());
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -33,8 +33,8 @@
     /** Pause between two rounds of reports. */
     private static final long ROUND_MILLIS = 250;
 
-    /** Least pause between reports of changes, for each node that gets them: two nodes may take the same room within it. */
-    private static final long CHANGE_MILLIS_PER_NODE = 1;
+    /** Least pause between reports of changes, for each node that gets them; stewards decide on what is scarce. */
+    private static final long CHANGE_MILLIS_PER_NODE = 5;
 
     /** Number of nodes that get a report in one round, so that the cost of a node does not grow with the fleet. */
     private static final int NODES_IN_ROUND = 16;
--- a/router/src/main/java/org/magnoliavane/router/peer/RoomStewards.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/RoomStewards.java
@@ -108,6 +108,10 @@
         if (room == null) {
             return;
         }
+        if (room.answered.compareAndSet(false, true)) {
+            // Whoever waits for the answer must hear that none will come.
+            room.onAnswer.accept(false);
+        }
         String worker = room.request.getWorker();
         NodeListing steward = stewardOf(worker);
         if (steward.name().equals(self.name())) {
