--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -19,7 +19,8 @@
  * decode worker is reserved before the prefill starts, so that no prefill is done in vain.
  *
  * <p>A KV cache can be taken once. So a decode that got no sign of life may be sent to a second worker with the same
- * cache: at most one of the two can run it.
+ * cache: at most one of the two can run it. This does not hold after a broken connection: a request that crashes its worker
+ * has run without having taken the cache.
  */
 final class StreamRun extends Run implements RoomQueues.Waiting {
     /** Time that a prefill takes for each token on an idle worker; measured on both sites, a third above the sheets. */
@@ -470,28 +471,9 @@
             return;
         }
         decodes.remove(send);
-        if (!decodes.isEmpty() || offerCacheAgain(send)) {
-            return;
-        }
-        decodeLost(send, reason, false);
-    }
-
-    /**
-     * Offers the KV cache to another worker after a decode that broke before its answer began. Whoever has taken the cache
-     * may have run the request; if another worker can still take it, nobody has.
-     */
-    private boolean offerCacheAgain(WorkerSend broken) {
-        if (broken.isAnswered() || cache.findHandle(now() + CACHE_MARGIN_MILLIS).isEmpty()) {
-            return false;
-        }
-        mayHaveRun = true;
-        excluded.add(broken.worker().id());
-        Optional<ListedWorker> next = chooseDecode();
-        if (next.isEmpty() || !parts.budgets().tryTake(service)) {
-            return false;
+        if (decodes.isEmpty()) {
+            decodeLost(send, reason, false);
         }
-        sendDecode(next.get());
-        return true;
     }
 
     /** Goes on elsewhere after a decode that may have run, where the stream may be resumed. */
