--- a/node/src/main/java/org/magnoliavane/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/magnoliavane/node/settings/NodeSettings.java
@@ -1,16 +1,13 @@
 package org.magnoliavane.node.settings;
 
-import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
 
 import io.vavr.control.Either;
+import org.magnoliavane.config.SettingsFile;
 import org.magnoliavane.config.TextProblem;
 import org.magnoliavane.config.TomlTable;
 
@@ -64,15 +61,7 @@
      * @return the settings, or all problems
      */
     public static Either<List<TextProblem>, NodeSettings> read(Path file) {
-        try {
-            return parse(Files.readString(file, StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            return Either.left(List.of(new TextProblem(
-                    file.toString(),
-                    "cannot be read (" + e + ")",
-                    "a TOML file in UTF-8",
-                    "name a file that exists and that this user may read")));
-        }
+        return SettingsFile.read(file, NodeSettings::read);
     }
 
     /**
@@ -82,13 +71,7 @@
      * @return the settings, or all problems
      */
     public static Either<List<TextProblem>, NodeSettings> parse(String text) {
-        List<TextProblem> problems = new ArrayList<>();
-        TomlTable root = TomlTable.parse(text, problems);
-        if (!problems.isEmpty()) {
-            return Either.left(List.copyOf(problems));
-        }
-        NodeSettings settings = read(root);
-        return problems.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(problems));
+        return SettingsFile.parse(text, NodeSettings::read);
     }
 
     private static NodeSettings read(TomlTable root) {
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -170,7 +170,12 @@
         List.of(configuration, workers, nodes).forEach(TopicFollower::refresh);
         list();
         startTicks(workerController);
-        LOG.log(Level.INFO, "event=start node={0} run={1} zone={2}", self.name(), self.run(), self.zone());
+        LOG.log(
+                Level.INFO,
+                "event=start node={0} run={1} zone={2}",
+                self.name(),
+                Long.toString(self.run()),
+                self.zone());
     }
 
     /**
@@ -317,7 +322,11 @@
         if (steady < STANDSTILL_MILLIS && Math.abs(drift) < STANDSTILL_MILLIS) {
             return;
         }
-        LOG.log(Level.WARNING, "event=standstill tick_millis={0} drift_millis={1}", steady, drift);
+        LOG.log(
+                Level.WARNING,
+                "event=standstill tick_millis={0} drift_millis={1}",
+                Long.toString(steady),
+                Long.toString(drift));
         CompletableFuture<Void> reread = CompletableFuture.allOf(
                         configuration.refresh().toCompletableFuture().copy(),
                         workers.refresh().toCompletableFuture().copy())
--- a/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -1,16 +1,13 @@
 package org.magnoliavane.router.settings;
 
-import java.io.IOException;
 import java.lang.System.Logger.Level;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.regex.Pattern;
 
 import io.vavr.control.Either;
+import org.magnoliavane.config.SettingsFile;
 import org.magnoliavane.config.TextProblem;
 import org.magnoliavane.config.TomlTable;
 
@@ -68,15 +65,7 @@
      * @return the settings, or every problem found
      */
     public static Either<List<TextProblem>, RouterSettings> read(Path file) {
-        try {
-            return parse(Files.readString(file, StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            return Either.left(List.of(new TextProblem(
-                    file.toString(),
-                    "cannot be read (" + e + ")",
-                    "a TOML file in UTF-8",
-                    "name a file that exists and that this user may read")));
-        }
+        return SettingsFile.read(file, RouterSettings::read);
     }
 
     /**
@@ -86,13 +75,7 @@
      * @return the settings, or every problem found
      */
     public static Either<List<TextProblem>, RouterSettings> parse(String text) {
-        List<TextProblem> problems = new ArrayList<>();
-        TomlTable root = TomlTable.parse(text, problems);
-        if (!problems.isEmpty()) {
-            return Either.left(List.copyOf(problems));
-        }
-        RouterSettings settings = read(root);
-        return problems.isEmpty() ? Either.right(settings) : Either.left(List.copyOf(problems));
+        return SettingsFile.parse(text, RouterSettings::read);
     }
 
     private static RouterSettings read(TomlTable root) {
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -145,7 +145,11 @@
             boolean behind = whole && batch.nextOffset() < highestOffset();
             if (away) {
                 away = false;
-                LOG.log(Level.INFO, "event=store_regained topic={0} offset={1}", topic, batch.nextOffset());
+                LOG.log(
+                        Level.INFO,
+                        "event=store_regained topic={0} offset={1}",
+                        topic,
+                        Long.toString(batch.nextOffset()));
                 listener.onOutageEnd();
             }
             retryMillis = FIRST_RETRY_MILLIS;
@@ -181,7 +185,7 @@
                 return;
             }
             if (failure instanceof HistoryLostException) {
-                LOG.log(Level.INFO, "event=history_lost topic={0} offset={1}", topic, next);
+                LOG.log(Level.INFO, "event=history_lost topic={0} offset={1}", topic, Long.toString(next));
                 next = -1;
                 delay = 0;
             } else {
