Keep what the caller gets of a stream in a class of its own, and never pass on an error in place of its rest

Cause: read as a newcomer, StreamRun mixed placing and relaying; and a worker that answered a resumed stream with an error had its error body passed on as events, since the status of the first worker was kept. Change: StreamAnswer; an error on resuming breaks the stream off or goes on elsewhere.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -10,8 +10,6 @@
 
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
-import org.magnoliavane.http.EventFramer;
-import org.magnoliavane.http.server.StreamWriter;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -77,17 +75,13 @@
     private static final long STALL_MILLIS = 1200;
 
     private final Generation generation;
-    private final EventFramer framer = new EventFramer();
+    private final StreamAnswer stream;
     private final List<WorkerSend> decodes = new ArrayList<>();
-    private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<ListedWorker> reserved = Optional.empty();
     private RoomBroker.Room room = () -> {};
     private Optional<WorkerSend> prefill = Optional.empty();
     private final PromptCache cache = new PromptCache();
-    private Optional<StreamWriter> writer = Optional.empty();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
-    private Map<String, String> headers = Map.of();
-    private int status;
     private volatile boolean waiting;
     private int prefills;
     private int refusedDecodes;
@@ -97,6 +91,7 @@
 
     StreamRun(DispatchParts parts, CallerCall call, String service, CallerAnswer answer) {
         super(parts, call, service, answer);
+        this.stream = new StreamAnswer(answer, parts.wire());
         this.generation = call.head().generation().orElse(new Generation(0, 0, 0));
     }
 
@@ -113,7 +108,7 @@
         }
         waiting = true;
         long expected = prefillMillis(generation.promptTokens());
-        long startBy = writer.isPresent()
+        long startBy = stream.isBegun()
                 ? hopelessMillis()
                 : call.arrivalMillis() + call.route().targetMillis() - expected - FIRST_EVENT_MILLIS;
         parts.rooms().enqueue(service, this, call.arrivalMillis(), startBy);
@@ -124,7 +119,7 @@
 
     /** Gets the time after which the first event could not reach the caller before it leaves. */
     private long hopelessMillis() {
-        long lastSign = writer.isPresent() ? lastEventMillis : call.arrivalMillis();
+        long lastSign = stream.isBegun() ? lastEventMillis : call.arrivalMillis();
         long patienceEnd = lastSign + call.route().getEventPatienceMillis();
         long prefillLeft = cache.findReader().isPresent() ? 0 : prefillMillis(generation.promptTokens());
         return Math.min(patienceEnd, call.limitMillis()) - prefillLeft - FIRST_EVENT_MILLIS - RETURN_LEAD_MILLIS;
@@ -134,7 +129,7 @@
     private void giveUpWaiting() {
         if (waiting) {
             waiting = false;
-            if (writer.isPresent()) {
+            if (stream.isBegun()) {
                 loseStream("no room to go on");
                 return;
             }
@@ -334,7 +329,7 @@
     }
 
     private Optional<String> lastEventId() {
-        return framer.getLastId().or(() -> call.head().lastEventId());
+        return stream.findLastEventId().or(() -> call.head().lastEventId());
     }
 
     @Override
@@ -356,9 +351,11 @@
         }
         mayHaveRun = true;
         cache.spend();
-        if (writer.isEmpty()) {
-            status = responseStatus;
-            headers = responseHeaders;
+        if (!stream.takeHead(responseStatus, responseHeaders)) {
+            log("resume_error", send, "status=" + responseStatus);
+            send.cancel();
+            decodes.remove(send);
+            decodeLost(send, "the stream could not go on: status " + responseStatus, false);
         }
     }
 
@@ -368,21 +365,15 @@
             prefillBody.writeBytes(bytes);
             return;
         }
-        if (status >= 300) {
-            errorBody.writeBytes(bytes);
-            return;
-        }
-        byte[] events = framer.feed(bytes);
-        if (events.length == 0) {
+        boolean begun = stream.isBegun();
+        if (!stream.takeBytes(bytes)) {
             return;
         }
         lastEventMillis = now();
-        if (writer.isEmpty()) {
+        if (!begun) {
             log("first_event", send, "millis=" + send.getAgeMillis());
-            writer = answer.begin(status, parts.wire().toCallerHeaders(headers));
             parts.metrics().histogram("streams.first_event_millis").update(now() - call.arrivalMillis());
         }
-        writer.ifPresent(w -> w.write(events));
     }
 
     @Override
@@ -392,26 +383,15 @@
             return;
         }
         decodes.remove(send);
-        if (status >= 300) {
-            end("answered", "worker=" + send.worker().id() + " status=" + status);
-            answer.answer(status, parts.wire().toCallerHeaders(headers), errorBody.toByteArray());
-        } else if (framer.isWithinEvent()) {
+        if (!stream.isError() && stream.isWithinEvent()) {
             decodeLost(send, "the stream ended within an event", false);
-        } else {
-            finishStream(send);
+            return;
         }
-    }
-
-    private void finishStream(WorkerSend send) {
         end(
                 "answered",
-                "worker=" + send.worker().id() + " status=" + status + " decode_millis=" + send.getAgeMillis()
-                        + " output_tokens=" + generation.maxOutputTokens());
-        if (writer.isPresent()) {
-            writer.get().end();
-        } else {
-            answer.answer(status, parts.wire().toCallerHeaders(headers), new byte[0]);
-        }
+                "worker=" + send.worker().id() + " status=" + stream.getStatus() + " decode_millis="
+                        + send.getAgeMillis() + " output_tokens=" + generation.maxOutputTokens());
+        stream.finish();
     }
 
     @Override
@@ -481,7 +461,7 @@
         mayHaveRun = true;
         ranOn++;
         excluded.add(send.worker().id());
-        framer.dropOpenEvent();
+        stream.dropOpenEvent();
         boolean again = call.route().resumable() && ranOn < call.route().maxAttempts();
         if (again && (paid || parts.budgets().tryTake(service))) {
             place();
@@ -491,7 +471,7 @@
     }
 
     private void loseStream(String reason) {
-        if (writer.isEmpty()) {
+        if (!stream.isBegun()) {
             giveUp(reason, NO_WORKER_RETRY_MILLIS);
             return;
         }
@@ -501,7 +481,7 @@
 
     @Override
     void timeOut() {
-        if (writer.isPresent()) {
+        if (stream.isBegun()) {
             loseStream("time limit reached");
             return;
         }
