Keep the second offer of a KV cache after silence to resumable streams

Change: streams that must not be repeated are sent to one worker only, except after a refusal or a failed connect.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -16,9 +16,8 @@
  * Runs a streamed request to a model: prefill at one worker, decode at another, which fetches the KV cache. Memory at the
  * decode worker is reserved before the prefill starts, so that no prefill is done in vain.
  *
- * <p>A KV cache can be taken once. So a decode that got no sign of life may be sent to a second worker with the same
- * cache: at most one of the two can run it. This does not hold after a broken connection: a request that crashes its worker
- * has run without having taken the cache.
+ * <p>A resumable stream that got no sign of life is also sent to a second worker with the same KV cache, which only one of
+ * the two can take. Other streams are not: a request that crashes its worker has run without having taken the cache.
  */
 final class StreamRun extends Run implements RoomQueues.Waiting {
     /** Time that a prefill takes for each token on an idle worker; measured on both sites, a third above the sheets. */
@@ -289,7 +288,7 @@
         WorkerSend send = WorkerSend.start(parts, call, to, generation.memoryTokens(), serial, this);
         decodes.add(send);
         lastEventMillis = now();
-        if (handle.isPresent() && decodes.size() == 1) {
+        if (handle.isPresent() && call.route().resumable() && decodes.size() == 1) {
             after(TAKEOVER_MILLIS, () -> takeOver(send));
         }
         if (call.route().resumable() && decodes.size() == 1) {
