Remove what nobody calls in the router

Found by reading the change once more: a hook for a caller that has gone only repeated what the end of a run does, PlainRun worked out again what Route.isRepeatable says, and four queries had no caller. Behaviour is as before.

--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -82,15 +82,6 @@
         return Optional.ofNullable(services.get(name));
     }
 
-    /**
-     * Gets the names of all services.
-     *
-     * @return the names
-     */
-    public Collection<String> getServiceNames() {
-        return services.keySet();
-    }
-
     /**
      * Finds the route with the longest prefix that begins the path.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainRun.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 
 import org.magnoliavane.balance.ListedWorker;
-import org.magnoliavane.routing.RequestKind;
 
 /**
  * Runs a request for a plain service. A request that did not run goes to another worker; one that may have run does so
@@ -28,7 +27,7 @@
 
     PlainRun(DispatchParts parts, CallerCall call, String service, CallerAnswer answer) {
         super(parts, call, service, answer);
-        this.repeatable = call.route().kind() == RequestKind.IDEMPOTENT;
+        this.repeatable = call.route().isRepeatable();
     }
 
     @Override
--- a/router/src/main/java/org/magnoliavane/router/dispatch/Run.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/Run.java
@@ -68,11 +68,6 @@
     /** Closes what is open towards workers. */
     abstract void cancelSends();
 
-    /** Called when the caller has closed its connection; sends are cancelled unless overridden. */
-    void onCallerGone() {
-        cancelSends();
-    }
-
     final long now() {
         return parts.millis().getAsLong();
     }
@@ -166,10 +161,8 @@
     }
 
     private void callerGone() {
-        if (ended) {
-            return;
+        if (!ended) {
+            end("caller_gone", "");
         }
-        end("caller_gone", "");
-        onCallerGone();
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontExchange.java
@@ -106,18 +106,10 @@
         return query == null || query.isEmpty() ? getPath() : getPath() + "?" + query;
     }
 
-    Map<String, String> getHeaders() {
-        return headers;
-    }
-
     CallHead getHead() {
         return head;
     }
 
-    long getArrivalMillis() {
-        return arrivalMillis;
-    }
-
     void setRoute(RoutingTable table, Route found) {
         routing = table;
         route = found;
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -100,15 +100,6 @@
         return known;
     }
 
-    /**
-     * Says whether the store failed to answer the last read.
-     *
-     * @return true during an outage
-     */
-    public synchronized boolean isAway() {
-        return away;
-    }
-
     /**
      * Gets the age of the last answer.
      *
