Let the roles of model workers follow the load

Change: one node, the first by rendezvous hashing, averages how busy both roles are and orders an idle worker over when that lowers the higher utilization. The right to order is a conditional record in a log of the store; its end is the fencing token; whoever finds another's record waits until that right and a lease are over; both clocks must agree that it is fresh. Nodes tell each other which workers are changing.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
@@ -93,6 +93,15 @@
         entry(worker).suspendedUntilMillis.accumulateAndGet(untilMillis, Math::max);
     }
 
+    /**
+     * Ends the time for which a worker was to be avoided.
+     *
+     * @param worker the id of the worker
+     */
+    public void resume(String worker) {
+        entry(worker).suspendedUntilMillis.set(0);
+    }
+
     /**
      * Takes note that a worker has refused a request for lack of room, whatever the sum of the sends says.
      *
--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -82,6 +82,15 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Gets the services.
+     *
+     * @return the services, in no particular order
+     */
+    public Collection<ServiceProfile> getServices() {
+        return services.values();
+    }
+
     /**
      * Finds the route with the longest prefix that begins the path.
      *
--- /dev/null
+++ b/core/src/test/java/org/magnoliavane/balance/RoleBalanceTest.java
@@ -0,0 +1,79 @@
+package org.magnoliavane.balance;
+
+import java.util.Optional;
+
+import org.magnoliavane.WorkerRole;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class RoleBalanceTest {
+    /** A burst that fills decode memory while the prefill workers are half idle, as on a day of high load. */
+    @Test
+    public void aBurstThatFillsDecodeMemoryTurnsAnIdlePrefillWorkerIntoADecodeWorker() {
+        RoleBalance balance = steady(2.0, 8.0);
+        assertEquals(balance.decide(5, 8), Optional.of(new RoleBalance.Change(WorkerRole.DECODE, 1)));
+    }
+
+    @Test
+    public void longPromptsWithShortAnswersTurnADecodeWorkerIntoAPrefillWorker() {
+        RoleBalance balance = steady(2.5, 2.0);
+        assertEquals(balance.decide(3, 7), Optional.of(new RoleBalance.Change(WorkerRole.PREFILL, 1)));
+    }
+
+    @Test
+    public void rolesStayAsTheyAreWhileLittleWaits() {
+        assertEquals(steady(0.2, 3.0).decide(5, 5), Optional.empty());
+    }
+
+    @Test
+    public void rolesStayAsTheyAreWhenBothPartsAreFull() {
+        assertEquals(steady(5.0, 8.0).decide(5, 8), Optional.empty());
+    }
+
+    @Test
+    public void twoPrefillWorkersAreKeptSoThatOneMayFail() {
+        assertEquals(steady(0.1, 6.0).decide(2, 6), Optional.empty());
+    }
+
+    @Test
+    public void aShortSpikeChangesNothing() {
+        RoleBalance balance = steady(1.0, 3.0);
+        balance.sample(1.0, 8.0, 20_250);
+        assertEquals(balance.decide(5, 8), Optional.empty());
+    }
+
+    @Test
+    public void aLargePoolChangesSeveralWorkersAtATime() {
+        RoleBalance.Change change = steady(8, 41).decide(22, 41).orElseThrow();
+        assertEquals(change.to(), WorkerRole.DECODE);
+        assertEquals(change.workers(), 63 / 12);
+    }
+
+    /** Each change must lower the higher utilization, or roles would go back and forth under a steady load. */
+    @Test
+    public void aSteadyLoadIsNeverFollowedByAChangeBack() {
+        for (double prefill = 0.5; prefill < 6; prefill += 0.25) {
+            for (double decode = 1; decode < 9; decode += 0.25) {
+                RoleBalance balance = steady(prefill, decode);
+                Optional<RoleBalance.Change> first = balance.decide(5, 8);
+                int toDecode =
+                        first.map(c -> c.to() == WorkerRole.DECODE ? 1 : -1).orElse(0);
+                Optional<RoleBalance.Change> second = balance.decide(5 - toDecode, 8 + toDecode);
+                boolean back = first.isPresent()
+                        && second.isPresent()
+                        && first.get().to() != second.get().to();
+                assertTrue(!back, "prefill " + prefill + " decode " + decode);
+            }
+        }
+    }
+
+    private static RoleBalance steady(double prefill, double decode) {
+        RoleBalance balance = new RoleBalance();
+        for (long at = 0; at <= 20_000; at += 250) {
+            balance.sample(prefill, decode, at);
+        }
+        return balance;
+    }
+}
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -21,7 +22,9 @@
 import org.magnoliavane.balance.WorkerLedger;
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.membership.Rendezvous;
 import org.magnoliavane.protocol.generated.NodeReport;
+import org.magnoliavane.protocol.generated.WorkerPause;
 import org.magnoliavane.router.dispatch.DispatchParts;
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.RetryBudgets;
@@ -35,6 +38,9 @@
 import org.magnoliavane.router.peer.PeerReports;
 import org.magnoliavane.router.peer.PeerTable;
 import org.magnoliavane.router.peer.RoomStewards;
+import org.magnoliavane.router.roles.OrderFormat;
+import org.magnoliavane.router.roles.RoleController;
+import org.magnoliavane.router.roles.RoleOrders;
 import org.magnoliavane.router.settings.RouterSettings;
 import org.magnoliavane.router.store.EntryFormat;
 import org.magnoliavane.router.store.KeyedStore;
@@ -69,6 +75,12 @@
     /** Interval of the check for standstills of the process. */
     private static final long TICK_MILLIS = 100;
 
+    /** Interval of the looks at the load of the two roles of workers. */
+    private static final long ROLES_TICK_MILLIS = 250;
+
+    /** Names the duty for the election of the node that has it. */
+    private static final String ROLES_DUTY = "roles";
+
     /** Delay of a tick, or drift between the clocks, that means that the process or its VM stood still. */
     private static final long STANDSTILL_MILLIS = 700;
 
@@ -102,6 +114,7 @@
     private final PeerChannel peerChannel;
     private final PeerReports reports;
     private final RoomQueues rooms;
+    private final RoleController roles;
     private final FrontServer front;
     private final Departure departure = new Departure();
     private final AtomicReference<CompletableFuture<Void>> current =
@@ -109,7 +122,8 @@
     private long lastTickMillis;
     private long lastTickWallMillis;
 
-    private RouterNode(RouterSettings settings, KeyedStore store, EntryFormat entries, WireFormat wire)
+    private RouterNode(
+            RouterSettings settings, KeyedStore store, EntryFormat entries, WireFormat wire, OrderFormat orders)
             throws IOException {
         this.settings = settings;
         this.store = store;
@@ -122,7 +136,9 @@
                 settings.zone());
         this.client = HttpClient.open("workers", CONNECT_TIMEOUT_MILLIS);
         WorkerController workerController =
-                new WorkerController(fleet, ledger, entries, settings.lapseGraceMillis(), millis);
+                new WorkerController(fleet, ledger, entries, settings.lapseGraceMillis(), millis, this::roleChanged);
+        RoleOrders roleOrders = new RoleOrders(self.name(), store, client, orders, settings.orderLeaseMillis(), millis);
+        this.roles = new RoleController(this::isElected, fleet, ledger, roleOrders, millis);
         this.configuration =
                 follow(Topic.CONFIGURATION, new ConfigurationController(fleet, entries), RARE_WAIT_MILLIS, 0);
         this.workers = follow(Topic.WORKERS, workerController, WORKERS_WAIT_MILLIS, (long)
@@ -177,6 +193,7 @@
         List.of(configuration, workers, nodes).forEach(TopicFollower::refresh);
         list();
         startTicks(workerController);
+        timers.scheduleWithFixedDelay(this::tickRoles, ROLES_TICK_MILLIS, ROLES_TICK_MILLIS, TimeUnit.MILLISECONDS);
         LOG.log(
                 Level.INFO,
                 "event=start node={0} run={1} zone={2}",
@@ -192,12 +209,14 @@
      * @param store the store
      * @param entries reads the entries of the store
      * @param wire translates requests
+     * @param orders translates orders to workers
      * @return the running node
      * @throws IOException when it cannot listen
      */
-    public static RouterNode start(RouterSettings settings, KeyedStore store, EntryFormat entries, WireFormat wire)
+    public static RouterNode start(
+            RouterSettings settings, KeyedStore store, EntryFormat entries, WireFormat wire, OrderFormat orders)
             throws IOException {
-        return new RouterNode(settings, store, entries, wire);
+        return new RouterNode(settings, store, entries, wire, orders);
     }
 
     /**
@@ -281,6 +300,12 @@
                 .setLeaving(departure.isLeaving())
                 .setConfigurationVersion(getVersion())
                 .addAllPunctualServices(rooms.getPunctualServices())
+                .addAllPauses(roles.getChanging().entrySet().stream()
+                        .map(e -> WorkerPause.newBuilder()
+                                .setWorker(e.getKey())
+                                .setMillis(e.getValue().intValue())
+                                .build())
+                        .toList())
                 .build();
     }
 
@@ -291,6 +316,20 @@
         }
     }
 
+    /** One node, on which all agree while they know the same nodes, changes the roles of workers. */
+    private boolean isElected() {
+        List<NodeListing> nodes = new ArrayList<>(peers.getLiveListings(millis.getAsLong()));
+        nodes.add(self);
+        return isReady()
+                && Rendezvous.first(ROLES_DUTY, nodes, NodeListing::name)
+                        .filter(self::equals)
+                        .isPresent();
+    }
+
+    private void roleChanged(String worker) {
+        roles.changed(worker);
+    }
+
     private void loadChanged() {
         reports.changed();
     }
@@ -320,6 +359,15 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    private void tickRoles() {
+        try {
+            roles.tick();
+        } catch (RuntimeException e) {
+            // A task that throws would not run again.
+            LOG.log(Level.ERROR, "event=roles_failed", e);
+        }
+    }
+
     private void tick() {
         long now = millis.getAsLong();
         long wall = System.currentTimeMillis();
--- a/router/src/main/java/org/magnoliavane/router/WorkerController.java
+++ b/router/src/main/java/org/magnoliavane/router/WorkerController.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.magnoliavane.balance.ListedWorker;
@@ -23,15 +24,22 @@
     private final WorkerLedger ledger;
     private final EntryFormat entries;
     private final LongSupplier millis;
+    private final Consumer<String> onNewRole;
     private final WorkerRoster roster;
     private final Set<String> unreadable = new HashSet<>();
 
     WorkerController(
-            Fleet fleet, WorkerLedger ledger, EntryFormat entries, long lapseGraceMillis, LongSupplier millis) {
+            Fleet fleet,
+            WorkerLedger ledger,
+            EntryFormat entries,
+            long lapseGraceMillis,
+            LongSupplier millis,
+            Consumer<String> onNewRole) {
         this.fleet = fleet;
         this.ledger = ledger;
         this.entries = entries;
         this.millis = millis;
+        this.onNewRole = onNewRole;
         this.roster = new WorkerRoster(lapseGraceMillis);
     }
 
@@ -60,6 +68,12 @@
         if (newStart) {
             ledger.forgetHealth(worker.id());
         }
+        boolean newRole = before.isPresent()
+                && before.get().server().role() != worker.server().role();
+        if (newRole) {
+            ledger.resume(worker.id());
+            onNewRole.accept(worker.id());
+        }
         LOG.log(
                 Level.INFO,
                 "event=worker_listed worker={0} service={1} role={2} leaving={3} new_start={4}",
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -186,6 +186,7 @@
                             share.getRequests(), share.getTokens(), share.getFailurePermille() / PERMILLE));
         }
         ledger.reportFrom(report.getNode(), loads, now);
+        report.getPausesList().forEach(p -> ledger.suspend(p.getWorker(), now + p.getMillis()));
         for (ContentCrash crash : report.getCrashesList()) {
             if (crashes.record(crash.getContent(), crash.getCrash())) {
                 LOG.log(
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/roles/package-info.java
@@ -0,0 +1,2 @@
+/** Changes the roles of workers as the load changes. */
+package org.magnoliavane.router.roles;
--- a/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -31,6 +31,7 @@
  * @param stopGraceMillis the time between a request to stop and the end of the process
  * @param drainMillis how soon after its listing says so a leaving worker must get no new work
  * @param lapseGraceMillis how long a listing may take to come back after an outage of the store
+ * @param orderLeaseMillis the time within which two nodes must not both give orders to workers; 0 for no orders
  * @param logLevel the least level that is logged
  */
 public record RouterSettings(
@@ -49,6 +50,7 @@
         long stopGraceMillis,
         long drainMillis,
         long lapseGraceMillis,
+        long orderLeaseMillis,
         Level logLevel) {
 
     private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,127}");
@@ -100,6 +102,7 @@
                 (long) (MILLIS * timing.getDouble("stop_grace_seconds", 0.5, 3600)),
                 timing.getLong("drain_millis", 100, 3_600_000),
                 (long) (MILLIS * timing.getDouble("lapse_grace_seconds", 0, 3600)),
+                timing.getLong("order_lease_millis", 0, 3_600_000, 0),
                 Level.valueOf(logging.getWord("level", LEVELS, "info").toUpperCase(Locale.ROOT)));
     }
 
--- a/router/src/main/java/org/magnoliavane/router/store/KeyedStore.java
+++ b/router/src/main/java/org/magnoliavane/router/store/KeyedStore.java
@@ -42,4 +42,13 @@
      * @return completes when the store has confirmed it
      */
     CompletionStage<Void> removeNode(String name);
+
+    /**
+     * Writes into the log of those who give orders, if nobody has written since.
+     *
+     * @param holder the name of this node
+     * @param expectedEnd the end that the log must have
+     * @return whether the record was written, and the end of the log
+     */
+    CompletionStage<OrderClaim> claimOrders(String holder, long expectedEnd);
 }
