Count crashed workers for six seconds before roles change, and tell the age of the order log between nodes

No node could order one back: each newly elected one waited 4.5 s for the holder before it, of whom the others had known for long.

Change: the largest counts of the last six seconds decide; reports carry the end of the order log and how long it is known. The end line of a stream has its longest pause.

--- a/core/src/main/java/org/magnoliavane/balance/RoleBalance.java
+++ b/core/src/main/java/org/magnoliavane/balance/RoleBalance.java
@@ -1,5 +1,7 @@
 package org.magnoliavane.balance;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 
 import org.magnoliavane.WorkerRole;
@@ -29,6 +31,10 @@
     /** One of this many workers changes its role at a time; those that change do no work. */
     private static final int WORKERS_PER_CHANGE = 12;
 
+    /** Time after which a worker that is gone counts as gone; one that has crashed is often back before. */
+    private static final long RETURN_MILLIS = 6000;
+
+    private final Deque<Counts> counts = new ArrayDeque<>();
     private double prefillBusy;
     private double decodeBusy;
     private long sampledMillis = Long.MIN_VALUE;
@@ -47,14 +53,24 @@
         sampledMillis = nowMillis;
     }
 
+    /** Forgets which workers were there, after an order has changed their roles. */
+    public void forgetCounts() {
+        counts.clear();
+    }
+
     /**
-     * Decides on a change.
+     * Decides on a change. Workers that were there a moment ago still count.
      *
-     * @param prefillWorkers the number of prefill workers
-     * @param decodeWorkers the number of decode workers
+     * @param prefillNow the number of prefill workers
+     * @param decodeNow the number of decode workers
+     * @param nowMillis the current time
      * @return the change; empty when the roles are as they should be
      */
-    public Optional<Change> decide(int prefillWorkers, int decodeWorkers) {
+    public Optional<Change> decide(int prefillNow, int decodeNow, long nowMillis) {
+        counts.removeIf(c -> nowMillis - c.atMillis > RETURN_MILLIS);
+        counts.add(new Counts(prefillNow, decodeNow, nowMillis));
+        int prefillWorkers = counts.stream().mapToInt(Counts::prefill).max().orElse(prefillNow);
+        int decodeWorkers = counts.stream().mapToInt(Counts::decode).max().orElse(decodeNow);
         double present = utilization(prefillWorkers, decodeWorkers);
         if (present < MIN_UTILIZATION) {
             return Optional.empty();
@@ -65,7 +81,7 @@
         for (int toDecode = -most; toDecode <= most; toDecode++) {
             int prefill = prefillWorkers - toDecode;
             int decode = decodeWorkers + toDecode;
-            if (toDecode == 0 || prefill < MIN_WORKERS || decode < MIN_WORKERS) {
+            if (toDecode == 0 || Math.min(prefillNow - toDecode, decodeNow + toDecode) < MIN_WORKERS) {
                 continue;
             }
             double utilization = utilization(prefill, decode);
@@ -90,6 +106,8 @@
         return String.format("prefill_busy=%.2f decode_busy=%.2f", prefillBusy, decodeBusy);
     }
 
+    private record Counts(int prefill, int decode, long atMillis) {}
+
     /**
      * A change of roles.
      *
--- a/core/src/main/java/org/magnoliavane/lease/OrderRight.java
+++ b/core/src/main/java/org/magnoliavane/lease/OrderRight.java
@@ -18,6 +18,7 @@
 
     private final long leaseMillis;
     private long end;
+    private long endKnownMillis;
     private long notBeforeMillis = Long.MIN_VALUE;
     private boolean trying;
     private long tryMillis;
@@ -59,6 +60,7 @@
     public void accepted(long newEnd) {
         trying = false;
         end = newEnd;
+        endKnownMillis = tryMillis;
         fence = OptionalLong.of(newEnd);
     }
 
@@ -70,9 +72,43 @@
      */
     public void refused(long actualEnd, long nowMillis) {
         end = actualEnd;
+        endKnownMillis = nowMillis;
         waitForOthers(nowMillis);
     }
 
+    /**
+     * Takes note that another node knows of a later end of the log, so that the wait for that holder begins when the other
+     * node learned of it and not with the first try of this node.
+     *
+     * @param knownEnd the end that the other node knows
+     * @param ageMillis how long it has known it, at least
+     * @param nowMillis the steady clock
+     */
+    public void heard(long knownEnd, long ageMillis, long nowMillis) {
+        if (knownEnd > end && !trying) {
+            refused(knownEnd, nowMillis - ageMillis);
+        }
+    }
+
+    /**
+     * Gets the time for which this node has known the end.
+     *
+     * @param nowMillis the steady clock
+     * @return the age in milliseconds
+     */
+    public long getAgeMillis(long nowMillis) {
+        return nowMillis - endKnownMillis;
+    }
+
+    /**
+     * Gets the end of the log as far as known.
+     *
+     * @return the end; 0 when nothing is known
+     */
+    public long getEnd() {
+        return end;
+    }
+
     /**
      * Takes note that the log did not answer, or that a worker knows of a newer holder. The record may be accepted later.
      *
--- a/core/src/test/java/org/magnoliavane/lease/OrderRightTest.java
+++ b/core/src/test/java/org/magnoliavane/lease/OrderRightTest.java
@@ -65,6 +65,30 @@
         assertEquals(right.startTry(1500 + 2 * LEASE, WALL), OptionalLong.of(0));
     }
 
+    @Test
+    public void aNodeThatHeardOfTheLastHolderLongAgoTriesAtOnceAndAtTheRightEnd() {
+        OrderRight right = new OrderRight(LEASE);
+        right.heard(4, 0, 0);
+        assertEquals(right.startTry(LEASE, WALL), OptionalLong.empty());
+        assertEquals(right.startTry(2 * LEASE, WALL), OptionalLong.of(4));
+    }
+
+    @Test
+    public void hearingAnOldEndAgainDoesNotProlongTheWait() {
+        OrderRight right = new OrderRight(LEASE);
+        right.heard(4, 0, 0);
+        right.heard(4, 0, 4000);
+        right.heard(3, 0, 4100);
+        assertEquals(right.startTry(5000, WALL), OptionalLong.of(4));
+    }
+
+    @Test
+    public void aNodeThatStartsNeedNotWaitForAHolderOfWhomOthersHaveKnownLongEnough() {
+        OrderRight right = new OrderRight(LEASE);
+        right.heard(4, 60_000, 100);
+        assertEquals(right.startTry(101, WALL), OptionalLong.of(4));
+    }
+
     @Test
     public void onlyOneTryRunsAtATime() {
         OrderRight right = new OrderRight(LEASE);
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -114,6 +114,7 @@
     private final PeerChannel peerChannel;
     private final PeerReports reports;
     private final RoomQueues rooms;
+    private final RoleOrders roleOrders;
     private final RoleController roles;
     private final FrontServer front;
     private final Departure departure = new Departure();
@@ -137,7 +138,7 @@
         this.client = HttpClient.open("workers", CONNECT_TIMEOUT_MILLIS);
         WorkerController workerController =
                 new WorkerController(fleet, ledger, entries, settings.lapseGraceMillis(), millis, this::roleChanged);
-        RoleOrders roleOrders = new RoleOrders(self.name(), store, client, orders, settings.orderLeaseMillis(), millis);
+        this.roleOrders = new RoleOrders(self.name(), store, client, orders, settings.orderLeaseMillis(), millis);
         this.roles = new RoleController(this::isElected, fleet, ledger, roleOrders, millis);
         this.configuration =
                 follow(Topic.CONFIGURATION, new ConfigurationController(fleet, entries), RARE_WAIT_MILLIS, 0);
@@ -154,7 +155,7 @@
                 this::loadChanged);
         this.peerChannel = PeerChannel.open(self);
         this.reports =
-                PeerReports.open(peerChannel, peers, ledger, crashes, millis, this::createReport, r -> checkVersion());
+                PeerReports.open(peerChannel, peers, ledger, crashes, millis, this::createReport, this::reported);
         Placement placement = new Placement(
                 ledger, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
         RetryBudgets budgets = new RetryBudgets(
@@ -293,7 +294,7 @@
     }
 
     private NodeReport createReport() {
-        return NodeReport.newBuilder()
+        NodeReport.Builder report = NodeReport.newBuilder()
                 .setNode(self.name())
                 .setRun(self.run())
                 .setReady(isReady())
@@ -305,8 +306,14 @@
                                 .setWorker(e.getKey())
                                 .setMillis(e.getValue().intValue())
                                 .build())
-                        .toList())
-                .build();
+                        .toList());
+        roleOrders.addTo(report);
+        return report.build();
+    }
+
+    private void reported(NodeReport report) {
+        checkVersion();
+        roleOrders.heard(report);
     }
 
     /** Reads the configuration when another node has a newer one, as after a read that was cut off silently. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -87,6 +87,7 @@
     private boolean hadRoom;
     private int ranOn;
     private long lastEventMillis;
+    private long longestPauseMillis;
 
     StreamRun(DispatchParts parts, CallerCall call, String service, CallerAnswer answer) {
         super(parts, call, service, answer);
@@ -369,6 +370,9 @@
         if (!stream.takeBytes(bytes)) {
             return;
         }
+        if (begun) {
+            longestPauseMillis = Math.max(longestPauseMillis, now() - lastEventMillis);
+        }
         lastEventMillis = now();
         if (!begun) {
             log("first_event", send, "millis=" + send.getAgeMillis());
@@ -390,7 +394,8 @@
         end(
                 "answered",
                 "worker=" + send.worker().id() + " status=" + stream.getStatus() + " decode_millis="
-                        + send.getAgeMillis() + " output_tokens=" + generation.maxOutputTokens());
+                        + send.getAgeMillis() + " longest_pause_millis=" + longestPauseMillis + " output_tokens="
+                        + generation.maxOutputTokens());
         stream.finish();
     }
 
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -110,9 +110,10 @@
                 decode.stream().mapToDouble(w -> usedMemory(w, engine, now)).sum(),
                 now);
         if (now < settledMillis) {
+            balance.forgetCounts();
             return;
         }
-        Optional<RoleBalance.Change> change = balance.decide(prefill.size(), decode.size());
+        Optional<RoleBalance.Change> change = balance.decide(prefill.size(), decode.size(), now);
         if (change.isEmpty()) {
             return;
         }
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleOrders.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleOrders.java
@@ -15,6 +15,7 @@
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.HttpResponse;
 import org.magnoliavane.lease.OrderRight;
+import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.router.store.KeyedStore;
 import org.magnoliavane.router.store.OrderClaim;
 
@@ -63,7 +64,29 @@
 
     /** Learns who has given orders, so that the wait for their right to end is over when orders are needed. */
     void prepare() {
-        claim(() -> {});
+        if (isLogUnknown()) {
+            claim(() -> {});
+        }
+    }
+
+    /**
+     * Tells the other nodes what is known of those who give orders.
+     *
+     * @param report the report to complete
+     */
+    public synchronized void addTo(NodeReport.Builder report) {
+        if (right.getEnd() > 0) {
+            report.setOrderLogEnd(right.getEnd()).setOrderLogAgeMillis(right.getAgeMillis(millis.getAsLong()));
+        }
+    }
+
+    /**
+     * Takes note of what another node knows of those who give orders.
+     *
+     * @param report the report of the other node
+     */
+    public synchronized void heard(NodeReport report) {
+        right.heard(report.getOrderLogEnd(), report.getOrderLogAgeMillis(), millis.getAsLong());
     }
 
     /**
@@ -78,6 +101,10 @@
         claim(() -> workers.forEach(w -> order(new Order(w, role, inputs, onTaken))));
     }
 
+    private synchronized boolean isLogUnknown() {
+        return right.getEnd() == 0;
+    }
+
     private synchronized void claim(Runnable orders) {
         OptionalLong end = right.startTry(millis.getAsLong(), System.currentTimeMillis());
         if (end.isEmpty()) {
