Leave a worker alone that refuses whatever it is sent, and a worker that changes its role until it is listed anew

Change: a refusal without a cache by a worker with room excludes the worker and suspends it for 1.5 s; a worker that took its order is left alone for up to 30 s. A change from decode to prefill needs twice the gain, since a decode worker first finishes its answers.

--- a/core/src/main/java/org/magnoliavane/balance/RoleBalance.java
+++ b/core/src/main/java/org/magnoliavane/balance/RoleBalance.java
@@ -22,6 +22,9 @@
     /** Least drop of the higher utilization that is worth the seconds in which a worker changes its role. */
     private static final double MIN_GAIN = 0.1;
 
+    /** The same for a change to prefill: a decode worker first finishes its answers, which takes seconds more. */
+    private static final double MIN_GAIN_TO_PREFILL = 0.2;
+
     /** Part of the prefill workers that must be idle: prompts come in groups, and few workers make them wait for long. */
     private static final double PREFILL_RESERVE = 0.5;
 
@@ -77,7 +80,7 @@
         }
         int most = Math.max(1, (prefillWorkers + decodeWorkers) / WORKERS_PER_CHANGE);
         int best = 0;
-        double least = present - MIN_GAIN;
+        double least = Double.MAX_VALUE;
         for (int toDecode = -most; toDecode <= most; toDecode++) {
             int prefill = prefillWorkers - toDecode;
             int decode = decodeWorkers + toDecode;
@@ -85,7 +88,8 @@
                 continue;
             }
             double utilization = utilization(prefill, decode);
-            if (utilization < least) {
+            double gain = present - utilization;
+            if (gain >= (toDecode > 0 ? MIN_GAIN : MIN_GAIN_TO_PREFILL) && utilization < least) {
                 least = utilization;
                 best = toDecode;
             }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamRun.java
@@ -61,6 +61,9 @@
     /** Time for which a worker that refused for lack of memory gets nothing; some of its requests end within it. */
     private static final long FULL_MILLIS = 120;
 
+    /** Time for which a worker that has room and refuses all the same gets nothing while there are others. */
+    private static final long NOT_DECODING_MILLIS = 1500;
+
     /** Pause after which a request that needs an extra send looks at the budget again. */
     private static final long BUDGET_PAUSE_MILLIS = 100;
 
@@ -414,10 +417,16 @@
             loseStream(reason);
             return;
         }
-        if (reason.equals(WorkerSend.REFUSED) && hadRoom) {
+        if (reason.equals(WorkerSend.REFUSED)
+                && hadRoom
+                && send.workerCall().cache().isPresent()) {
             // A worker that is full or gone has not taken the cache; one with room refuses because the cache has
             // lapsed.
             cache.spend();
+        } else if (reason.equals(WorkerSend.REFUSED) && hadRoom) {
+            // A worker with room that refuses whatever it is sent does not decode, for example while its role changes.
+            excluded.add(send.worker().id());
+            parts.ledger().suspend(send.worker().id(), now() + NOT_DECODING_MILLIS);
         } else if (reason.equals(WorkerSend.REFUSED)) {
             parts.ledger().markFull(send.worker().id(), now() + FULL_MILLIS);
         } else {
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -28,8 +28,14 @@
     /** Time for the claim of the right to give orders and for the orders themselves. */
     private static final long ORDER_MILLIS = 2000;
 
-    /** Longest time for which a worker that changes its role is left alone; its listing ends it sooner. */
-    private static final long CHANGE_MILLIS = 12_000;
+    /**
+     * Longest time for which a worker that changes its role is left alone. Its listing usually ends it after some seconds;
+     * while the store is away the listing shows the old role.
+     */
+    private static final long CHANGE_MILLIS = 30_000;
+
+    /** The same for a worker that may not have taken its order. */
+    private static final long UNSURE_MILLIS = 12_000;
 
     private final BooleanSupplier isElected;
     private final Fleet fleet;
@@ -138,10 +144,11 @@
                 .toList();
     }
 
-    private synchronized void taken(ListedWorker worker) {
+    private synchronized void taken(ListedWorker worker, boolean sure) {
         long now = millis.getAsLong();
+        long until = now + (sure ? CHANGE_MILLIS : UNSURE_MILLIS);
         settledMillis = now + SETTLE_MILLIS;
-        changing.put(worker.id(), now + CHANGE_MILLIS);
-        ledger.suspend(worker.id(), now + CHANGE_MILLIS);
+        changing.put(worker.id(), until);
+        ledger.suspend(worker.id(), until);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleOrders.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleOrders.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 
 import org.magnoliavane.WorkerRole;
@@ -95,9 +95,9 @@
      * @param workers the workers
      * @param role the role
      * @param inputs what decided, for the log
-     * @param onTaken takes each worker that has taken its order, or may have
+     * @param onTaken takes each worker that has taken its order, with true, or may have, with false
      */
-    void give(List<ListedWorker> workers, WorkerRole role, String inputs, Consumer<ListedWorker> onTaken) {
+    void give(List<ListedWorker> workers, WorkerRole role, String inputs, BiConsumer<ListedWorker, Boolean> onTaken) {
         claim(() -> workers.forEach(w -> order(new Order(w, role, inputs, onTaken))));
     }
 
@@ -173,14 +173,14 @@
                     }
                     order.log(given + "unanswered reason=\"" + failure.getMessage() + '"');
                     // The order may be carried out all the same, at once or seconds later.
-                    order.onTaken.accept(order.worker);
+                    order.onTaken.accept(order.worker, false);
                 });
     }
 
     private void answered(Order order, String given, OrderOutcome outcome) {
         order.log(given + outcome.name().toLowerCase(Locale.ROOT));
         if (outcome == OrderOutcome.ACCEPTED) {
-            order.onTaken.accept(order.worker);
+            order.onTaken.accept(order.worker, true);
         } else if (outcome == OrderOutcome.FENCED) {
             synchronized (this) {
                 right.lost(millis.getAsLong());
@@ -188,7 +188,8 @@
         }
     }
 
-    private record Order(ListedWorker worker, WorkerRole role, String inputs, Consumer<ListedWorker> onTaken) {
+    private record Order(
+            ListedWorker worker, WorkerRole role, String inputs, BiConsumer<ListedWorker, Boolean> onTaken) {
         void log(String outcome) {
             LOG.log(
                     Level.INFO,
