--- a/node/src/main/java/org/magnoliavane/cli/ExplainCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/ExplainCommand.java
@@ -1,5 +1,11 @@
 package org.magnoliavane.cli;
 
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -17,21 +23,34 @@
 /** Prints the decisions about a request. */
 @Parameters(commandDescription = "Print what all nodes decided about a request, in order of time")
 final class ExplainCommand extends OperatorCommand {
+    private static final String STANDARD_INPUT = "-";
     private static final Pattern REQUEST = Pattern.compile("[0-9a-f]{32}(-[0-9]+)?");
 
     @Parameter(description = "REQUEST", required = true)
     private String request;
 
+    @Parameter(
+            names = "--router-log",
+            description =
+                    "Log of a router to read in place of asking nodes; may be given several times, - is standard input")
+    private List<String> logs = new ArrayList<>();
+
     @ParametersDelegate
     private final NodeOptions nodes = new NodeOptions();
 
     @Override
     String[] getExamples() {
-        return new String[] {"0123456789abcdef0123456789abcdef --vm-list http://192.0.2.8:7071"};
+        return new String[] {
+            "0123456789abcdef0123456789abcdef --vm-list http://192.0.2.8:7071",
+            "4e8d3f2a1b0c9d8e --router-log edge-1.log --router-log edge-2.log"
+        };
     }
 
     @Override
     Report run() throws CommandException {
+        if (!logs.isEmpty()) {
+            return explainFromLogs();
+        }
         if (!REQUEST.matcher(request).matches()) {
             return Report.failure(
                     ExitStatus.USAGE,
@@ -57,6 +76,24 @@
                 .with("nodes_without_answer", silent);
     }
 
+    private Report explainFromLogs() {
+        LogStory story = new LogStory(request);
+        for (String log : logs) {
+            try (BufferedReader reader = log.equals(STANDARD_INPUT)
+                    ? new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))
+                    : Files.newBufferedReader(Path.of(log))) {
+                story.read(log, reader);
+            } catch (IOException e) {
+                return Report.failure(
+                        ExitStatus.FAILED, "cannot read the log " + log + ": " + e, "Check its name and its encoding.");
+            }
+        }
+        return Report.of(story.isEmpty() ? ExitStatus.FAILED : ExitStatus.OK, story.toText())
+                .without("message")
+                .with("request", request)
+                .with("events", story.toJson());
+    }
+
     private static List<ObjectNode> merge(Map<String, Optional<JsonNode>> answers) {
         List<ObjectNode> decisions = new ArrayList<>();
         answers.forEach((name, answer) -> answer.ifPresent(json -> {
--- a/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
@@ -61,6 +61,29 @@
         assertEquals(json().get("version").longValue(), 2);
     }
 
+    /** Two routers' logs, one of a node that a request reached and one of a node that served another. */
+    @Test
+    public void theStoryOfARequestIsReadFromTheLogsOfRoutersInOrderOfTime() throws IOException {
+        Path other = Files.createTempFile("magnoliavane", ".log");
+        write("12.1 2026-03-29T22:05:07.602Z INFO Run - event=end request=ab12 outcome=answered\n"
+                + "2026-03-29T22:05:07.100Z INFO Run - event=prefill_done request=ab12 worker=i-1\n"
+                + "2026-03-29T22:05:07.200Z INFO Run - event=decode request=ab123 worker=i-1\n");
+        Files.writeString(other, "2026-03-29T22:05:07.300Z INFO Run - event=decode request=ab12 worker=i-2\n");
+        try {
+            int status =
+                    run("explain", "ab12", "--router-log", file.toString(), "--router-log", other.toString(), "--json");
+            assertEquals(status, ExitStatus.OK);
+            assertEquals(json().get("events").size(), 3);
+            assertEquals(
+                    json().get("events").get(0).get("event").asText(), "event=prefill_done request=ab12 worker=i-1");
+            assertEquals(json().get("events").get(1).get("log").asText(), other.toString());
+            assertEquals(run("explain", "ab", "--router-log", file.toString()), ExitStatus.FAILED);
+            assertEquals(run("explain", "ab12", "--router-log", file + ".missing"), ExitStatus.FAILED);
+        } finally {
+            Files.delete(other);
+        }
+    }
+
     /** Guards against an operator who overwrites a change that was published in the meantime. */
     @Test
     public void aTextOnAnOldBaseIsRefusedAndNamesTheWinner() throws IOException {
