Let a report of a change of role hold for the life of a report, and spare large fleets the reports of changes

Cause, found by reading: a node that saw a worker's new role first took it up, and then the next report of the node that gave the order, which still listed the change, suspended the worker there for up to 30 s more.

Test: WorkerLedgerTest.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLedger.java
@@ -93,6 +93,18 @@
         entry(worker).suspendedUntilMillis.accumulateAndGet(untilMillis, Math::max);
     }
 
+    /**
+     * Avoids a worker because another node says that it is changing its role. Only the next reports keep this up: the other
+     * node may see the end of the change later than this one.
+     *
+     * @param worker the id of the worker
+     * @param leftMillis the time that the change may still take
+     * @param nowMillis the current time
+     */
+    public void suspendByReport(String worker, long leftMillis, long nowMillis) {
+        suspend(worker, nowMillis + Math.min(leftMillis, PEER_REPORT_MAX_AGE_MILLIS));
+    }
+
     /**
      * Ends the time for which a worker was to be avoided.
      *
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -122,11 +122,13 @@
         }
     }
 
-    /** Sends a report soon, because this node has taken or given back room at a worker. */
+    /**
+     * Sends a report soon, because this node has taken or given back room at a worker. In a large fleet the regular rounds
+     * have to do: reports of changes would be most of the messages, and stewards know what is scarce.
+     */
     public void changed() {
-        if (changePending.compareAndSet(false, true)) {
-            long pause = CHANGE_MILLIS_PER_NODE
-                    * Math.min(NODES_IN_ROUND, table.getListings().size());
+        long pause = CHANGE_MILLIS_PER_NODE * table.getListings().size();
+        if (pause < ROUND_MILLIS / 2 && changePending.compareAndSet(false, true)) {
             channel.executor()
                     .schedule(
                             () -> {
@@ -186,7 +188,7 @@
                             share.getRequests(), share.getTokens(), share.getFailurePermille() / PERMILLE));
         }
         ledger.reportFrom(report.getNode(), loads, now);
-        report.getPausesList().forEach(p -> ledger.suspend(p.getWorker(), now + p.getMillis()));
+        report.getPausesList().forEach(p -> ledger.suspendByReport(p.getWorker(), p.getMillis(), now));
         for (ContentCrash crash : report.getCrashesList()) {
             if (crashes.record(crash.getContent(), crash.getCrash())) {
                 LOG.log(
