Leave the response of a disconnected caller to the server

When a caller disconnected, FrontendExchange resumed its suspended response. Grizzly then recycles the response object and gives it to the next request of that thread, while another thread may still be writing the body, or a StreamWriter may still hold its output. Both wrote into the response of the next caller. The first seconds of a process are slow, so callers leave in the middle of responses more often.

Ruled out: parsing of the worker's response (the body is delivered by one executor per exchange), pipelined requests (SingleRequestFilter), the configuration that arrives late.

Change: a disconnect no longer resumes the response. Grizzly cancels it when the connection is closed, and does not reuse cancelled responses. Headers of failures are set under the same guard as the response, in the router and in the node.

--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -200,12 +200,11 @@
 
     void fail(ParamFault fault) {
         Fault cause = fault.fault();
+        // Set by send, because the response must not be modified once another thread has completed it.
+        Map<String, String> faultHeaders = new HashMap<>(Map.of("Content-Type", "application/json"));
         cause.retryAfterMillis()
-                .ifPresent(m -> response.setHeader("Retry-After", Long.toString(FaultBody.toRetryAfterSeconds(m))));
-        send(
-                cause.kind().getHttpStatus(),
-                Map.of("Content-Type", "application/json"),
-                Json.write(FaultBody.toJson(cause, fault.param())));
+                .ifPresent(m -> faultHeaders.put("Retry-After", Long.toString(FaultBody.toRetryAfterSeconds(m))));
+        send(cause.kind().getHttpStatus(), faultHeaders, Json.write(FaultBody.toJson(cause, fault.param())));
     }
 
     void fail(Fault fault) {
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -180,16 +180,16 @@
 
     @Override
     public void fail(Fault fault) {
+        Map<String, String> failureHeaders = new HashMap<>(JSON_HEADERS);
         fault.retryAfterMillis()
-                .ifPresent(m -> response.setHeader("Retry-After", String.valueOf(m / MILLIS_PER_SECOND)));
-        sendJson(wire.toStatus(fault), Json.write(FaultBody.toJson(fault, "")));
+                .ifPresent(m -> failureHeaders.put("Retry-After", String.valueOf(m / MILLIS_PER_SECOND)));
+        send(wire.toStatus(fault), failureHeaders, Json.write(FaultBody.toJson(fault, "")));
     }
 
     @Override
     public void abort() {
         responseStarted.set(true);
-        // The close listener resumes the response. Resuming it before the close would write a regular end of the
-        // stream.
+        // The response is not resumed, because that would write a regular end of the stream.
         connection.terminateSilently();
     }
 
@@ -215,15 +215,20 @@
         }
     }
 
+    /**
+     * Completes the exchange without resuming the response: the server would reuse it for another request while a
+     * thread may still be writing to it. The server cancels a suspended response when its connection is closed.
+     */
     private void handleDisconnect() {
         if (connection.isOpen()) {
             connection.terminateSilently();
             return;
         }
-        if (!completed.get() && disconnected.compareAndSet(false, true)) {
-            onDisconnect.get().run();
+        if (completed.compareAndSet(false, true)) {
+            disconnected.set(true);
             responseStarted.set(true);
-            complete();
+            onDisconnect.get().run();
+            onComplete.run();
         }
     }
 
--- /dev/null
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -0,0 +1,175 @@
+package org.magnoliavane.router.front;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.AbstractMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.magnoliavane.http.server.SingleRequestFilter;
+import org.magnoliavane.http.server.StreamWriter;
+import org.magnoliavane.router.dispatch.RequestMetadata;
+import org.magnoliavane.router.dispatch.WireFormat;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests that callers who disconnect while their response is written do not affect the responses of others: the server
+ * reuses its response objects. One server thread makes the reuse certain.
+ */
+public class FrontendExchangeTest {
+    private static final int TIMEOUT_SECONDS = 5;
+    private static final byte[] FIRST_BODY = "first".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] SECOND_BODY = "other".getBytes(StandardCharsets.UTF_8);
+
+    private final BlockingQueue<FrontendExchange> exchanges = new LinkedBlockingQueue<>();
+    private HttpServer server;
+    private int port;
+
+    @BeforeMethod
+    public void startServer() throws IOException {
+        NetworkListener listener = new NetworkListener("callers", "127.0.0.1", 0);
+        SingleRequestFilter.addTo(listener);
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName("callers")
+                        .setCorePoolSize(1)
+                        .setMaxPoolSize(1));
+        listener.getTransport().setSelectorRunnersCount(1);
+        server = new HttpServer();
+        server.addListener(listener);
+        server.getServerConfiguration()
+                .addHttpHandler(
+                        new HttpHandler() {
+                            @Override
+                            public void service(Request request, Response response) {
+                                accept(request, response);
+                            }
+                        },
+                        "/");
+        server.start();
+        port = listener.getPort();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopServer() {
+        server.shutdownNow();
+    }
+
+    @Test
+    public void aResponseToADisconnectedCallerDoesNotReachTheNextCaller() throws Exception {
+        CountDownLatch sending = new CountDownLatch(1);
+        CountDownLatch resumed = new CountDownLatch(1);
+        CompletableFuture<Void> sent;
+        try (Socket gone = sendRequest()) {
+            FrontendExchange first = takeExchange();
+            CountDownLatch disconnected = watchDisconnect(first);
+            sent = CompletableFuture.runAsync(() -> first.send(200, pausingHeaders(sending, resumed), FIRST_BODY));
+            assertTrue(sending.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            gone.close();
+            assertTrue(disconnected.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+        try (Socket caller = sendRequest()) {
+            FrontendExchange second = takeExchange();
+            resumed.countDown();
+            sent.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            second.send(200, Map.of(), SECOND_BODY);
+            assertEquals(readBody(caller), "other");
+        }
+    }
+
+    @Test
+    public void anEventForADisconnectedCallerDoesNotReachTheNextStream() throws Exception {
+        StreamWriter firstWriter;
+        try (Socket gone = sendRequest()) {
+            FrontendExchange first = takeExchange();
+            CountDownLatch disconnected = watchDisconnect(first);
+            firstWriter = first.beginStream(200, Map.of()).orElseThrow();
+            gone.close();
+            assertTrue(disconnected.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+        try (Socket caller = sendRequest()) {
+            StreamWriter secondWriter = takeExchange()
+                    .beginStream(200, Map.of("Content-Length", "5"))
+                    .orElseThrow();
+            firstWriter.write(FIRST_BODY);
+            secondWriter.write(SECOND_BODY);
+            secondWriter.end();
+            assertEquals(readBody(caller), "other");
+        }
+    }
+
+    private void accept(Request request, Response response) {
+        FrontendExchange exchange = new FrontendExchange(request, response, createWireFormat(), 0, () -> {});
+        exchange.suspend();
+        exchange.watchConnection();
+        exchanges.add(exchange);
+    }
+
+    private FrontendExchange takeExchange() throws InterruptedException {
+        return Optional.ofNullable(exchanges.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                .orElseThrow();
+    }
+
+    private static CountDownLatch watchDisconnect(FrontendExchange exchange) {
+        CountDownLatch disconnected = new CountDownLatch(1);
+        exchange.onDisconnect(disconnected::countDown);
+        return disconnected;
+    }
+
+    private Socket sendRequest() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static String readBody(Socket socket) throws IOException {
+        String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return text.substring(text.indexOf("\r\n\r\n") + 4);
+    }
+
+    /** Returns headers whose first use waits, in the middle of a response. */
+    private static Map<String, String> pausingHeaders(CountDownLatch reached, CountDownLatch resumed) {
+        return new AbstractMap<>() {
+            @Override
+            public Set<Entry<String, String>> entrySet() {
+                reached.countDown();
+                try {
+                    assertTrue(resumed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+                return Set.of();
+            }
+        };
+    }
+
+    private static WireFormat createWireFormat() {
+        RequestMetadata metadata = new RequestMetadata("1", OptionalLong.empty(), Optional.empty(), Optional.empty());
+        return (WireFormat) Proxy.newProxyInstance(
+                WireFormat.class.getClassLoader(),
+                new Class<?>[] {WireFormat.class},
+                (proxy, method, arguments) -> metadata);
+    }
+}
