Serve the first requests of a process, and drop those whose callers have left

Reading from a connection resumes with a read that shows a close at once; such requests are dropped. Refusals of the frontend have a log line (event=refused), and failures of later filters are handled like those of the first.

--- a/http/src/main/java/org/magnoliavane/http/server/SingleRequestFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/SingleRequestFilter.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.http.server;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.glassfish.grizzly.Buffer;
@@ -14,6 +16,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * Keeps reading from a connection while a request is active, so that a disconnect is detected even if nothing is
@@ -29,6 +32,9 @@
     /** The connection of a caller that sends more bytes than this before the response is complete is closed. */
     private static final int MAX_DISCARDED_BYTES = 64 * 1024;
 
+    /** Size of the read that checks for a close; callers send nothing before their response. */
+    private static final int PROBE_BYTES = 64;
+
     /** The number of bytes discarded; absent until {@link #startReading} is called for the connection. */
     private static final Attribute<AtomicLong> DISCARDED_BYTES =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.dropped");
@@ -44,14 +50,26 @@
     }
 
     /**
-     * Resumes reading from a connection after a request has been read completely and its response is suspended.
+     * Resumes reading from a connection after a request has been read completely and its response is suspended. Also
+     * checks whether the caller has closed the connection already: a request that waited for a slow or paused process
+     * may be read long after its caller has given up.
      *
      * @param connection the connection of the request
-     * @throws IOException if reading cannot be enabled
+     * @return false if the caller has closed the connection
+     * @throws IOException if the connection was reset or reading cannot be enabled
      */
-    public static void startReading(Connection<?> connection) throws IOException {
-        DISCARDED_BYTES.set(connection, new AtomicLong());
+    public static boolean startReading(Connection<?> connection) throws IOException {
+        AtomicLong discarded = new AtomicLong();
+        DISCARDED_BYTES.set(connection, discarded);
+        if (((NIOConnection) connection).getChannel() instanceof SocketChannel channel) {
+            int length = channel.read(ByteBuffer.allocate(PROBE_BYTES));
+            if (length < 0) {
+                return false;
+            }
+            discarded.addAndGet(length);
+        }
         connection.enableIOEvent(IOEvent.READ);
+        return true;
     }
 
     @Override
--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -87,7 +87,9 @@
     void watchConnection() {
         try {
             watchingConnection = true;
-            SingleRequestFilter.startReading(connection);
+            if (!SingleRequestFilter.startReading(connection)) {
+                handleDisconnect();
+            }
         } catch (IOException e) {
             handleDisconnect();
         }
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -182,6 +182,8 @@
                 millis,
                 () -> ThreadLocalRandom.current().nextDouble(),
                 metrics));
+        pendingRefresh.set(refreshState());
+        nodeFollower.refresh();
         this.frontend = FrontendServer.open(new FrontendContext(
                 settings,
                 routingState,
@@ -196,7 +198,6 @@
                 metrics));
         metrics.register("configuration.version", (Gauge<Long>) this::getConfigurationVersion);
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
-        List.of(configurationFollower, workerFollower, nodeFollower).forEach(TopicFollower::refresh);
         listSelf();
         startPauseDetection(workerController);
         timers.scheduleWithFixedDelay(
@@ -406,10 +407,14 @@
                 "event=standstill tick_millis={0} drift_millis={1}",
                 Long.toString(monotonic),
                 Long.toString(drift));
-        CompletableFuture<Void> refresh = CompletableFuture.allOf(
+        pendingRefresh.set(refreshState());
+    }
+
+    /** Reads the configuration and the workers. Requests wait until both are read or the timeout has passed. */
+    private CompletableFuture<Void> refreshState() {
+        return CompletableFuture.allOf(
                         configurationFollower.refresh().toCompletableFuture().copy(),
                         workerFollower.refresh().toCompletableFuture().copy())
                 .completeOnTimeout(null, REFRESH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        pendingRefresh.set(refresh);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -84,13 +84,20 @@
      */
     void watchConnection() {
         try {
-            SingleRequestFilter.startReading(connection);
+            if (!SingleRequestFilter.startReading(connection)) {
+                handleDisconnect();
+            }
         } catch (IOException e) {
             LOG.log(Level.DEBUG, "event=watch_failed request={0} reason=\"{1}\"", metadata.attemptId(), e.getMessage());
             handleDisconnect();
         }
     }
 
+    /** Returns whether the caller has closed the connection before its response was complete. */
+    boolean isDisconnected() {
+        return disconnected.get();
+    }
+
     Request getRequest() {
         return request;
     }
@@ -222,7 +229,6 @@
     private void handleDisconnect() {
         if (connection.isOpen()) {
             connection.terminateSilently();
-            return;
         }
         if (completed.compareAndSet(false, true)) {
             disconnected.set(true);
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -85,8 +85,11 @@
     }
 
     private void start() throws IOException {
-        NetworkListener listener = new NetworkListener(
-                "callers", settings.callers().host(), settings.callers().port());
+        // The listener opens its address before it handles requests and loses those that arrive in between. It
+        // therefore
+        // opens the address of the metrics, and the addresses of callers follow.
+        NetworkListener listener =
+                new NetworkListener("callers", settings.callers().host(), settings.metricsPort());
         listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
         listener.setMaxRequestHeaders(MAX_HEADERS);
         listener.getKeepAlive().setMaxRequestsCount(-1);
@@ -109,7 +112,8 @@
                 settings.readiness().host(), settings.readiness().port()));
         transport.bind(new InetSocketAddress(
                 settings.directory().host(), settings.directory().port()));
-        transport.bind(new InetSocketAddress(settings.callers().host(), settings.metricsPort()));
+        transport.bind(new InetSocketAddress(
+                settings.callers().host(), settings.callers().port()));
     }
 
     /**
@@ -127,12 +131,12 @@
     }
 
     private void awaitRefresh(FrontendExchange exchange, Consumer<FrontendExchange> next) {
-        context.refresher().whenRefreshed().thenRun(() -> next.accept(exchange));
+        context.refresher().whenRefreshed().thenRun(() -> handleFailures(exchange, () -> next.accept(exchange)));
     }
 
     private void resolveRoute(FrontendExchange exchange, Consumer<FrontendExchange> next) {
         if (context.routingState().getRoutingTable().isEmpty()) {
-            exchange.fail(createUnavailable("the node has no configuration yet"));
+            refuse(exchange, createUnavailable("the node has no configuration yet"));
             return;
         }
         if (setRouteIfFound(exchange)) {
@@ -140,18 +144,24 @@
             return;
         }
         // The route may have been added since the configuration was read.
-        context.refresher().refreshConfiguration().thenAccept(current -> {
-            if (setRouteIfFound(exchange)) {
-                next.accept(exchange);
-            } else if (current) {
-                exchange.fail(Fault.notRun(
+        context.refresher()
+                .refreshConfiguration()
+                .thenAccept(current -> handleFailures(exchange, () -> {
+                    if (setRouteIfFound(exchange)) {
+                        next.accept(exchange);
+                    } else {
+                        refuse(exchange, createNoRouteFault(current));
+                    }
+                }));
+    }
+
+    private static Fault createNoRouteFault(boolean configurationCurrent) {
+        return configurationCurrent
+                ? Fault.notRun(
                         FaultKind.NOT_FOUND,
                         "no route for this host and path",
-                        "use a path of the configuration; operators: add a route"));
-            } else {
-                exchange.fail(createUnavailable("no route is known for this path, and the store is unreachable"));
-            }
-        });
+                        "use a path of the configuration; operators: add a route")
+                : createUnavailable("no route is known for this path, and the store is unreachable");
     }
 
     private void refuseDuringShutdown(FrontendExchange exchange, Consumer<FrontendExchange> next) {
@@ -159,7 +169,8 @@
             next.accept(exchange);
             return;
         }
-        exchange.fail(
+        refuse(
+                exchange,
                 Fault.notRun(FaultKind.UNAVAILABLE, "the node is about to stop", "send the request to another address")
                         .withRetryAfterMillis(SHUTDOWN_RETRY_MILLIS));
     }
@@ -189,9 +200,41 @@
                 body -> {
                     exchange.setBody(body);
                     exchange.watchConnection();
+                    if (exchange.isDisconnected()) {
+                        LOG.log(
+                                Level.INFO,
+                                "event=dropped request={0} reason=\"the caller left before the request was read\"",
+                                exchange.getMetadata().attemptId());
+                        return;
+                    }
                     next.accept(exchange);
                 },
-                failure -> exchange.fail(toFault(failure, limit)));
+                failure -> refuse(exchange, toFault(failure, limit)));
+    }
+
+    private static void refuse(FrontendExchange exchange, Fault fault) {
+        LOG.log(
+                Level.INFO,
+                "event=refused request={0} path={1} kind={2} ran={3} reason=\"{4}\"",
+                exchange.getMetadata().attemptId(),
+                exchange.getPath(),
+                fault.kind().toWire(),
+                fault.ran(),
+                fault.message());
+        exchange.fail(fault);
+    }
+
+    private static void handleFailures(FrontendExchange exchange, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LOG.log(
+                    Level.ERROR,
+                    "event=internal_fault request=" + exchange.getMetadata().attemptId(),
+                    e);
+            exchange.fail(Fault.unknownOutcome(
+                    FaultKind.INTERNAL, "internal error of the node", "tell the operators the request id"));
+        }
     }
 
     private static Fault toFault(BodyReader.Failure failure, int limit) {
@@ -244,7 +287,7 @@
                         }
                     });
             exchange.suspend();
-            try {
+            handleFailures(exchange, () -> {
                 if (fromCaller) {
                     chain.accept(exchange);
                 } else if (port == settings.readiness().port()) {
@@ -257,14 +300,7 @@
                             Map.of("Content-Type", "text/plain; charset=utf-8"),
                             MetricsBody.toText(context.metrics()));
                 }
-            } catch (RuntimeException e) {
-                LOG.log(
-                        Level.ERROR,
-                        "event=internal_fault request=" + exchange.getMetadata().attemptId(),
-                        e);
-                exchange.fail(Fault.unknownOutcome(
-                        FaultKind.INTERNAL, "internal error of the node", "tell the operators the request id"));
-            }
+            });
         }
     }
 }
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -39,15 +39,21 @@
  */
 public class FrontendExchangeTest {
     private static final int TIMEOUT_SECONDS = 5;
+
+    /** Time after which the close of a connection on loopback has arrived. */
+    private static final long CLOSE_ARRIVAL_MILLIS = 200;
+
     private static final byte[] FIRST_BODY = "first".getBytes(StandardCharsets.UTF_8);
     private static final byte[] SECOND_BODY = "other".getBytes(StandardCharsets.UTF_8);
 
     private final BlockingQueue<FrontendExchange> exchanges = new LinkedBlockingQueue<>();
+    private volatile Step beforeWatch = () -> {};
     private HttpServer server;
     private int port;
 
     @BeforeMethod
     public void startServer() throws IOException {
+        beforeWatch = () -> {};
         NetworkListener listener = new NetworkListener("callers", "127.0.0.1", 0);
         SingleRequestFilter.addTo(listener);
         listener.getTransport()
@@ -119,13 +125,33 @@
         }
     }
 
+    @Test
+    public void aCallerThatLeftBeforeItsRequestWasReadIsNoticedBeforeTheRequestIsPassedOn() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        beforeWatch = () -> assertTrue(closed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        sendRequest().close();
+        Thread.sleep(CLOSE_ARRIVAL_MILLIS);
+        closed.countDown();
+        assertTrue(takeExchange().isDisconnected());
+    }
+
     private void accept(Request request, Response response) {
         FrontendExchange exchange = new FrontendExchange(request, response, createWireFormat(), 0, () -> {});
         exchange.suspend();
+        try {
+            beforeWatch.call();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
         exchange.watchConnection();
         exchanges.add(exchange);
     }
 
+    /** A step that may fail. */
+    private interface Step {
+        void call() throws Exception;
+    }
+
     private FrontendExchange takeExchange() throws InterruptedException {
         return Optional.ofNullable(exchanges.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS))
                 .orElseThrow();
