Read the store with two nodes of each availability zone

When a deployment starts, each listing of a node woke the open reads of all others, so that these calls grew with the square of the fleet.

Change: two nodes of each zone, chosen by rendezvous hashing, read and pass on what changed, without the renewals of entries. The other nodes read when an update is missing, when none has arrived for 1.25 s, or when the readers' last read is too old. The end of an outage is passed on too, and assumed after a read that came late, since a node that relies on others may not notice the outage. Listings of nodes are read at most once a second.

Alternatives: the configuration only by the reports of its version (slower, and says nothing of the workers); one reader for the whole fleet (its loss would stop all zones, and updates would cross zones); forwarding all records (12 KB in two seconds to each node for 61 workers).

Result: TopicFollowerTest: a zone of 3, 20 or 72 nodes makes at most one call per reader and interval. The tests of lost updates, silent readers and readers without the store pass.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerRegistry.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerRegistry.java
@@ -73,6 +73,16 @@
         return true;
     }
 
+    /**
+     * Returns whether a worker disappeared during an outage of the store and is removed unless it reappears.
+     *
+     * @param id the id of the worker
+     * @return true if its removal is scheduled
+     */
+    public boolean isRemovalScheduled(String id) {
+        return removalDueMillis.containsKey(id);
+    }
+
     /**
      * Removes the workers that have not reappeared within the grace period.
      *
--- a/core/src/main/java/org/magnoliavane/membership/RendezvousHashing.java
+++ b/core/src/main/java/org/magnoliavane/membership/RendezvousHashing.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.membership;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -27,15 +28,27 @@
      * @return the owner; empty when there are no members
      */
     public static <T> Optional<T> findOwner(String name, List<T> members, Function<T, String> idOf) {
-        T best = null;
-        long bestWeight = 0;
-        for (T member : members) {
-            long weight = HASH.hashChars(name + "/" + idOf.apply(member));
-            if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
-                best = member;
-                bestWeight = weight;
-            }
-        }
-        return Optional.ofNullable(best);
+        return members.stream().max(byWeight(name, idOf));
+    }
+
+    /**
+     * Finds the owners of a name that has several.
+     *
+     * @param <T> the type of the members
+     * @param name the name
+     * @param members the members, in any order
+     * @param idOf returns the id of a member; ids must be distinct
+     * @param count the largest number of owners
+     * @return the owners, first the one of {@link #findOwner}
+     */
+    public static <T> List<T> findOwners(String name, List<T> members, Function<T, String> idOf, int count) {
+        return members.stream()
+                .sorted(byWeight(name, idOf).reversed())
+                .limit(count)
+                .toList();
+    }
+
+    private static <T> Comparator<T> byWeight(String name, Function<T, String> idOf) {
+        return Comparator.comparing(m -> HASH.hashChars(name + "/" + idOf.apply(m)), Long::compareUnsigned);
     }
 }
--- a/core/src/test/java/org/magnoliavane/membership/RendezvousHashingTest.java
+++ b/core/src/test/java/org/magnoliavane/membership/RendezvousHashingTest.java
@@ -29,6 +29,16 @@
                 .isEmpty());
     }
 
+    @Test
+    public void theFirstOfSeveralOwnersIsTheOnlyOwner() {
+        List<String> members = List.of("entry-1", "entry-2", "entry-3");
+        for (int i = 0; i < 20; i++) {
+            List<String> owners = RendezvousHashing.findOwners("pool-" + i, members, Function.identity(), 2);
+            assertEquals(owners.size(), 2);
+            assertEquals(owners.get(0), owner("pool-" + i, members));
+        }
+    }
+
     private static String owner(String name, List<String> members) {
         return RendezvousHashing.findOwner(name, members, Function.identity()).orElseThrow();
     }
--- a/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
+++ b/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
@@ -28,9 +28,9 @@
     }
 
     @Override
-    public void onChange(KeyedRecord change) {
+    public boolean onChange(KeyedRecord change) {
         if (change.isRemoval()) {
-            return;
+            return true;
         }
         try {
             Optional<RoutingTable> table = entries.readConfiguration(change);
@@ -48,6 +48,7 @@
                     Long.toString(change.offset()),
                     e.getMessage());
         }
+        return true;
     }
 
     @Override
--- a/router/src/main/java/org/magnoliavane/router/NodeController.java
+++ b/router/src/main/java/org/magnoliavane/router/NodeController.java
@@ -33,10 +33,10 @@
     }
 
     @Override
-    public void onChange(KeyedRecord change) {
+    public boolean onChange(KeyedRecord change) {
         if (change.isRemoval()) {
             peerTable.remove(change.key());
-            return;
+            return true;
         }
         try {
             entries.readNode(change)
@@ -45,6 +45,7 @@
         } catch (IOException e) {
             LOG.log(Level.WARNING, "event=node_unreadable key={0} reason=\"{1}\"", change.key(), e.getMessage());
         }
+        return true;
     }
 
     private void putNode(NodeListing node) {
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -37,6 +38,7 @@
 import org.magnoliavane.router.peer.PeerChannel;
 import org.magnoliavane.router.peer.PeerReports;
 import org.magnoliavane.router.peer.PeerReservationService;
+import org.magnoliavane.router.peer.PeerStoreUpdates;
 import org.magnoliavane.router.peer.PeerTable;
 import org.magnoliavane.router.roles.OrderFormat;
 import org.magnoliavane.router.roles.RoleController;
@@ -73,9 +75,15 @@
      */
     private static final double WORKERS_READ_INTERVAL_SHARE = 0.5;
 
+    /** Minimum interval between two reads of the nodes, all of which list themselves when a deployment starts. */
+    private static final long NODES_READ_INTERVAL_MILLIS = 1000;
+
     /** Maximum wait for the store before a request continues with the known state. */
     private static final long REFRESH_TIMEOUT_MILLIS = 800;
 
+    /** The same after the start, when the node can serve no request without the state. */
+    private static final long START_REFRESH_TIMEOUT_MILLIS = 3000;
+
     /** Interval of the check for pauses of the process. */
     private static final long TICK_MILLIS = 100;
 
@@ -116,6 +124,7 @@
     private final TopicFollower configurationFollower;
     private final TopicFollower workerFollower;
     private final PeerChannel peerChannel;
+    private final PeerStoreUpdates storeUpdates;
     private final PeerReports peerReports;
     private final AdmissionQueues admissionQueues;
     private final RoleOrderSender roleOrderSender;
@@ -145,12 +154,19 @@
         this.roleOrderSender =
                 new RoleOrderSender(self.name(), store, client, orders, settings.orderLeaseMillis(), millis);
         this.roleController = new RoleController(this::isElected, routingState, loadTracker, roleOrderSender, millis);
+        this.peerChannel = PeerChannel.open(self);
+        this.storeUpdates = PeerStoreUpdates.create(self, peerTable, peerChannel, millis);
         this.configurationFollower = createFollower(
                 Topic.CONFIGURATION, new ConfigurationController(routingState, entries), RARE_CHANGE_WAIT_MILLIS, 0);
         this.workerFollower = createFollower(Topic.WORKERS, workerController, WORKERS_WAIT_MILLIS, (long)
                 (WORKERS_READ_INTERVAL_SHARE * settings.drainMillis()));
         TopicFollower nodeFollower = createFollower(
-                Topic.NODES, new NodeController(peerTable, entries, self, millis), 2 * RARE_CHANGE_WAIT_MILLIS, 0);
+                Topic.NODES,
+                new NodeController(peerTable, entries, self, millis),
+                2 * RARE_CHANGE_WAIT_MILLIS,
+                NODES_READ_INTERVAL_MILLIS);
+        storeUpdates.start(Map.of(
+                Topic.CONFIGURATION, configurationFollower, Topic.WORKERS, workerFollower, Topic.NODES, nodeFollower));
         CrashTracker crashTracker = new CrashTracker(MAX_CRASHED_WORKERS);
         this.admissionQueues = new AdmissionQueues(
                 timers,
@@ -158,7 +174,6 @@
                 () -> ThreadLocalRandom.current().nextDouble(),
                 service -> peerTable.hasOnTimeRequests(service, millis.getAsLong()),
                 this::onLoadChanged);
-        this.peerChannel = PeerChannel.open(self);
         this.peerReports = PeerReports.open(
                 peerChannel, peerTable, loadTracker, crashTracker, millis, this::createReport, this::onPeerReport);
         WorkerSelector workerSelector = new WorkerSelector(
@@ -182,7 +197,7 @@
                 millis,
                 () -> ThreadLocalRandom.current().nextDouble(),
                 metrics));
-        pendingRefresh.set(refreshState());
+        pendingRefresh.set(refreshState(START_REFRESH_TIMEOUT_MILLIS));
         nodeFollower.refresh();
         this.frontend = FrontendServer.open(new FrontendContext(
                 settings,
@@ -290,7 +305,14 @@
     }
 
     private TopicFollower createFollower(Topic topic, TopicListener listener, long waitMillis, long minIntervalMillis) {
-        return new TopicFollower(store, topic, listener, timers, millis, waitMillis, minIntervalMillis);
+        return new TopicFollower(
+                store,
+                topic,
+                listener,
+                timers,
+                millis,
+                new TopicFollower.ReadSchedule(waitMillis, minIntervalMillis),
+                storeUpdates::send);
     }
 
     private long getConfigurationVersion() {
@@ -407,14 +429,14 @@
                 "event=standstill tick_millis={0} drift_millis={1}",
                 Long.toString(monotonic),
                 Long.toString(drift));
-        pendingRefresh.set(refreshState());
+        pendingRefresh.set(refreshState(REFRESH_TIMEOUT_MILLIS));
     }
 
     /** Reads the configuration and the workers. Requests wait until both are read or the timeout has passed. */
-    private CompletableFuture<Void> refreshState() {
+    private CompletableFuture<Void> refreshState(long timeoutMillis) {
         return CompletableFuture.allOf(
                         configurationFollower.refresh().toCompletableFuture().copy(),
                         workerFollower.refresh().toCompletableFuture().copy())
-                .completeOnTimeout(null, REFRESH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .completeOnTimeout(null, timeoutMillis, TimeUnit.MILLISECONDS);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/WorkerController.java
+++ b/router/src/main/java/org/magnoliavane/router/WorkerController.java
@@ -48,25 +48,30 @@
     }
 
     @Override
-    public synchronized void onChange(KeyedRecord change) {
+    public synchronized boolean onChange(KeyedRecord change) {
         if (change.isRemoval()) {
             removeWorker(change.key());
-            return;
+            return true;
         }
         try {
-            putWorker(entries.readWorker(change));
+            ListedWorker worker = entries.readWorker(change);
             unreadableIds.remove(change.key());
+            return putWorker(worker);
         } catch (IOException e) {
-            if (unreadableIds.add(change.key())) {
+            boolean isNew = unreadableIds.add(change.key());
+            if (isNew) {
                 LOG.log(Level.WARNING, "event=worker_unreadable key={0} reason=\"{1}\"", change.key(), e.getMessage());
             }
+            return isNew;
         }
     }
 
-    private void putWorker(ListedWorker worker) {
+    /** Adds or replaces a worker, and returns false if its entry was only renewed. */
+    private boolean putWorker(ListedWorker worker) {
+        boolean removalCancelled = registry.isRemovalScheduled(worker.id());
         Optional<ListedWorker> previous = registry.put(worker);
         if (previous.isPresent() && previous.get().equals(worker)) {
-            return;
+            return removalCancelled;
         }
         boolean newIncarnation = previous.isEmpty() || !previous.get().isSameIncarnation(worker);
         if (newIncarnation) {
@@ -87,6 +92,7 @@
                 worker.server().leaving(),
                 newIncarnation);
         publish();
+        return true;
     }
 
     private void removeWorker(String id) {
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -54,6 +55,9 @@
     /** Retry delay for callers of a node that is shutting down; they retry at another node. */
     private static final long SHUTDOWN_RETRY_MILLIS = 50;
 
+    /** Maximum time for which a request waits until the state of the node has been read again. */
+    private static final long MAX_REFRESH_WAIT_MILLIS = 800;
+
     /** Maximum time for receiving a body, also when the caller states a longer timeout. */
     private static final long MAX_BODY_WAIT_MILLIS = 30_000;
 
@@ -131,7 +135,12 @@
     }
 
     private void awaitRefresh(FrontendExchange exchange, Consumer<FrontendExchange> next) {
-        context.refresher().whenRefreshed().thenRun(() -> handleFailures(exchange, () -> next.accept(exchange)));
+        context.refresher()
+                .whenRefreshed()
+                .toCompletableFuture()
+                .copy()
+                .completeOnTimeout(null, MAX_REFRESH_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                .thenRun(() -> handleFailures(exchange, () -> next.accept(exchange)));
     }
 
     private void resolveRoute(FrontendExchange exchange, Consumer<FrontendExchange> next) {
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -0,0 +1,178 @@
+package org.magnoliavane.router.peer;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import com.google.protobuf.ByteString;
+import org.magnoliavane.membership.RendezvousHashing;
+import org.magnoliavane.protocol.generated.StoreUpdate;
+import org.magnoliavane.protocol.generated.TopicRecord;
+import org.magnoliavane.router.store.KeyedRecord;
+import org.magnoliavane.router.store.NodeListing;
+import org.magnoliavane.router.store.Topic;
+import org.magnoliavane.router.store.TopicFollower;
+import org.magnoliavane.router.store.TopicUpdate;
+
+/**
+ * Shares reads of the store within an availability zone. Two nodes of each zone, chosen by rendezvous hashing among the
+ * live ones, read the store and send what has changed to the others, which read only when updates are missing. The calls
+ * to the store thus grow with the number of zones and not with the number of nodes.
+ *
+ * <p>Thread-safe.
+ */
+public final class PeerStoreUpdates {
+    /** Number of nodes of a zone that read the store; one of them may fail without a pause. */
+    private static final int READERS_PER_ZONE = 2;
+
+    private static final String READER_ELECTION_KEY = "store-readers";
+
+    /** Interval at which readers send their positions, so that the others know that they still read. */
+    private static final long POSITION_INTERVAL_MILLIS = 500;
+
+    /** Largest size of the records in a datagram. Nodes that need larger records read the store. */
+    private static final int MAX_RECORD_BYTES = 1000;
+
+    private final NodeListing self;
+    private final PeerTable peerTable;
+    private final PeerChannel channel;
+    private final LongSupplier millis;
+    private final Map<Topic, TopicFollower> followers = new EnumMap<>(Topic.class);
+
+    private PeerStoreUpdates(NodeListing self, PeerTable peerTable, PeerChannel channel, LongSupplier millis) {
+        this.self = self;
+        this.peerTable = peerTable;
+        this.channel = channel;
+        this.millis = millis;
+    }
+
+    /**
+     * Creates an instance that sends and receives nothing before {@link #start}.
+     *
+     * @param self the listing of this node
+     * @param peerTable the other nodes
+     * @param channel transports the updates
+     * @param millis a monotonic clock in milliseconds
+     * @return the instance
+     */
+    public static PeerStoreUpdates create(
+            NodeListing self, PeerTable peerTable, PeerChannel channel, LongSupplier millis) {
+        return new PeerStoreUpdates(self, peerTable, channel, millis);
+    }
+
+    /**
+     * Starts to send and apply updates. Must be called once.
+     *
+     * @param topicFollowers the followers by topic
+     */
+    public void start(Map<Topic, TopicFollower> topicFollowers) {
+        followers.putAll(topicFollowers);
+        channel.addListener((datagram, sender) -> {
+            if (datagram.hasStoreUpdate() && !isReader()) {
+                datagram.getStoreUpdate().getTopicsList().forEach(this::apply);
+            }
+        });
+        channel.getExecutor()
+                .scheduleWithFixedDelay(
+                        this::sendPositions, POSITION_INTERVAL_MILLIS, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sends an update to the other nodes of the zone if this node reads the store for them.
+     *
+     * @param update what this node has read
+     */
+    public void send(TopicUpdate update) {
+        if (isReader()) {
+            send(List.of(update));
+        }
+    }
+
+    private void sendPositions() {
+        if (isReader()) {
+            send(followers.values().stream()
+                    .flatMap(f -> f.findPosition().stream())
+                    .toList());
+        }
+    }
+
+    private void send(List<TopicUpdate> updates) {
+        List<NodeListing> others = getZone();
+        others.remove(self);
+        if (others.isEmpty() || updates.isEmpty()) {
+            return;
+        }
+        StoreUpdate.Builder body = StoreUpdate.newBuilder();
+        updates.forEach(u -> body.addTopics(toMessage(u)));
+        channel.send(channel.createDatagram().setStoreUpdate(body).build(), others);
+    }
+
+    /** Returns whether this node reads the store, which it also does as long as it knows no other node of its zone. */
+    private boolean isReader() {
+        return RendezvousHashing.findOwners(READER_ELECTION_KEY, getZone(), NodeListing::name, READERS_PER_ZONE)
+                .contains(self);
+    }
+
+    private List<NodeListing> getZone() {
+        List<NodeListing> zone = new ArrayList<>(List.of(self));
+        peerTable.getLiveListings(millis.getAsLong()).stream()
+                .filter(n -> n.zone().equals(self.zone()))
+                .forEach(zone::add);
+        return zone;
+    }
+
+    private void apply(org.magnoliavane.protocol.generated.TopicUpdate message) {
+        TopicUpdate update = fromMessage(message);
+        TopicFollower follower = followers.get(update.topic());
+        if (Objects.nonNull(follower)) {
+            follower.applyUpdate(update);
+        }
+    }
+
+    private static org.magnoliavane.protocol.generated.TopicUpdate toMessage(TopicUpdate update) {
+        int bytes = update.records().stream()
+                .mapToInt(r -> r.key().length() + r.value().length)
+                .sum();
+        boolean complete = bytes <= MAX_RECORD_BYTES;
+        org.magnoliavane.protocol.generated.TopicUpdate.Builder message =
+                org.magnoliavane.protocol.generated.TopicUpdate.newBuilder()
+                        .setTopic(toMessage(update.topic()))
+                        .setFrom(complete ? update.from() : update.to())
+                        .setTo(update.to())
+                        .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()))
+                        .setAfterOutage(update.afterOutage());
+        if (complete) {
+            update.records()
+                    .forEach(r -> message.addRecords(TopicRecord.newBuilder()
+                            .setKey(r.key())
+                            .setValue(ByteString.copyFrom(r.value()))
+                            .setOffset(r.offset())));
+        }
+        return message.build();
+    }
+
+    private static org.magnoliavane.protocol.generated.TopicUpdate.Topic toMessage(Topic topic) {
+        return switch (topic) {
+            case CONFIGURATION -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.CONFIGURATION;
+            case WORKERS -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.WORKERS;
+            case NODES -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.NODES;
+        };
+    }
+
+    private static TopicUpdate fromMessage(org.magnoliavane.protocol.generated.TopicUpdate message) {
+        Topic topic = switch (message.getTopic()) {
+            case WORKERS -> Topic.WORKERS;
+            case NODES -> Topic.NODES;
+            default -> Topic.CONFIGURATION;
+        };
+        List<KeyedRecord> records = message.getRecordsList().stream()
+                .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
+                .toList();
+        return new TopicUpdate(
+                topic, message.getFrom(), message.getTo(), records, message.getAgeMillis(), message.getAfterOutage());
+    }
+}
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -2,15 +2,18 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 import org.magnoliavane.http.Failures;
 
@@ -19,6 +22,10 @@
  * read, it reads a new snapshot. While the store does not answer, it retries, and the listener keeps its last known
  * state.
  *
+ * <p>While another node passes on what it reads ({@link #applyUpdate}), the follower does not read itself, so that the
+ * calls to the store do not grow with the number of nodes. It reads again when an update is missing, or when no recent
+ * one has arrived.
+ *
  * <p>Thread-safe.
  */
 public final class TopicFollower {
@@ -26,13 +33,19 @@
     private static final long FIRST_RETRY_MILLIS = 150;
     private static final long MAX_RETRY_MILLIS = 1000;
 
+    /** Time without an update of another node after which the follower reads itself; two updates may be lost. */
+    private static final long UPDATE_TIMEOUT_MILLIS = 1250;
+
+    /** Time beyond the interval of reads that an update may be old, for the response of the store and the transfer. */
+    private static final long UPDATE_AGE_MARGIN_MILLIS = 500;
+
     private final KeyedStore store;
     private final Topic topic;
     private final TopicListener listener;
     private final ScheduledExecutorService timers;
     private final LongSupplier millis;
-    private final long waitMillis;
-    private final long minIntervalMillis;
+    private final ReadSchedule schedule;
+    private final Consumer<TopicUpdate> onRead;
 
     private final Map<String, Long> offsets = new HashMap<>();
     private CompletableFuture<Void> nextRefresh = new CompletableFuture<>();
@@ -40,7 +53,9 @@
     private long generation;
     private long retryMillis = FIRST_RETRY_MILLIS;
     private long lastSuccessMillis = Long.MIN_VALUE;
+    private long updatedUntilMillis = Long.MIN_VALUE;
     private boolean refreshing;
+    private boolean catchingUp;
     private boolean inOutage;
     private boolean snapshotKnown;
 
@@ -52,9 +67,8 @@
      * @param listener receives the changes
      * @param timers schedules the reads and retries
      * @param millis a monotonic clock in milliseconds
-     * @param waitMillis the time in milliseconds that the store holds a read open while nothing changes
-     * @param minIntervalMillis the minimum time in milliseconds between two reads, so that frequent changes arrive in
-     *     batches
+     * @param schedule the times of the reads
+     * @param onRead receives what each read of changes returned
      */
     public TopicFollower(
             KeyedStore store,
@@ -62,15 +76,15 @@
             TopicListener listener,
             ScheduledExecutorService timers,
             LongSupplier millis,
-            long waitMillis,
-            long minIntervalMillis) {
+            ReadSchedule schedule,
+            Consumer<TopicUpdate> onRead) {
         this.store = store;
         this.topic = topic;
         this.listener = listener;
         this.timers = timers;
         this.millis = millis;
-        this.waitMillis = waitMillis;
-        this.minIntervalMillis = minIntervalMillis;
+        this.schedule = schedule;
+        this.onRead = onRead;
     }
 
     /**
@@ -112,6 +126,68 @@
         return lastSuccessMillis == Long.MIN_VALUE ? Long.MAX_VALUE : millis.getAsLong() - lastSuccessMillis;
     }
 
+    /**
+     * Gets the position of this follower without records.
+     *
+     * @return the position; empty before the first snapshot
+     */
+    public synchronized Optional<TopicUpdate> findPosition() {
+        return snapshotKnown
+                ? Optional.of(new TopicUpdate(topic, nextOffset, nextOffset, List.of(), getAgeMillis(), false))
+                : Optional.empty();
+    }
+
+    /**
+     * Applies what another node has read. Reads the store at once if records are missing in between.
+     *
+     * @param update the update
+     */
+    public void applyUpdate(TopicUpdate update) {
+        synchronized (this) {
+            if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > getMaxUpdateAgeMillis()) {
+                return;
+            }
+            long now = millis.getAsLong();
+            if (update.from() <= nextOffset) {
+                applyRecords(update.records(), update.to(), inOutage || update.afterOutage());
+                lastSuccessMillis = Math.max(lastSuccessMillis, now - update.ageMillis());
+                if (updatedUntilMillis < now) {
+                    LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
+                }
+                updatedUntilMillis = now + UPDATE_TIMEOUT_MILLIS;
+                return;
+            }
+            LOG.log(
+                    Level.INFO,
+                    "event=store_updates topic={0} outcome=gap known={1} from={2}",
+                    topic,
+                    Long.toString(nextOffset),
+                    Long.toString(update.from()));
+            catchingUp = true;
+            generation++;
+        }
+        sendRead(0);
+    }
+
+    /** Gets the time for which the follower relies on the updates of other nodes; 0 if it must read itself. */
+    private long getUpdatedMillis() {
+        long now = millis.getAsLong();
+        boolean relies = nextOffset >= 0 && !refreshing && now < updatedUntilMillis;
+        return relies ? updatedUntilMillis - now : 0;
+    }
+
+    /**
+     * Returns whether the last read is so old that an outage of the store may have passed unnoticed, while the node
+     * relied on others.
+     */
+    private boolean isReadOverdue() {
+        return snapshotKnown && getAgeMillis() > getMaxUpdateAgeMillis();
+    }
+
+    private long getMaxUpdateAgeMillis() {
+        return Math.max(schedule.waitMillis, schedule.minIntervalMillis) + UPDATE_AGE_MARGIN_MILLIS;
+    }
+
     private void sendRead(long wait) {
         long current;
         long from;
@@ -133,40 +209,54 @@
 
     private void apply(long current, RecordBatch batch, boolean isSnapshot) {
         CompletableFuture<Void> refresh;
+        TopicUpdate update;
         synchronized (this) {
             if (current != generation) {
                 return;
             }
             boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
-            if (inOutage) {
-                inOutage = false;
-                LOG.log(
-                        Level.INFO,
-                        "event=store_regained topic={0} offset={1}",
-                        topic,
-                        Long.toString(batch.nextOffset()));
-                listener.onOutageEnd();
-            }
+            boolean afterOutage = inOutage || isReadOverdue();
+            long from = nextOffset;
             retryMillis = FIRST_RETRY_MILLIS;
             lastSuccessMillis = millis.getAsLong();
-            Set<String> keys = new HashSet<>();
-            for (KeyedRecord change : batch.records()) {
-                keys.add(change.key());
-                if (change.offset() > offsets.getOrDefault(change.key(), -1L)) {
-                    offsets.put(change.key(), change.offset());
-                    listener.onChange(change);
-                }
-            }
+            List<KeyedRecord> changes = applyRecords(batch.records(), batch.nextOffset(), afterOutage);
             if (isSnapshot && !outdated) {
-                listener.onSnapshot(keys);
+                listener.onSnapshot(
+                        batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet()));
             }
-            nextOffset = batch.nextOffset();
             snapshotKnown = true;
             refreshing = false;
+            catchingUp = false;
             refresh = nextRefresh;
+            update = isSnapshot
+                    ? new TopicUpdate(topic, nextOffset, nextOffset, List.of(), 0, afterOutage)
+                    : new TopicUpdate(topic, from, nextOffset, changes, 0, afterOutage);
         }
         refresh.complete(null);
-        scheduleRead(current, isSnapshot ? 0 : minIntervalMillis);
+        onRead.accept(update);
+        scheduleRead(current, isSnapshot ? 0 : schedule.minIntervalMillis);
+    }
+
+    /** Passes on the records that are newer than the known ones, and returns those that do more than renew an entry. */
+    private List<KeyedRecord> applyRecords(List<KeyedRecord> records, long end, boolean afterOutage) {
+        if (inOutage) {
+            LOG.log(Level.INFO, "event=store_regained topic={0} offset={1}", topic, Long.toString(end));
+            inOutage = false;
+        }
+        if (afterOutage) {
+            listener.onOutageEnd();
+        }
+        List<KeyedRecord> changes = new ArrayList<>();
+        for (KeyedRecord change : records) {
+            if (change.offset() > offsets.getOrDefault(change.key(), -1L)) {
+                offsets.put(change.key(), change.offset());
+                if (listener.onChange(change)) {
+                    changes.add(change);
+                }
+            }
+        }
+        nextOffset = Math.max(nextOffset, end);
+        return changes;
     }
 
     private synchronized long getHighestOffset() {
@@ -188,6 +278,7 @@
                     LOG.log(Level.WARNING, "event=store_lost topic={0} reason=\"{1}\"", topic, failure.getMessage());
                 }
                 inOutage = true;
+                catchingUp = false;
                 delay = retryMillis;
                 retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
             }
@@ -200,15 +291,28 @@
                 () -> {
                     boolean stillCurrent;
                     long wait;
+                    long updatedMillis;
                     synchronized (this) {
                         stillCurrent = current == generation;
-                        wait = inOutage ? 0 : waitMillis;
+                        wait = inOutage ? 0 : schedule.waitMillis;
+                        updatedMillis = getUpdatedMillis();
                     }
-                    if (stillCurrent) {
+                    if (stillCurrent && updatedMillis > 0) {
+                        scheduleRead(current, updatedMillis);
+                    } else if (stillCurrent) {
                         sendRead(wait);
                     }
                 },
                 delay,
                 TimeUnit.MILLISECONDS);
     }
+
+    /**
+     * The times of the reads of a topic.
+     *
+     * @param waitMillis the time in milliseconds that the store holds a read open while nothing changes
+     * @param minIntervalMillis the minimum time in milliseconds between two reads, so that frequent changes arrive in
+     *     batches
+     */
+    public record ReadSchedule(long waitMillis, long minIntervalMillis) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/store/TopicListener.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicListener.java
@@ -10,8 +10,9 @@
      * delivered is skipped.
      *
      * @param change the change
+     * @return false if the change only renews an entry, so that other nodes need not learn of it
      */
-    void onChange(KeyedRecord change);
+    boolean onChange(KeyedRecord change);
 
     /**
      * Handles the end of a snapshot. Keys that are not in it no longer exist.
--- a/router/src/test/java/org/magnoliavane/router/VirtualTimers.java
+++ b/router/src/test/java/org/magnoliavane/router/VirtualTimers.java
@@ -1,4 +1,4 @@
-package org.magnoliavane.router.dispatch;
+package org.magnoliavane.router;
 
 import java.util.Comparator;
 import java.util.List;
@@ -10,21 +10,21 @@
 import java.util.concurrent.TimeUnit;
 
 /** Runs tasks in virtual time, in milliseconds. Only one-shot tasks without a result are supported. */
-final class VirtualTimers extends AbstractExecutorService implements ScheduledExecutorService {
+public final class VirtualTimers extends AbstractExecutorService implements ScheduledExecutorService {
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::sequenceNumber));
     private long nowMillis;
     private long nextSequenceNumber;
 
-    long now() {
+    public long now() {
         return nowMillis;
     }
 
-    void at(long millis, Runnable task) {
+    public void at(long millis, Runnable task) {
         tasks.add(new Task(millis, nextSequenceNumber++, task));
     }
 
-    void runUntil(long millis) {
+    public void runUntil(long millis) {
         while (!tasks.isEmpty() && tasks.peek().atMillis <= millis) {
             Task next = tasks.poll();
             nowMillis = next.atMillis;
--- a/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
+import org.magnoliavane.router.VirtualTimers;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
--- /dev/null
+++ b/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
@@ -0,0 +1,88 @@
+package org.magnoliavane.router.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import org.magnoliavane.router.VirtualTimers;
+
+/** A store with one topic in virtual time that counts its calls. */
+final class FakeKeyedStore implements KeyedStore {
+    private final VirtualTimers timers;
+    private final List<KeyedRecord> records = new ArrayList<>();
+    private final List<Waiter> waiters = new ArrayList<>();
+    private boolean down;
+    private int calls;
+
+    FakeKeyedStore(VirtualTimers timers) {
+        this.timers = timers;
+    }
+
+    void put(String key, String value) {
+        records.add(new KeyedRecord(key, value.getBytes(), records.size()));
+        List<Waiter> woken = List.copyOf(waiters);
+        waiters.clear();
+        woken.forEach(w -> w.result.complete(readFrom(w.from)));
+    }
+
+    void setDown(boolean value) {
+        down = value;
+    }
+
+    int getCallCount() {
+        return calls;
+    }
+
+    @Override
+    public CompletionStage<RecordBatch> readSnapshot(Topic topic) {
+        return readChanges(topic, 0, 0);
+    }
+
+    @Override
+    public CompletionStage<RecordBatch> readChanges(Topic topic, long from, long waitMillis) {
+        calls++;
+        if (down) {
+            return CompletableFuture.failedFuture(new IOException("down"));
+        }
+        CompletableFuture<RecordBatch> result = new CompletableFuture<>();
+        if (from < records.size() || waitMillis == 0) {
+            result.complete(readFrom(from));
+        } else {
+            Waiter waiter = new Waiter(from, result);
+            waiters.add(waiter);
+            timers.schedule(
+                    () -> {
+                        if (waiters.remove(waiter)) {
+                            result.complete(readFrom(from));
+                        }
+                    },
+                    waitMillis,
+                    TimeUnit.MILLISECONDS);
+        }
+        return result;
+    }
+
+    private RecordBatch readFrom(long from) {
+        return new RecordBatch(List.copyOf(records.subList((int) from, records.size())), records.size());
+    }
+
+    @Override
+    public CompletionStage<Void> listNode(NodeListing node) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<Void> removeNode(String name) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletionStage<OrderClaimResult> appendOrderClaim(String holder, long expectedEnd) {
+        throw new UnsupportedOperationException();
+    }
+
+    private record Waiter(long from, CompletableFuture<RecordBatch> result) {}
+}
--- /dev/null
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -0,0 +1,205 @@
+package org.magnoliavane.router.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.magnoliavane.router.VirtualTimers;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests how the nodes of one availability zone follow a topic. Pattern: the workers of a large deployment renew their
+ * entries all the time, so that each read returns records although nothing has changed.
+ */
+public class TopicFollowerTest {
+    private static final int WORKERS = 60;
+    private static final long HEARTBEAT_MILLIS = 1200;
+    private static final long INTERVAL_MILLIS = 2000;
+    private static final long WAIT_MILLIS = 1000;
+    private static final long POSITION_INTERVAL_MILLIS = 500;
+
+    private VirtualTimers timers;
+    private FakeKeyedStore store;
+    private List<Node> nodes;
+
+    @BeforeMethod
+    public void createStore() {
+        timers = new VirtualTimers();
+        store = new FakeKeyedStore(timers);
+        nodes = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            store.put("w" + i, "role-a 0");
+        }
+        timers.at(HEARTBEAT_MILLIS, this::sendHeartbeats);
+    }
+
+    @DataProvider
+    public Object[][] zoneSizes() {
+        return new Object[][] {{3}, {20}, {72}};
+    }
+
+    @Test(dataProvider = "zoneSizes")
+    public void theCallsOfAZoneDoNotGrowWithItsNodes(int size) {
+        startNodes(size);
+        timers.runUntil(5000);
+        int before = store.getCallCount();
+        timers.runUntil(65_000);
+        int calls = store.getCallCount() - before;
+        // One read of each of the two readers in each interval; the other nodes read nothing.
+        assertTrue(calls <= 2 * 60_000 / INTERVAL_MILLIS, calls + " calls");
+    }
+
+    @Test
+    public void aChangeReachesTheNodesThatDoNotReadWithinTheReadInterval() {
+        startNodes(10);
+        timers.runUntil(10_000);
+        store.put("w7", "role-b 0");
+        timers.runUntil(10_000 + INTERVAL_MILLIS);
+        nodes.forEach(n -> assertEquals(n.roles.get("w7"), "role-b"));
+        store.put("w8", "");
+        timers.runUntil(10_000 + 2 * INTERVAL_MILLIS);
+        nodes.forEach(n -> assertTrue(!n.roles.containsKey("w8")));
+    }
+
+    @Test
+    public void aLostUpdateIsReadFromTheStore() {
+        startNodes(3);
+        timers.runUntil(10_000);
+        nodes.get(2).receives = false;
+        store.put("w7", "role-b 0");
+        timers.runUntil(10_000 + INTERVAL_MILLIS);
+        nodes.get(2).receives = true;
+        timers.runUntil(10_000 + INTERVAL_MILLIS + 2 * POSITION_INTERVAL_MILLIS);
+        assertEquals(nodes.get(2).roles.get("w7"), "role-b");
+    }
+
+    @Test
+    public void aNodeReadsItselfWhenItsReadersFallSilent() {
+        startNodes(3);
+        timers.runUntil(10_000);
+        nodes.get(0).sends = false;
+        nodes.get(1).sends = false;
+        store.put("w7", "role-b 0");
+        timers.runUntil(10_000 + 1500);
+        assertEquals(nodes.get(2).roles.get("w7"), "role-b");
+    }
+
+    @Test
+    public void readersThatCannotReachTheStoreDoNotKeepOthersFromReading() {
+        startNodes(3);
+        timers.runUntil(10_000);
+        nodes.get(0).follower.refresh();
+        nodes.get(0).frozenReads = true;
+        nodes.get(1).frozenReads = true;
+        store.put("w7", "role-b 0");
+        timers.runUntil(10_000 + 2 * INTERVAL_MILLIS);
+        assertEquals(nodes.get(2).roles.get("w7"), "role-b");
+    }
+
+    /** Guards against workers dropped for good because their entries expired in an outage that a node did not notice. */
+    @Test
+    public void theEndOfAnOutageIsPassedOnBeforeItsRecords() {
+        startNodes(3);
+        timers.runUntil(10_000);
+        store.setDown(true);
+        timers.runUntil(10_000 + INTERVAL_MILLIS + 300);
+        store.setDown(false);
+        store.put("w7", "");
+        timers.runUntil(10_000 + 2 * INTERVAL_MILLIS);
+        // Each of the two readers passes the end of the outage on.
+        nodes.forEach(n -> assertEquals(n.events.stream().distinct().toList(), List.of("outage end", "removed w7")));
+    }
+
+    private void startNodes(int count) {
+        for (int i = 0; i < count; i++) {
+            nodes.add(new Node(i < 2));
+        }
+        nodes.forEach(n -> n.follower.refresh());
+    }
+
+    private void sendHeartbeats() {
+        for (int i = 0; i < WORKERS; i++) {
+            String role = nodes.isEmpty() ? "role-a" : nodes.get(0).roles.get("w" + i);
+            if (role != null && i > 8) {
+                store.put("w" + i, role + " " + timers.now());
+            }
+        }
+        timers.schedule(this::sendHeartbeats, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A node of the zone; the first two of a zone are its readers. */
+    private final class Node implements TopicListener {
+        private final Map<String, String> roles = new HashMap<>();
+        private final List<String> events = new ArrayList<>();
+        private final boolean reader;
+        private final TopicFollower follower;
+        private boolean sends = true;
+        private boolean receives = true;
+        private boolean frozenReads;
+
+        Node(boolean reader) {
+            this.reader = reader;
+            follower = new TopicFollower(
+                    store,
+                    Topic.WORKERS,
+                    this,
+                    timers,
+                    timers::now,
+                    new TopicFollower.ReadSchedule(WAIT_MILLIS, INTERVAL_MILLIS),
+                    this::send);
+            if (reader) {
+                timers.schedule(this::sendPosition, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void sendPosition() {
+            Optional<TopicUpdate> position = follower.findPosition();
+            position.map(p -> frozenReads ? withAge(p, 10 * INTERVAL_MILLIS) : p)
+                    .ifPresent(this::send);
+            timers.schedule(this::sendPosition, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        private TopicUpdate withAge(TopicUpdate position, long ageMillis) {
+            return new TopicUpdate(
+                    position.topic(), position.from(), position.to(), position.records(), ageMillis, false);
+        }
+
+        private void send(TopicUpdate update) {
+            boolean stuck = frozenReads && update.ageMillis() == 0;
+            if (!reader || !sends || stuck) {
+                return;
+            }
+            nodes.stream().filter(n -> !n.reader && n.receives).forEach(n -> n.follower.applyUpdate(update));
+        }
+
+        @Override
+        public boolean onChange(KeyedRecord change) {
+            if (change.isRemoval()) {
+                roles.remove(change.key());
+                events.add("removed " + change.key());
+                return true;
+            }
+            String role = new String(change.value()).split(" ")[0];
+            return !role.equals(roles.put(change.key(), role));
+        }
+
+        @Override
+        public void onSnapshot(Set<String> keys) {
+            roles.keySet().retainAll(keys);
+        }
+
+        @Override
+        public void onOutageEnd() {
+            events.add("outage end");
+        }
+    }
+}
