Keep room for large requests, and admit small ones beside them

By reading: each node tried only the first request of its queue. When that was a large one, it found no worker, as the memory that became free went to small requests of other nodes, and it held up all requests behind it.

Change: the first request of a queue that fits into no worker claims the least loaded one at its owner. Other requests then get capacity there only if they leave enough for the claim; a claim ends when it is not repeated for 0.25 s, or after 2.5 s. The next three requests of the queue are tried in the same poll.

AdmissionQueuesTest.aLargeRequestThatFitsNowhereDoesNotHoldUpSmallOnes.

--- a/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * Orders the requests that wait for free capacity at the workers of a service. Requests that can still be on time come
@@ -43,9 +44,19 @@
      * @return the entry of the request; empty if the queue is empty
      */
     public Optional<Entry<T>> peek(long nowMillis) {
+        return peek(0, nowMillis);
+    }
+
+    /**
+     * Gets a request by its position in the order of admission without removing it.
+     *
+     * @param position the position; 0 for the next request
+     * @param nowMillis the current time, in milliseconds
+     * @return the entry of the request; empty if there are not as many requests
+     */
+    public Optional<Entry<T>> peek(int position, long nowMillis) {
         moveOverdue(nowMillis);
-        TreeSet<Entry<T>> source = onTime.isEmpty() ? overdue : onTime;
-        return source.isEmpty() ? Optional.empty() : Optional.of(source.first());
+        return Stream.concat(onTime.stream(), overdue.stream()).skip(position).findFirst();
     }
 
     /**
--- a/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
+++ b/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
@@ -3,16 +3,31 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Holds the reservations that this node has granted as the reservation owner of workers. A reservation that its holder does
  * not renew is reclaimed when its lease ends, because the holder may have failed.
  *
+ * <p>A rejected request may claim the worker. Until the claim is granted or ends, other requests are granted only if they
+ * leave enough capacity for it, so that small requests do not use up the capacity that a large one waits for. A worker has
+ * at most one claim, which ends when it is not repeated or after a limited time.
+ *
  * <p>Thread-safe.
  */
 public final class ReservationTable {
+    /** The claim id of a request that claims nothing. */
+    public static final long NO_CLAIM = 0;
+
+    /** Time after which a claim ends that is not repeated; the holder repeats it several times within it. */
+    private static final long CLAIM_REPEAT_MILLIS = 250;
+
+    /** Maximum time of a claim, so that other requests do not starve while a worker has long streams. */
+    private static final long MAX_CLAIM_MILLIS = 2500;
+
     private final long leaseMillis;
     private final Map<String, Map<Holder, Reservation>> workers = new HashMap<>();
+    private final Map<String, Claim> claims = new HashMap<>();
 
     /**
      * Creates an empty table.
@@ -33,16 +48,39 @@
     public synchronized boolean tryReserve(Request request, long nowMillis) {
         Map<Holder, Reservation> reservations = getActiveReservations(request.worker, nowMillis);
         Holder holder = new Holder(request.node, request.id);
-        if (!reservations.containsKey(holder) && !reservations.isEmpty()) {
-            boolean slotFree = reservations.size() < request.slots;
-            if (!slotFree || sumTokens(reservations) + request.tokens > request.limitTokens) {
-                return false;
+        Holder claimant = new Holder(request.node, request.claimId);
+        Optional<Claim> claim = findClaim(request.worker, nowMillis);
+        Optional<Claim> otherClaim = claim.filter(c -> !c.holder.equals(claimant));
+        if (!reservations.containsKey(holder) && !fits(request, reservations, otherClaim)) {
+            if (request.claimId != NO_CLAIM && otherClaim.isEmpty()) {
+                long sinceMillis = claim.map(Claim::sinceMillis).orElse(nowMillis);
+                claims.put(request.worker, new Claim(claimant, request.tokens, sinceMillis, nowMillis));
             }
+            return false;
+        }
+        if (claim.isPresent() && otherClaim.isEmpty()) {
+            claims.remove(request.worker);
         }
         reservations.put(holder, new Reservation(request.tokens, nowMillis + leaseMillis));
         return true;
     }
 
+    private static boolean fits(Request request, Map<Holder, Reservation> reservations, Optional<Claim> otherClaim) {
+        if (reservations.isEmpty() && otherClaim.isEmpty()) {
+            return true;
+        }
+        int claimedTokens = otherClaim.map(Claim::tokens).orElse(0);
+        int claimedSlots = otherClaim.isPresent() ? 1 : 0;
+        return reservations.size() + claimedSlots < request.slots
+                && sumTokens(reservations) + claimedTokens + request.tokens <= request.limitTokens;
+    }
+
+    private Optional<Claim> findClaim(String worker, long nowMillis) {
+        return Optional.ofNullable(claims.get(worker))
+                .filter(c -> nowMillis - c.repeatedMillis < CLAIM_REPEAT_MILLIS
+                        && nowMillis - c.sinceMillis < MAX_CLAIM_MILLIS);
+    }
+
     /**
      * Renews a reservation, whether or not this node granted it. A new reservation owner rebuilds its table from renewals.
      *
@@ -102,8 +140,12 @@
      * @param tokens the requested KV cache memory, in tokens
      * @param limitTokens the number of tokens that all reservations of the worker may have together
      * @param slots the number of requests that the worker runs concurrently
+     * @param claimId identifies the claim among those of the node if the request is rejected; {@link #NO_CLAIM} for none
      */
-    public record Request(String worker, String node, long id, int tokens, int limitTokens, int slots) {}
+    public record Request(String worker, String node, long id, int tokens, int limitTokens, int slots, long claimId) {}
+
+    /** A rejected request for which the capacity of a worker is kept free. */
+    private record Claim(Holder holder, int tokens, long sinceMillis, long repeatedMillis) {}
 
     private record Holder(String node, long id) {}
 
--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -102,6 +102,24 @@
         });
     }
 
+    /**
+     * Chooses the decode worker with the fewest tokens in use, for a request that fits into none.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the worker; empty if no worker is eligible
+     */
+    public Optional<ListedWorker> chooseDecodeToClaim(
+            Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+        return choose(
+                workers,
+                excluded,
+                WorkerRole.DECODE,
+                nowMillis,
+                w -> loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST);
+    }
+
     private Optional<ListedWorker> choose(
             Collection<ListedWorker> workers,
             Set<String> excluded,
--- a/core/src/test/java/org/magnoliavane/balance/ReservationTableTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/ReservationTableTest.java
@@ -28,7 +28,8 @@
     public void ofEightyConcurrentRequestsOnlyThoseThatFitAreGranted() {
         int granted = 0;
         for (int node = 0; node < 80; node++) {
-            granted += table.tryReserve(new ReservationTable.Request("w", "n" + node, 1, 5600, 37_000, 128), 0) ? 1 : 0;
+            granted +=
+                    table.tryReserve(new ReservationTable.Request("w", "n" + node, 1, 5600, 37_000, 128, 0), 0) ? 1 : 0;
         }
         assertEquals(granted, 6);
     }
@@ -48,8 +49,8 @@
 
     @Test
     public void theNumberOfReservationsIsLimitedByTheSlots() {
-        assertTrue(table.tryReserve(new ReservationTable.Request("w", "n1", 1, 1, 10_000, 1), 0));
-        assertFalse(table.tryReserve(new ReservationTable.Request("w", "n1", 2, 1, 10_000, 1), 0));
+        assertTrue(table.tryReserve(new ReservationTable.Request("w", "n1", 1, 1, 10_000, 1, 0), 0));
+        assertFalse(table.tryReserve(new ReservationTable.Request("w", "n1", 2, 1, 10_000, 1, 0), 0));
     }
 
     @Test
@@ -80,6 +81,6 @@
     }
 
     private static ReservationTable.Request createRequest(String node, long id, int tokens) {
-        return new ReservationTable.Request("w", node, id, tokens, 10_000, 128);
+        return new ReservationTable.Request("w", node, id, tokens, 10_000, 128, ReservationTable.NO_CLAIM);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -26,8 +26,11 @@
      */
     private static final double MAX_POLL_MILLIS = 30;
 
-    /** Number of consecutive rejections after which the queue waits for the next poll. */
-    private static final int MAX_CONSECUTIVE_REJECTIONS = 2;
+    /**
+     * Number of requests that are tried in each poll. The later ones use capacity that is too small for the first, which
+     * keeps its claim on a worker.
+     */
+    private static final int MAX_CANDIDATES = 4;
 
     /** Outcome of an attempt to admit a request. */
     enum Outcome {
@@ -41,8 +44,12 @@
 
     /** A request that waits for free capacity. */
     interface WaitingRequest {
-        /** Admits the request if a worker has free capacity. */
-        Outcome tryAdmit();
+        /**
+         * Admits the request if a worker has free capacity.
+         *
+         * @param first whether the request is the first in its queue and may claim capacity that becomes free
+         */
+        Outcome tryAdmit(boolean first);
 
         /** Returns whether the request no longer waits. */
         boolean isDone();
@@ -119,10 +126,7 @@
         ServiceQueue queue = queues.get(service);
         synchronized (queue) {
             queue.reservationPending = false;
-            queue.consecutiveRejections = granted ? 0 : queue.consecutiveRejections + 1;
-            if (queue.consecutiveRejections > MAX_CONSECUTIVE_REJECTIONS) {
-                queue.consecutiveRejections = 0;
-                schedulePoll(queue);
+            if (!granted && !advance(queue)) {
                 return;
             }
         }
@@ -145,31 +149,50 @@
         synchronized (queue) {
             while (!queue.reservationPending) {
                 long now = clockMillis.getAsLong();
-                Optional<AdmissionQueue.Entry<WaitingRequest>> next = queue.waiting.peek(now);
-                if (next.isEmpty()) {
+                Optional<AdmissionQueue.Entry<WaitingRequest>> next = queue.waiting.peek(queue.candidate, now);
+                boolean mustWait = next.isEmpty()
+                        ? queue.candidate > 0
+                        : next.get().isOverdue(now) && onTimeElsewhere.test(queue.service);
+                if (mustWait) {
+                    restart(queue);
                     return;
                 }
-                if (next.get().isOverdue(now) && onTimeElsewhere.test(queue.service)) {
-                    schedulePoll(queue);
+                if (next.isEmpty()) {
                     return;
                 }
                 WaitingRequest request = next.get().request();
                 // Set before the attempt, because the result may arrive before it returns.
                 queue.reservationPending = true;
-                Outcome outcome = request.isDone() ? Outcome.ADMITTED : request.tryAdmit();
+                Outcome outcome = request.isDone() ? Outcome.ADMITTED : request.tryAdmit(queue.candidate == 0);
                 if (outcome == Outcome.PENDING) {
                     return;
                 }
                 queue.reservationPending = false;
-                if (outcome == Outcome.NO_CAPACITY) {
-                    schedulePoll(queue);
+                if (outcome == Outcome.ADMITTED) {
+                    queue.waiting.remove(next.get());
+                } else if (!advance(queue)) {
                     return;
                 }
-                queue.waiting.remove(next.get());
             }
         }
     }
 
+    /** Continues with the next candidate, or waits for the next poll and returns false if there are no more. */
+    private boolean advance(ServiceQueue queue) {
+        queue.candidate++;
+        if (queue.candidate < MAX_CANDIDATES) {
+            return true;
+        }
+        restart(queue);
+        return false;
+    }
+
+    /** Continues with the first request at the next poll. */
+    private void restart(ServiceQueue queue) {
+        queue.candidate = 0;
+        schedulePoll(queue);
+    }
+
     private void schedulePoll(ServiceQueue queue) {
         if (!queue.pollScheduled) {
             queue.pollScheduled = true;
@@ -191,7 +214,7 @@
         private boolean reportedOnTime;
         private boolean pollScheduled;
         private boolean reservationPending;
-        private int consecutiveRejections;
+        private int candidate;
 
         ServiceQueue(String service) {
             this.service = service;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -10,6 +10,7 @@
 
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.ReservationTable;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -91,6 +92,8 @@
     private Optional<WorkerExchange> activePrefill = Optional.empty();
     private final PrefilledPrompt prompt = new PrefilledPrompt();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
+    private final long claimId;
+    private volatile Optional<ListedWorker> claimedWorker = Optional.empty();
     private volatile boolean waiting;
     private int prefills;
     private int refusedDecodes;
@@ -102,6 +105,7 @@
     StreamExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         super(context, request, service, response);
         this.stream = new StreamResponse(response, context.wireFormat());
+        this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
     }
 
@@ -174,8 +178,10 @@
     }
 
     @Override
-    public AdmissionQueues.Outcome tryAdmit() {
-        Optional<ListedWorker> decodeWorker = chooseDecodeWorker();
+    public AdmissionQueues.Outcome tryAdmit(boolean first) {
+        Optional<ListedWorker> freeWorker = chooseDecodeWorker();
+        boolean claims = freeWorker.isEmpty() && first;
+        Optional<ListedWorker> decodeWorker = claims ? chooseWorkerToClaim() : freeWorker;
         if (decodeWorker.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
@@ -206,11 +212,26 @@
                         decodeWorker.get(),
                         engine.get(),
                         generationSize.estimateMemoryTokens(),
+                        claims ? claimId : ReservationTable.NO_CLAIM,
                         granted -> executor.execute(
                                 () -> handleReservationResult(granted, decodeWorker.get(), prefillWorker)));
         return AdmissionQueues.Outcome.PENDING;
     }
 
+    /** Chooses a worker without free capacity to wait for, the same in each attempt as long as it is usable. */
+    private Optional<ListedWorker> chooseWorkerToClaim() {
+        Collection<ListedWorker> workers = getWorkers();
+        boolean usable = claimedWorker
+                .filter(workers::contains)
+                .filter(w -> !excludedWorkers.contains(w.id()))
+                .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
+                .isPresent();
+        if (!usable) {
+            claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
+        }
+        return claimedWorker;
+    }
+
     private void handleReservationResult(
             boolean granted, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
         if (!granted) {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -74,7 +74,13 @@
     }
 
     @Override
-    public Reservation reserve(ListedWorker worker, EngineProfile engine, int tokens, Consumer<Boolean> onReply) {
+    public long createClaimId() {
+        return lastId.incrementAndGet();
+    }
+
+    @Override
+    public Reservation reserve(
+            ListedWorker worker, EngineProfile engine, int tokens, long claimId, Consumer<Boolean> onReply) {
         long id = lastId.incrementAndGet();
         ReservationRequest request = ReservationRequest.newBuilder()
                 .setId(id)
@@ -82,6 +88,7 @@
                 .setTokens(tokens)
                 .setLimitTokens(engine.getUsableTokens())
                 .setSlots(engine.slots())
+                .setClaimId(claimId)
                 .build();
         HeldReservation reservation = new HeldReservation(request, onReply);
         held.put(id, reservation);
@@ -188,7 +195,8 @@
                 request.getId(),
                 request.getTokens(),
                 request.getLimitTokens(),
-                request.getSlots());
+                request.getSlots(),
+                request.getClaimId());
     }
 
     private static final class HeldReservation {
--- a/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
@@ -74,6 +74,22 @@
         assertEquals(reported, List.of(true, false));
     }
 
+    /** Pattern: a large request at the head of the queue of a node, and small ones behind it that fit. */
+    @Test
+    public void aLargeRequestThatFitsNowhereDoesNotHoldUpSmallOnes() {
+        AdmissionQueues queues = createQueues(service -> false, () -> {});
+        Request large = new Request(0, CAPACITY);
+        Request small = new Request(1);
+        freeCapacity = CAPACITY / 2;
+        queues.enqueue(SERVICE, large, 0, START_WITHIN_MILLIS);
+        queues.enqueue(SERVICE, small, 1, START_WITHIN_MILLIS);
+        timers.runUntil(50);
+        assertTrue(small.startMillis >= 0);
+        freeCapacity = CAPACITY;
+        timers.runUntil(100);
+        assertTrue(large.startMillis >= 0);
+    }
+
     /** Returns the requests of the node without a burst, which arrive after the burst. */
     private List<Request> simulateBurst(boolean withReports) {
         boolean[] reportsOnTime = new boolean[NODES];
@@ -118,21 +134,27 @@
 
     private final class Request implements AdmissionQueues.WaitingRequest {
         private final long arrivalMillis;
+        private final int capacity;
         private long startMillis = -1;
 
         Request(long arrivalMillis) {
+            this(arrivalMillis, 1);
+        }
+
+        Request(long arrivalMillis, int capacity) {
             this.arrivalMillis = arrivalMillis;
+            this.capacity = capacity;
         }
 
         @Override
-        public AdmissionQueues.Outcome tryAdmit() {
-            if (freeCapacity == 0) {
+        public AdmissionQueues.Outcome tryAdmit(boolean first) {
+            if (freeCapacity < capacity) {
                 return AdmissionQueues.Outcome.NO_CAPACITY;
             }
-            freeCapacity--;
+            freeCapacity -= capacity;
             startMillis = timers.now();
             long durationMillis = (long) (MEAN_DURATION_MILLIS * (0.25 + 1.5 * random.nextDouble()));
-            timers.at(timers.now() + durationMillis, () -> freeCapacity++);
+            timers.at(timers.now() + durationMillis, () -> freeCapacity += capacity);
             return AdmissionQueues.Outcome.ADMITTED;
         }
 
