Tell all nodes at once of a worker that accepts no connection

Change: the first node that finds a worker unreachable reports it to all nodes at once, and its reports repeat it while the suspension lasts. A node that cannot reach more than a quarter of the workers reports none, since it is probably disconnected itself.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -19,6 +19,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.balance.CrashTracker;
 import org.magnoliavane.balance.RetryBudget;
+import org.magnoliavane.balance.UnreachableWorkers;
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.balance.WorkerSelector;
 import org.magnoliavane.http.DaemonTimers;
@@ -120,6 +121,7 @@
     private final RoutingState routingState = new RoutingState();
     private final PeerTable peerTable = new PeerTable();
     private final WorkerLoadTracker loadTracker = new WorkerLoadTracker(this::onLoadChanged);
+    private final UnreachableWorkers unreachableWorkers = new UnreachableWorkers();
     private final HttpClient client;
     private final TopicFollower configurationFollower;
     private final TopicFollower workerFollower;
@@ -191,6 +193,7 @@
                 retryBudgets,
                 crashTracker,
                 peerReports::addCrash,
+                this::onUnreachable,
                 client,
                 wire,
                 timers,
@@ -333,16 +336,29 @@
                 .setLeaving(shutdown.isShuttingDown())
                 .setConfigurationVersion(getConfigurationVersion())
                 .addAllPunctualServices(admissionQueues.getServicesWithOnTimeRequests())
-                .addAllPauses(roleController.getPendingChanges().entrySet().stream()
-                        .map(e -> WorkerPause.newBuilder()
-                                .setWorker(e.getKey())
-                                .setMillis(e.getValue().intValue())
-                                .build())
-                        .toList());
+                .addAllPauses(toPauses(roleController.getPendingChanges()))
+                .addAllUnreachable(
+                        toPauses(unreachableWorkers.getReported(routingState.countWorkers(), millis.getAsLong())));
         roleOrderSender.addTo(report);
         return report.build();
     }
 
+    private static List<WorkerPause> toPauses(Map<String, Long> remainingMillis) {
+        return remainingMillis.entrySet().stream()
+                .map(e -> WorkerPause.newBuilder()
+                        .setWorker(e.getKey())
+                        .setMillis(e.getValue().intValue())
+                        .build())
+                .toList();
+    }
+
+    /** Tells the other nodes at once, before each of them loses requests to the same worker. */
+    private void onUnreachable(String worker, long untilMillis) {
+        if (unreachableWorkers.record(worker, untilMillis, millis.getAsLong())) {
+            peerReports.sendToAll();
+        }
+    }
+
     private void onPeerReport(NodeReport report) {
         refreshOutdatedConfiguration();
         roleOrderSender.onPeerReport(report);
--- a/router/src/main/java/org/magnoliavane/router/RoutingState.java
+++ b/router/src/main/java/org/magnoliavane/router/RoutingState.java
@@ -48,6 +48,15 @@
         return workers.get().getOrDefault(service, List.of());
     }
 
+    /**
+     * Counts the workers of all services.
+     *
+     * @return the number of workers, including those that are draining
+     */
+    public int countWorkers() {
+        return workers.get().values().stream().mapToInt(List::size).sum();
+    }
+
     /**
      * Replaces the workers of all services.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -23,6 +23,8 @@
  * @param retryBudgets the limits on retries and hedged requests
  * @param crashTracker the worker crashes by request content
  * @param onCrash receives the content hash and the id of the crash when a worker fails while it runs a request
+ * @param onUnreachable receives the id of a worker that accepted no connection, and the time in milliseconds until which it
+ *     is suspended
  * @param client sends requests to workers
  * @param wireFormat encodes and decodes requests and responses
  * @param timers runs timeouts
@@ -39,6 +41,7 @@
         RetryBudgets retryBudgets,
         CrashTracker crashTracker,
         BiConsumer<Long, String> onCrash,
+        BiConsumer<String, Long> onUnreachable,
         HttpClient client,
         WireFormat wireFormat,
         ScheduledExecutorService timers,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -170,8 +170,9 @@
             finish();
             recordOutcome(1);
             if (cause instanceof ConnectException) {
-                context.loadTracker()
-                        .suspend(getWorker().id(), context.clockMillis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS);
+                long untilMillis = context.clockMillis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS;
+                context.loadTracker().suspend(getWorker().id(), untilMillis);
+                context.onUnreachable().accept(getWorker().id(), untilMillis);
                 listener.onNotRun(this, UNREACHABLE);
             } else {
                 recordCrash();
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -18,6 +18,7 @@
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.protocol.generated.ContentCrash;
 import org.magnoliavane.protocol.generated.NodeReport;
+import org.magnoliavane.protocol.generated.WorkerPause;
 import org.magnoliavane.protocol.generated.WorkerShare;
 import org.magnoliavane.router.store.NodeListing;
 
@@ -193,6 +194,17 @@
                             share.getRequests(), share.getTokens(), share.getFailurePermille() / PERMILLE));
         }
         loadTracker.updatePeerLoads(report.getNode(), loads, now);
+        for (WorkerPause pause : report.getUnreachableList()) {
+            if (!loadTracker.isUnhealthy(pause.getWorker(), now)) {
+                LOG.log(
+                        Level.INFO,
+                        "event=worker_unreachable worker={0} millis={1} from={2}",
+                        pause.getWorker(),
+                        pause.getMillis(),
+                        report.getNode());
+            }
+            loadTracker.suspendByPeerReport(pause.getWorker(), pause.getMillis(), now);
+        }
         report.getPausesList().forEach(p -> loadTracker.suspendByPeerReport(p.getWorker(), p.getMillis(), now));
         for (ContentCrash crash : report.getCrashesList()) {
             if (crashTracker.recordCrash(crash.getContent(), crash.getCrash())) {
