Break off responses without end; bound the age of shared reads; check the planned decode worker

Causes: (1) a faulty worker may send bytes until its connection is closed; the router collected them without a limit. Its worker had been planned before the prefill and was not checked again; and with shared reads a node could rely on readers that are cut off from the store for 2.75 s, with a drain time of 2 s.

Change: limits for plain responses (4 MB), responses to prefills (64 KB), events and errors of streams (1 MB) and collected responses (16 MB). A node relies on the readers of its zone until 1.5 intervals after their last successful read, that is 0.75 of the drain time. After a prefill, the planned decode worker must still be listed, not draining, and decoding.

--- a/http/src/main/java/org/magnoliavane/http/EventFramer.java
+++ b/http/src/main/java/org/magnoliavane/http/EventFramer.java
@@ -49,6 +49,15 @@
         return partialEvent.size() > 0;
     }
 
+    /**
+     * Gets the size of the incomplete event.
+     *
+     * @return the number of buffered bytes
+     */
+    public int getPartialBytes() {
+        return partialEvent.size();
+    }
+
     /** Discards the buffered bytes of an event that will not be completed. */
     public void discardPartialEvent() {
         partialEvent.reset();
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -35,6 +35,9 @@
 public final class HttpClient implements AutoCloseable {
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
 
+    /** Largest response that is collected as a whole; a faulty server may send bytes without end. */
+    private static final int MAX_COLLECTED_BYTES = 16 << 20;
+
     private final TCPNIOTransport transport;
     private final Attribute<HttpExchange> exchanges;
     private final ScheduledThreadPoolExecutor timers;
@@ -83,7 +86,8 @@
      * Sends a request and collects the whole response.
      *
      * @param request the request
-     * @return a future of the response, whose cancellation closes the connection; fails with
+     * @return a future of the response, whose cancellation closes the connection; fails with an {@link IOException} if the
+     *     response is too large, with
      *     {@link ConnectException} if nothing was sent, or with another {@link IOException} if the server may have
      *     received the request
      */
@@ -91,7 +95,7 @@
         CompletableFuture<HttpResponse> result = new CompletableFuture<>();
         HttpExchange exchange = stream(request, new ResponseCollector(result));
         result.whenComplete((response, cause) -> {
-            if (result.isCancelled()) {
+            if (cause != null) {
                 exchange.close();
             }
         });
@@ -236,6 +240,10 @@
         @Override
         public void onBytes(byte[] bytes) {
             body.writeBytes(bytes);
+            if (body.size() > MAX_COLLECTED_BYTES) {
+                result.completeExceptionally(
+                        new IOException("the response is larger than " + MAX_COLLECTED_BYTES + " bytes"));
+            }
         }
 
         @Override
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -19,6 +19,9 @@
     /** Share of the remaining time after which an idempotent request is also sent to a second worker. */
     private static final double HEDGE_DELAY_SHARE = 0.45;
 
+    /** Largest response; a faulty worker may send bytes without end. */
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
     private final boolean retryable;
     private final List<Attempt> activeAttempts = new ArrayList<>();
     private Optional<Attempt> errorResponse = Optional.empty();
@@ -85,7 +88,11 @@
 
     @Override
     public void onBytes(WorkerExchange exchange, byte[] bytes) {
-        getAttempt(exchange).body.writeBytes(bytes);
+        ByteArrayOutputStream body = getAttempt(exchange).body;
+        body.writeBytes(bytes);
+        if (body.size() > MAX_RESPONSE_BYTES) {
+            exchange.breakOff("the response is larger than " + MAX_RESPONSE_BYTES + " bytes");
+        }
     }
 
     @Override
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -84,6 +84,12 @@
     /** Time without an event after which a stream resumes at another worker; callers disconnect after two seconds. */
     private static final long STALL_TIMEOUT_MILLIS = 1200;
 
+    /** Largest response to a prefill, which has only a handle; a faulty worker may send bytes without end. */
+    private static final int MAX_PREFILL_RESPONSE_BYTES = 64 << 10;
+
+    /** Largest event or error response of a worker. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
     private final GenerationSize generationSize;
     private final StreamResponse stream;
     private final List<WorkerExchange> activeDecodes = new ArrayList<>();
@@ -304,6 +310,7 @@
                     exchange,
                     "millis=" + exchange.getAgeMillis() + " tokens=" + generationSize.promptTokens());
             Optional<ListedWorker> decodeWorker = plannedDecodeWorker
+                    .filter(this::isStillDecoding)
                     .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
                     .or(() -> chooseDecodeWorker());
             removePlannedLoad();
@@ -318,6 +325,15 @@
         }
     }
 
+    /** Returns whether a worker that was chosen earlier is still listed, in its role, and not draining. */
+    private boolean isStillDecoding(ListedWorker worker) {
+        return getWorkers().stream()
+                .anyMatch(w -> w.isSameIncarnation(worker)
+                        && w.id().equals(worker.id())
+                        && w.server().role() == worker.server().role()
+                        && !w.server().leaving());
+    }
+
     private boolean hasAmpleMemory(ListedWorker worker) {
         int tokens = context.loadTracker().countTokens(worker.id(), now());
         return findEngine()
@@ -433,10 +449,16 @@
     public void onBytes(WorkerExchange exchange, byte[] bytes) {
         if (isPrefill(exchange)) {
             prefillBody.writeBytes(bytes);
+            if (prefillBody.size() > MAX_PREFILL_RESPONSE_BYTES) {
+                exchange.breakOff("the response to a prefill is larger than " + MAX_PREFILL_RESPONSE_BYTES + " bytes");
+            }
             return;
         }
         boolean started = stream.hasStarted();
         if (!stream.relayBytes(bytes)) {
+            if (stream.getBufferedBytes() > MAX_EVENT_BYTES) {
+                exchange.breakOff("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+            }
             return;
         }
         if (started) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
@@ -87,6 +87,11 @@
         return status;
     }
 
+    /** Gets the number of bytes that are buffered, of an incomplete event or of an error response. */
+    int getBufferedBytes() {
+        return framer.getPartialBytes() + errorBody.size();
+    }
+
     boolean hasPartialEvent() {
         return framer.hasPartialEvent();
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -135,6 +135,12 @@
         cancel();
     }
 
+    /** Ends an exchange whose worker sends more than any response can have, and notifies the listener. */
+    void breakOff(String reason) {
+        closeWithOutcome(1);
+        listener.onBroken(this, reason);
+    }
+
     @Override
     public void onHead(int responseStatus, Map<String, String> headers) {
         executor.execute(() -> handleHead(responseStatus, headers));
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -36,8 +36,14 @@
     /** Time without an update of another node after which the follower reads itself; two updates may be lost. */
     private static final long UPDATE_TIMEOUT_MILLIS = 1250;
 
-    /** Time beyond the interval of reads that an update may be old, for the response of the store and the transfer. */
-    private static final long UPDATE_AGE_MARGIN_MILLIS = 500;
+    /** Time beyond an open read after which its result is overdue, for the response of the store and the transfer. */
+    private static final long OPEN_READ_MARGIN_MILLIS = 500;
+
+    /**
+     * Multiple of the interval of reads at which the last one is overdue. It is below the time within which a draining
+     * worker must no longer get requests, which is twice the interval.
+     */
+    private static final double OVERDUE_INTERVALS = 1.5;
 
     private final KeyedStore store;
     private final Topic topic;
@@ -144,7 +150,7 @@
      */
     public void applyUpdate(TopicUpdate update) {
         synchronized (this) {
-            if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > getMaxUpdateAgeMillis()) {
+            if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > schedule.getOverdueMillis()) {
                 return;
             }
             long now = millis.getAsLong();
@@ -154,7 +160,9 @@
                 if (updatedUntilMillis < now) {
                     LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
                 }
-                updatedUntilMillis = now + UPDATE_TIMEOUT_MILLIS;
+                updatedUntilMillis = Math.max(
+                        updatedUntilMillis,
+                        now + Math.min(UPDATE_TIMEOUT_MILLIS, schedule.getOverdueMillis() - update.ageMillis()));
                 return;
             }
             LOG.log(
@@ -181,11 +189,7 @@
      * relied on others.
      */
     private boolean isReadOverdue() {
-        return snapshotKnown && getAgeMillis() > getMaxUpdateAgeMillis();
-    }
-
-    private long getMaxUpdateAgeMillis() {
-        return Math.max(schedule.waitMillis, schedule.minIntervalMillis) + UPDATE_AGE_MARGIN_MILLIS;
+        return snapshotKnown && getAgeMillis() > schedule.getOverdueMillis();
     }
 
     private void sendRead(long wait) {
@@ -314,5 +318,12 @@
      * @param minIntervalMillis the minimum time in milliseconds between two reads, so that frequent changes arrive in
      *     batches
      */
-    public record ReadSchedule(long waitMillis, long minIntervalMillis) {}
+    public record ReadSchedule(long waitMillis, long minIntervalMillis) {
+        /** Gets the time in milliseconds after which the last successful read is overdue. */
+        private long getOverdueMillis() {
+            return minIntervalMillis >= waitMillis
+                    ? (long) (OVERDUE_INTERVALS * minIntervalMillis)
+                    : minIntervalMillis + waitMillis + OPEN_READ_MARGIN_MILLIS;
+        }
+    }
 }
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -93,15 +93,15 @@
         assertEquals(nodes.get(2).roles.get("w7"), "role-b");
     }
 
+    /** Guards against requests for a draining worker, which must end after twice the interval of reads. */
     @Test
-    public void readersThatCannotReachTheStoreDoNotKeepOthersFromReading() {
+    public void readersThatAreCutOffFromTheStoreDoNotKeepOthersFromReadingInTime() {
         startNodes(3);
         timers.runUntil(10_000);
-        nodes.get(0).follower.refresh();
-        nodes.get(0).frozenReads = true;
-        nodes.get(1).frozenReads = true;
+        nodes.get(0).cutOff();
+        nodes.get(1).cutOff();
         store.put("w7", "role-b 0");
-        timers.runUntil(10_000 + 2 * INTERVAL_MILLIS);
+        timers.runUntil(10_000 + (long) (1.75 * INTERVAL_MILLIS));
         assertEquals(nodes.get(2).roles.get("w7"), "role-b");
     }
 
@@ -144,7 +144,8 @@
         private final TopicFollower follower;
         private boolean sends = true;
         private boolean receives = true;
-        private boolean frozenReads;
+        private Optional<TopicUpdate> lastPosition = Optional.empty();
+        private long cutOffMillis;
 
         Node(boolean reader) {
             this.reader = reader;
@@ -161,24 +162,28 @@
             }
         }
 
+        /** Lets the node go on sending the position that it has now, as if its reads got no response any more. */
+        private void cutOff() {
+            lastPosition = follower.findPosition();
+            cutOffMillis = timers.now();
+        }
+
         private void sendPosition() {
-            Optional<TopicUpdate> position = follower.findPosition();
-            position.map(p -> frozenReads ? withAge(p, 10 * INTERVAL_MILLIS) : p)
-                    .ifPresent(this::send);
+            lastPosition.map(this::withGrowingAge).or(follower::findPosition).ifPresent(this::send);
             timers.schedule(this::sendPosition, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
 
-        private TopicUpdate withAge(TopicUpdate position, long ageMillis) {
-            return new TopicUpdate(
-                    position.topic(), position.from(), position.to(), position.records(), ageMillis, false);
+        private TopicUpdate withGrowingAge(TopicUpdate position) {
+            long ageMillis = position.ageMillis() + timers.now() - cutOffMillis;
+            return new TopicUpdate(position.topic(), position.from(), position.to(), List.of(), ageMillis, false);
         }
 
         private void send(TopicUpdate update) {
-            boolean stuck = frozenReads && update.ageMillis() == 0;
-            if (!reader || !sends || stuck) {
-                return;
+            boolean lost =
+                    lastPosition.isPresent() && update.to() > lastPosition.get().to();
+            if (reader && sends && !lost) {
+                nodes.stream().filter(n -> !n.reader && n.receives).forEach(n -> n.follower.applyUpdate(update));
             }
-            nodes.stream().filter(n -> !n.reader && n.receives).forEach(n -> n.follower.applyUpdate(update));
         }
 
         @Override
