Claim no worker whose engine has refused requests

A claim asked the owner also when the worker was marked as full by a refusal of its engine. The owner granted it, as its reservations left room, the prompt was read, and the engine refused the decode.

Change: a claim waits while its worker is marked as full, and a rejected claim no longer marks the worker itself.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -103,7 +103,8 @@
     }
 
     /**
-     * Chooses the decode worker with the fewest tokens in use, for a request that fits into none.
+     * Chooses the decode worker with the fewest tokens in use, for a request that fits into none. A worker that is marked
+     * as full is not chosen.
      *
      * @param workers the candidate workers of the service
      * @param excluded the ids of workers that must not be chosen
@@ -117,7 +118,9 @@
                 excluded,
                 WorkerRole.DECODE,
                 nowMillis,
-                w -> loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST);
+                w -> loadTracker.isFull(w.id(), nowMillis)
+                        ? Double.POSITIVE_INFINITY
+                        : loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST);
     }
 
     private Optional<ListedWorker> choose(
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -220,7 +220,7 @@
                         generationSize.estimateMemoryTokens(),
                         claims ? claimId : ReservationTable.NO_CLAIM,
                         granted -> executor.execute(
-                                () -> handleReservationResult(granted, decodeWorker.get(), prefillWorker)));
+                                () -> handleReservationResult(granted, claims, decodeWorker.get(), prefillWorker)));
         return AdmissionQueues.Outcome.PENDING;
     }
 
@@ -235,14 +235,15 @@
         if (!usable) {
             claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
         }
-        return claimedWorker;
+        // An engine may refuse requests although its reservations leave room; the claim then has to wait as well.
+        return claimedWorker.filter(w -> !context.loadTracker().isFull(w.id(), now()));
     }
 
     private void handleReservationResult(
-            boolean granted, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
-        if (!granted) {
+            boolean granted, boolean claims, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
+        if (!granted && !claims) {
             context.loadTracker().markFull(decodeWorker.id(), now() + REJECTED_BACKOFF_MILLIS);
-        } else if (waiting) {
+        } else if (granted && waiting) {
             waiting = false;
             startExchanges(decodeWorker, prefillWorker);
         } else {
