Count slots in the utilization of decode workers; claim only for requests that can be on time

Change: the utilization of a decode worker is the larger share of its memory and its slots. Only requests that can still be on time claim capacity.

--- a/core/src/main/java/org/magnoliavane/balance/RoleBalancer.java
+++ b/core/src/main/java/org/magnoliavane/balance/RoleBalancer.java
@@ -42,14 +42,14 @@
 
     private final Deque<WorkerCounts> recentCounts = new ArrayDeque<>();
     private double busyPrefillWorkers;
-    private double decodeMemoryInUse;
+    private double busyDecodeWorkers;
     private long lastSampleMillis = Long.MIN_VALUE;
 
     /**
      * Adds a sample of the load.
      *
      * @param prefill the number of busy prefill workers
-     * @param decode the memory in use at all decode workers, in units of the usable memory of one worker
+     * @param decode the sum of the utilizations of all decode workers, each from 0 to 1
      * @param nowMillis the current time, in milliseconds
      */
     public void addSample(double prefill, double decode, long nowMillis) {
@@ -57,7 +57,7 @@
                 ? 0
                 : Math.exp((lastSampleMillis - nowMillis) / AVERAGE_TIME_CONSTANT_MILLIS);
         busyPrefillWorkers = oldWeight * busyPrefillWorkers + (1 - oldWeight) * prefill;
-        decodeMemoryInUse = oldWeight * decodeMemoryInUse + (1 - oldWeight) * decode;
+        busyDecodeWorkers = oldWeight * busyDecodeWorkers + (1 - oldWeight) * decode;
         lastSampleMillis = nowMillis;
     }
 
@@ -110,12 +110,12 @@
 
     private double computeUtilization(int prefillWorkers, int decodeWorkers) {
         double prefill = busyPrefillWorkers / Math.max(IDLE_PREFILL_WORKERS, prefillWorkers - IDLE_PREFILL_WORKERS);
-        return Math.max(prefill, decodeMemoryInUse / Math.max(1, decodeWorkers));
+        return Math.max(prefill, busyDecodeWorkers / Math.max(1, decodeWorkers));
     }
 
     @Override
     public String toString() {
-        return String.format("prefill_busy=%.2f decode_busy=%.2f", busyPrefillWorkers, decodeMemoryInUse);
+        return String.format("prefill_busy=%.2f decode_busy=%.2f", busyPrefillWorkers, busyDecodeWorkers);
     }
 
     private record WorkerCounts(int prefill, int decode, long atMillis) {}
--- a/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.ToDoubleFunction;
 
+import org.magnoliavane.routing.EngineProfile;
+
 /**
  * Tracks the load and the health of each worker: the active requests of this node, the active requests that other nodes
  * report, and the outcomes of past exchanges.
@@ -199,6 +201,20 @@
         return Math.max(0, getState(worker).tokens.get() + (int) sumPeerLoads(worker, nowMillis, Load::tokens));
     }
 
+    /**
+     * Gets the utilization of a decode worker, which is limited by its memory or by its slots.
+     *
+     * @param worker the id of the worker
+     * @param engine the profile of its engine
+     * @param nowMillis the current time, in milliseconds
+     * @return the larger share of memory and slots in use, from 0 to 1
+     */
+    public double getDecodeUtilization(String worker, EngineProfile engine, long nowMillis) {
+        double memory = (double) countTokens(worker, nowMillis) / engine.getUsableTokens();
+        double slots = (double) countRequests(worker, nowMillis) / engine.slots();
+        return Math.min(1, Math.max(memory, slots));
+    }
+
     /**
      * Gets the failure rate of a worker.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -47,9 +47,10 @@
         /**
          * Admits the request if a worker has free capacity.
          *
-         * @param first whether the request is the first in its queue and may claim capacity that becomes free
+         * @param mayClaim whether the request may claim capacity that becomes free: it is the first in its queue and can
+         *     still be on time
          */
-        Outcome tryAdmit(boolean first);
+        Outcome tryAdmit(boolean mayClaim);
 
         /** Returns whether the request no longer waits. */
         boolean isDone();
@@ -163,7 +164,8 @@
                 WaitingRequest request = next.get().request();
                 // Set before the attempt, because the result may arrive before it returns.
                 queue.reservationPending = true;
-                Outcome outcome = request.isDone() ? Outcome.ADMITTED : request.tryAdmit(queue.candidate == 0);
+                boolean mayClaim = queue.candidate == 0 && !next.get().isOverdue(now);
+                Outcome outcome = request.isDone() ? Outcome.ADMITTED : request.tryAdmit(mayClaim);
                 if (outcome == Outcome.PENDING) {
                     return;
                 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -184,9 +184,9 @@
     }
 
     @Override
-    public AdmissionQueues.Outcome tryAdmit(boolean first) {
+    public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
         Optional<ListedWorker> freeWorker = chooseDecodeWorker();
-        boolean claims = freeWorker.isEmpty() && first;
+        boolean claims = freeWorker.isEmpty() && mayClaim;
         Optional<ListedWorker> decodeWorker = claims ? chooseWorkerToClaim() : freeWorker;
         if (decodeWorker.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -124,7 +124,9 @@
                 prefill.stream()
                         .filter(w -> loadTracker.countTokens(w.id(), now) > 0)
                         .count(),
-                decode.stream().mapToDouble(w -> getMemoryUse(w, engine, now)).sum(),
+                decode.stream()
+                        .mapToDouble(w -> loadTracker.getDecodeUtilization(w.id(), engine, now))
+                        .sum(),
                 now);
         if (now < nextChangeMillis) {
             balancer.clearWorkerCounts();
@@ -145,10 +147,6 @@
         orderSender.submit(leastLoaded, change.get().to(), inputs, this::onOrderOutcome);
     }
 
-    private double getMemoryUse(ListedWorker worker, EngineProfile engine, long now) {
-        return Math.min(1, (double) loadTracker.countTokens(worker.id(), now) / engine.getUsableTokens());
-    }
-
     private List<ListedWorker> getUsableWorkers(String service, WorkerRole role) {
         return routingState.getWorkers(service).stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !pendingChanges.containsKey(w.id()))
--- a/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
@@ -90,6 +90,23 @@
         assertTrue(large.startMillis >= 0);
     }
 
+    /** Pattern: a fleet that is full for long. Claims of overdue requests would leave capacity idle for nothing. */
+    @Test
+    public void onlyTheFirstRequestClaimsCapacityAndOnlyWhileItCanBeOnTime() {
+        AdmissionQueues queues = createQueues(service -> false, () -> {});
+        Request first = new Request(0, CAPACITY);
+        Request second = new Request(1, CAPACITY);
+        freeCapacity = 0;
+        queues.enqueue(SERVICE, first, 0, START_WITHIN_MILLIS);
+        queues.enqueue(SERVICE, second, 1, 2 * START_WITHIN_MILLIS);
+        timers.runUntil(START_WITHIN_MILLIS - 100);
+        assertTrue(first.claimsNow && !second.hasClaimed);
+        timers.runUntil(START_WITHIN_MILLIS + 100);
+        assertTrue(!first.claimsNow && second.claimsNow);
+        timers.runUntil(2 * START_WITHIN_MILLIS + 100);
+        assertTrue(!first.claimsNow && !second.claimsNow);
+    }
+
     /** Returns the requests of the node without a burst, which arrive after the burst. */
     private List<Request> simulateBurst(boolean withReports) {
         boolean[] reportsOnTime = new boolean[NODES];
@@ -136,6 +153,8 @@
         private final long arrivalMillis;
         private final int capacity;
         private long startMillis = -1;
+        private boolean hasClaimed;
+        private boolean claimsNow;
 
         Request(long arrivalMillis) {
             this(arrivalMillis, 1);
@@ -147,7 +166,9 @@
         }
 
         @Override
-        public AdmissionQueues.Outcome tryAdmit(boolean first) {
+        public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
+            hasClaimed |= mayClaim;
+            claimsNow = mayClaim;
             if (freeCapacity < capacity) {
                 return AdmissionQueues.Outcome.NO_CAPACITY;
             }
