Keep reads of readers within the time for which others rely on them

A reader then reads once in 3.0 s (interval 2 s, open read 1 s), and the others stop relying on it after 3 s, so that each of them read for itself every 3 s. At the start, three batches of listings were larger than a datagram of 1 KB, so that each node read three more times.

Change: the open read of the workers lasts a quarter of the interval; datagrams have up to 8 KB of records. The fake store of the tests responds after 4 ms, as the real one.

Result: TopicFollowerTest has zones whose topic does not change; with the old wait those of 20 and 72 nodes make 400 and 1,440 calls in a minute in place of 60, now at most 60.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -66,9 +66,6 @@
      */
     private static final long RARE_CHANGE_WAIT_MILLIS = 4000;
 
-    /** Time that the store holds a read of the workers open. */
-    private static final long WORKERS_WAIT_MILLIS = 1000;
-
     /**
      * Minimum interval between two reads of the workers, as a share of the time within which a draining worker must no
      * longer get requests. The interval lets one read return the heartbeats of many workers, since each call to the
@@ -76,6 +73,12 @@
      */
     private static final double WORKERS_READ_INTERVAL_SHARE = 0.5;
 
+    /**
+     * Time that the store holds a read of the workers open, as a share of the interval. Both together must be shorter than
+     * the time after which other nodes no longer rely on the reads of this node.
+     */
+    private static final double WORKERS_WAIT_SHARE = 0.25;
+
     /** Minimum interval between two reads of the nodes, all of which list themselves when a deployment starts. */
     private static final long NODES_READ_INTERVAL_MILLIS = 1000;
 
@@ -160,8 +163,9 @@
         this.storeUpdates = PeerStoreUpdates.create(self, peerTable, peerChannel, millis);
         this.configurationFollower = createFollower(
                 Topic.CONFIGURATION, new ConfigurationController(routingState, entries), RARE_CHANGE_WAIT_MILLIS, 0);
-        this.workerFollower = createFollower(Topic.WORKERS, workerController, WORKERS_WAIT_MILLIS, (long)
-                (WORKERS_READ_INTERVAL_SHARE * settings.drainMillis()));
+        long workerInterval = (long) (WORKERS_READ_INTERVAL_SHARE * settings.drainMillis());
+        this.workerFollower = createFollower(
+                Topic.WORKERS, workerController, (long) (WORKERS_WAIT_SHARE * workerInterval), workerInterval);
         TopicFollower nodeFollower = createFollower(
                 Topic.NODES,
                 new NodeController(peerTable, entries, self, millis),
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
@@ -16,7 +16,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
@@ -34,6 +36,9 @@
 public final class PeerChannel implements AutoCloseable {
     private static final Logger LOG = System.getLogger(PeerChannel.class.getName());
 
+    /** Largest datagram that is received. */
+    private static final int MAX_DATAGRAM_BYTES = 16 << 10;
+
     private final NodeListing self;
     private final List<BiConsumer<PeerDatagram, InetSocketAddress>> listeners = new CopyOnWriteArrayList<>();
     private final EventLoopGroup group;
@@ -45,6 +50,7 @@
         channel = new Bootstrap()
                 .group(group)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
                 .handler(new Receiver())
                 .bind(self.host(), self.peerPort())
                 .syncUninterruptibly()
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -34,7 +34,7 @@
     private static final long POSITION_INTERVAL_MILLIS = 500;
 
     /** Largest size of the records in a datagram. Nodes that need larger records read the store. */
-    private static final int MAX_RECORD_BYTES = 1000;
+    private static final int MAX_RECORD_BYTES = 8000;
 
     private final NodeListing self;
     private final PeerTable peerTable;
--- a/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
+++ b/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
@@ -11,6 +11,9 @@
 
 /** A store with one topic in virtual time that counts its calls. */
 final class FakeKeyedStore implements KeyedStore {
+    /** Time that the store takes to respond. */
+    private static final long RESPONSE_MILLIS = 4;
+
     private final VirtualTimers timers;
     private final List<KeyedRecord> records = new ArrayList<>();
     private final List<Waiter> waiters = new ArrayList<>();
@@ -25,7 +28,7 @@
         records.add(new KeyedRecord(key, value.getBytes(), records.size()));
         List<Waiter> woken = List.copyOf(waiters);
         waiters.clear();
-        woken.forEach(w -> w.result.complete(readFrom(w.from)));
+        woken.forEach(w -> respond(w.result, w.from));
     }
 
     void setDown(boolean value) {
@@ -49,14 +52,14 @@
         }
         CompletableFuture<RecordBatch> result = new CompletableFuture<>();
         if (from < records.size() || waitMillis == 0) {
-            result.complete(readFrom(from));
+            respond(result, from);
         } else {
             Waiter waiter = new Waiter(from, result);
             waiters.add(waiter);
             timers.schedule(
                     () -> {
                         if (waiters.remove(waiter)) {
-                            result.complete(readFrom(from));
+                            respond(result, from);
                         }
                     },
                     waitMillis,
@@ -65,6 +68,10 @@
         return result;
     }
 
+    private void respond(CompletableFuture<RecordBatch> result, long from) {
+        timers.at(timers.now() + RESPONSE_MILLIS, () -> result.complete(readFrom(from)));
+    }
+
     private RecordBatch readFrom(long from) {
         return new RecordBatch(List.copyOf(records.subList((int) from, records.size())), records.size());
     }
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -24,18 +24,20 @@
     private static final int WORKERS = 60;
     private static final long HEARTBEAT_MILLIS = 1200;
     private static final long INTERVAL_MILLIS = 2000;
-    private static final long WAIT_MILLIS = 1000;
+    private static final long WAIT_MILLIS = 500;
     private static final long POSITION_INTERVAL_MILLIS = 500;
 
     private VirtualTimers timers;
     private FakeKeyedStore store;
     private List<Node> nodes;
+    private boolean heartbeats;
 
     @BeforeMethod
     public void createStore() {
         timers = new VirtualTimers();
         store = new FakeKeyedStore(timers);
         nodes = new ArrayList<>();
+        heartbeats = true;
         for (int i = 0; i < WORKERS; i++) {
             store.put("w" + i, "role-a 0");
         }
@@ -43,12 +45,14 @@
     }
 
     @DataProvider
-    public Object[][] zoneSizes() {
-        return new Object[][] {{3}, {20}, {72}};
+    public Object[][] zones() {
+        return new Object[][] {{3, true}, {20, true}, {72, true}, {20, false}, {72, false}};
     }
 
-    @Test(dataProvider = "zoneSizes")
-    public void theCallsOfAZoneDoNotGrowWithItsNodes(int size) {
+    /** The second pattern is a topic that does not change at all, so that each read is held open. */
+    @Test(dataProvider = "zones")
+    public void theCallsOfAZoneDoNotGrowWithItsNodes(int size, boolean renewed) {
+        heartbeats = renewed;
         startNodes(size);
         timers.runUntil(5000);
         int before = store.getCallCount();
@@ -129,7 +133,7 @@
     private void sendHeartbeats() {
         for (int i = 0; i < WORKERS; i++) {
             String role = nodes.isEmpty() ? "role-a" : nodes.get(0).roles.get("w" + i);
-            if (role != null && i > 8) {
+            if (heartbeats && role != null && i > 8) {
                 store.put("w" + i, role + " " + timers.now());
             }
         }
