Name the message of a topic's changes apart from the update that it carries

TopicUpdate stood for a message and for a record, so that one of them had to be written with its package. Topics that only newer nodes know are ignored.

--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -10,6 +10,7 @@
 import com.google.protobuf.ByteString;
 import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.protocol.generated.StoreUpdate;
+import org.magnoliavane.protocol.generated.TopicChanges;
 import org.magnoliavane.protocol.generated.TopicRecord;
 import org.magnoliavane.router.store.KeyedRecord;
 import org.magnoliavane.router.store.NodeListing;
@@ -124,24 +125,25 @@
         return zone;
     }
 
-    private void apply(org.magnoliavane.protocol.generated.TopicUpdate message) {
-        TopicUpdate update = fromMessage(message);
-        TopicFollower follower = followers.get(update.topic());
-        follower.applyUpdate(update);
+    /** Applies the update of a topic. A topic that only newer nodes know is ignored. */
+    private void apply(TopicChanges message) {
+        if (message.getTopic() != TopicChanges.Topic.UNRECOGNIZED) {
+            TopicUpdate update = fromMessage(message);
+            followers.get(update.topic()).applyUpdate(update);
+        }
     }
 
-    static org.magnoliavane.protocol.generated.TopicUpdate toMessage(TopicUpdate update) {
+    static TopicChanges toMessage(TopicUpdate update) {
         int bytes = update.records().stream()
                 .mapToInt(r -> r.key().length() + r.value().length)
                 .sum();
         boolean complete = bytes <= MAX_RECORD_BYTES;
-        org.magnoliavane.protocol.generated.TopicUpdate.Builder message =
-                org.magnoliavane.protocol.generated.TopicUpdate.newBuilder()
-                        .setTopic(toMessage(update.topic()))
-                        .setFrom(complete ? update.from() : update.to())
-                        .setTo(update.to())
-                        .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()))
-                        .setAfterOutage(update.afterOutage());
+        TopicChanges.Builder message = TopicChanges.newBuilder()
+                .setTopic(toMessage(update.topic()))
+                .setFrom(complete ? update.from() : update.to())
+                .setTo(update.to())
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()))
+                .setAfterOutage(update.afterOutage());
         if (complete) {
             update.records()
                     .forEach(r -> message.addRecords(TopicRecord.newBuilder()
@@ -152,19 +154,20 @@
         return message.build();
     }
 
-    private static org.magnoliavane.protocol.generated.TopicUpdate.Topic toMessage(Topic topic) {
+    private static TopicChanges.Topic toMessage(Topic topic) {
         return switch (topic) {
-            case CONFIGURATION -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.CONFIGURATION;
-            case WORKERS -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.WORKERS;
-            case NODES -> org.magnoliavane.protocol.generated.TopicUpdate.Topic.NODES;
+            case CONFIGURATION -> TopicChanges.Topic.CONFIGURATION;
+            case WORKERS -> TopicChanges.Topic.WORKERS;
+            case NODES -> TopicChanges.Topic.NODES;
         };
     }
 
-    static TopicUpdate fromMessage(org.magnoliavane.protocol.generated.TopicUpdate message) {
+    static TopicUpdate fromMessage(TopicChanges message) {
         Topic topic = switch (message.getTopic()) {
+            case CONFIGURATION -> Topic.CONFIGURATION;
             case WORKERS -> Topic.WORKERS;
             case NODES -> Topic.NODES;
-            default -> Topic.CONFIGURATION;
+            case UNRECOGNIZED -> throw new IllegalArgumentException("unknown topic");
         };
         List<KeyedRecord> records = message.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
