--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -234,6 +234,11 @@
                 .isPresent();
         if (!usable) {
             claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
+            claimedWorker.ifPresent(w -> log(
+                    "claim",
+                    w,
+                    "tokens=" + context.loadTracker().countTokens(w.id(), now()) + " own_tokens="
+                            + generationSize.estimateMemoryTokens()));
         }
         // An engine may refuse requests although its reservations leave room; the claim then has to wait as well.
         return claimedWorker.filter(w -> !context.loadTracker().isFull(w.id(), now()));
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -72,7 +72,7 @@
         this.settings = context.settings();
         this.chain = FrontendFilter.chain(
                 List.of(this::readBody, this::awaitRefresh, this::resolveRoute, this::refuseDuringShutdown),
-                exchange -> context.dispatcher().dispatch(exchange.createCallerRequest(), exchange));
+                this::dispatch);
     }
 
     /**
@@ -89,9 +89,8 @@
     }
 
     private void start() throws IOException {
-        // The listener opens its address before it handles requests and loses those that arrive in between. It
-        // therefore
-        // opens the address of the metrics, and the addresses of callers follow.
+        // The listener loses requests that arrive before it has a handler. It opens the address of the metrics, and the
+        // addresses of callers follow.
         NetworkListener listener =
                 new NetworkListener("callers", settings.callers().host(), settings.metricsPort());
         listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
@@ -164,6 +163,17 @@
                 }));
     }
 
+    private void dispatch(FrontendExchange exchange) {
+        if (exchange.isDisconnected()) {
+            LOG.log(
+                    Level.INFO,
+                    "event=dropped request={0} reason=\"the caller left before the request was dispatched\"",
+                    exchange.getMetadata().attemptId());
+            return;
+        }
+        context.dispatcher().dispatch(exchange.createCallerRequest(), exchange);
+    }
+
     private static Fault createNoRouteFault(boolean configurationCurrent) {
         return configurationCurrent
                 ? Fault.notRun(
@@ -209,13 +219,6 @@
                 body -> {
                     exchange.setBody(body);
                     exchange.watchConnection();
-                    if (exchange.isDisconnected()) {
-                        LOG.log(
-                                Level.INFO,
-                                "event=dropped request={0} reason=\"the caller left before the request was read\"",
-                                exchange.getMetadata().attemptId());
-                        return;
-                    }
                     next.accept(exchange);
                 },
                 failure -> refuse(exchange, toFault(failure, limit)));
