Allow responses of 32 MB where a client collects them

Change: 32 MB for collected responses, 16 MB for plain responses of the router (4 MB before, as much as a request may have; no promise bounds a response).

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -36,7 +36,7 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
 
     /** Largest response that is collected as a whole; a faulty server may send bytes without end. */
-    private static final int MAX_COLLECTED_BYTES = 16 << 20;
+    private static final int MAX_COLLECTED_BYTES = 32 << 20;
 
     private final TCPNIOTransport transport;
     private final Attribute<HttpExchange> exchanges;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -20,7 +20,7 @@
     private static final double HEDGE_DELAY_SHARE = 0.45;
 
     /** Largest response; a faulty worker may send bytes without end. */
-    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
     private final boolean retryable;
     private final List<Attempt> activeAttempts = new ArrayList<>();
