Let only large requests claim a worker

In a full fleet the first request of each node claimed a worker, whatever its size, and the capacity that became free there stayed idle for it.

Change: a request claims only if it needs half of a worker's memory or more. Smaller ones find room as streams end.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -78,6 +78,9 @@
     /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
     private static final double AMPLE_MEMORY_SHARE = 0.7;
 
+    /** Share of the memory of a worker from which a request may claim one; smaller ones find room as streams end. */
+    private static final double LARGE_MEMORY_SHARE = 0.5;
+
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
 
@@ -186,7 +189,7 @@
     @Override
     public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
         Optional<ListedWorker> freeWorker = chooseDecodeWorker();
-        boolean claims = freeWorker.isEmpty() && mayClaim;
+        boolean claims = freeWorker.isEmpty() && mayClaim && isLarge();
         Optional<ListedWorker> decodeWorker = claims ? chooseWorkerToClaim() : freeWorker;
         if (decodeWorker.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
@@ -224,6 +227,13 @@
         return AdmissionQueues.Outcome.PENDING;
     }
 
+    /** Returns whether the request needs so much of a worker that it may never find room beside smaller ones. */
+    private boolean isLarge() {
+        return findEngine()
+                .filter(e -> generationSize.estimateMemoryTokens() >= LARGE_MEMORY_SHARE * e.getUsableTokens())
+                .isPresent();
+    }
+
     /** Chooses a worker without free capacity to wait for, the same in each attempt as long as it is usable. */
     private Optional<ListedWorker> chooseWorkerToClaim() {
         Collection<ListedWorker> workers = getWorkers();
