Hash each node once when the owner of a reservation is chosen

Cause: findOwner had become a maximum by a comparator, which hashes two members in each comparison. It runs for each reservation, release and renewal over all nodes.

--- a/core/src/main/java/org/magnoliavane/membership/RendezvousHashing.java
+++ b/core/src/main/java/org/magnoliavane/membership/RendezvousHashing.java
@@ -28,7 +28,16 @@
      * @return the owner; empty when there are no members
      */
     public static <T> Optional<T> findOwner(String name, List<T> members, Function<T, String> idOf) {
-        return members.stream().max(byWeight(name, idOf));
+        T best = null;
+        long bestWeight = 0;
+        for (T member : members) {
+            long weight = computeWeight(name, idOf.apply(member));
+            if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
+                best = member;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     /**
@@ -49,6 +58,10 @@
     }
 
     private static <T> Comparator<T> byWeight(String name, Function<T, String> idOf) {
-        return Comparator.comparing(m -> HASH.hashChars(name + "/" + idOf.apply(m)), Long::compareUnsigned);
+        return Comparator.comparing(m -> computeWeight(name, idOf.apply(m)), Long::compareUnsigned);
+    }
+
+    private static long computeWeight(String name, String id) {
+        return HASH.hashChars(name + "/" + id);
     }
 }
