--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -143,6 +143,31 @@
         return exchange;
     }
 
+    /**
+     * Opens a connection to a server and closes it at once, to find out whether its process still listens.
+     *
+     * @param host the address of the server
+     * @param port the port
+     * @return a future of the result, which never fails
+     */
+    public CompletableFuture<ConnectResult> check(String host, int port) {
+        CompletableFuture<ConnectResult> result = new CompletableFuture<>();
+        timers.schedule(() -> result.complete(ConnectResult.NO_RESPONSE), connectTimeoutMillis, TimeUnit.MILLISECONDS);
+        transport.connect(new InetSocketAddress(host, port), new EmptyCompletionHandler<Connection>() {
+            @Override
+            public void completed(Connection connection) {
+                connection.closeSilently();
+                result.complete(ConnectResult.ACCEPTED);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                result.complete(cause instanceof ConnectException ? ConnectResult.REFUSED : ConnectResult.NO_RESPONSE);
+            }
+        });
+        return result;
+    }
+
     @Override
     public void close() throws IOException {
         timers.shutdownNow();
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -57,6 +57,16 @@
         assertEquals(response.body(), body);
     }
 
+    @Test
+    public void aCheckTellsAServerThatListensFromOneThatHasEnded() throws Exception {
+        int closed;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            closed = socket.getLocalPort();
+        }
+        assertEquals(client.check(HOST, port).get(5, TimeUnit.SECONDS), ConnectResult.ACCEPTED);
+        assertEquals(client.check(HOST, closed).get(5, TimeUnit.SECONDS), ConnectResult.REFUSED);
+    }
+
     /** Guards against retries of requests that may have been sent. Only a ConnectException proves that none was. */
     @Test
     public void aRefusedConnectionFailsWithAConnectException() throws Exception {
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -35,6 +35,7 @@
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.RetryBudgets;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.router.dispatch.WorkerEndDetector;
 import org.magnoliavane.router.front.FrontendContext;
 import org.magnoliavane.router.front.FrontendServer;
 import org.magnoliavane.router.front.GracefulShutdown;
@@ -200,6 +201,7 @@
                 retryBudgets,
                 crashTracker,
                 peerReports::addCrash,
+                new WorkerEndDetector(client, timers),
                 this::onUnreachable,
                 client,
                 wire,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -24,6 +24,7 @@
  * @param retryBudgets the limits on retries and hedged requests
  * @param crashTracker the worker crashes by request content
  * @param onCrash receives the content hash and the id of the crash when a worker fails while it runs a request
+ * @param endDetector finds out whether workers have ended
  * @param onUnreachable receives the id of a worker that accepted no connection, and the time in milliseconds until which it
  *     is suspended
  * @param client sends requests to workers
@@ -43,6 +44,7 @@
         RetryBudgets retryBudgets,
         CrashTracker crashTracker,
         BiConsumer<Long, String> onCrash,
+        WorkerEndDetector endDetector,
         BiConsumer<String, Long> onUnreachable,
         HttpClient client,
         WireFormat wireFormat,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
@@ -1,7 +1,9 @@
 package org.magnoliavane.router.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * Holds the values from the headers of a caller's request, except for method, path and host.
@@ -12,9 +14,22 @@
  * @param timeoutMillis the time for which the caller waits, in milliseconds; empty if it is not stated
  * @param generation the size of a model request; empty for other requests
  * @param lastEventId the id of the last event that the caller has received; empty unless it resumes a stream
+ * @param sharedParts the ids of the parts of the prompt that other requests may share, in their order; the last part, which
+ *     belongs to the request or its session, is left out
  */
 public record RequestMetadata(
         String attemptId,
         OptionalLong timeoutMillis,
         Optional<GenerationSize> generation,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        List<Long> sharedParts) {
+
+    /**
+     * Formats the shared parts for a log line.
+     *
+     * @return the ids in hexadecimal, separated by commas; empty if there are none
+     */
+    public String formatSharedParts() {
+        return sharedParts.stream().map(Long::toHexString).collect(Collectors.joining(","));
+    }
+}
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -311,7 +311,7 @@
                 "prefill",
                 worker,
                 "queued_tokens=" + queued + " tokens=" + generationSize.promptTokens() + " expected_millis="
-                        + expectedMillis);
+                        + expectedMillis + " parts=" + request.metadata().formatSharedParts());
         WorkerRequest workerRequest = new WorkerRequest(
                 worker, getRemainingMillis(), true, Optional.empty(), Optional.empty(), findLastEventId());
         WorkerExchange exchange =
@@ -393,7 +393,8 @@
                         + prompt.findPrefillWorker().map(ListedWorker::id).orElse("none") + " requests="
                         + context.loadTracker().countRequests(worker.id(), now()) + " tokens="
                         + context.loadTracker().countTokens(worker.id(), now()) + " own_tokens="
-                        + generationSize.estimateMemoryTokens());
+                        + generationSize.estimateMemoryTokens() + " parts="
+                        + request.metadata().formatSharedParts());
         WorkerRequest workerRequest =
                 new WorkerRequest(worker, getRemainingMillis(), false, handle, cachedAt, findLastEventId());
         WorkerExchange exchange = WorkerExchange.start(
@@ -575,7 +576,9 @@
         log(
                 "broken",
                 exchange,
-                "prefill=" + isPrefill(exchange) + " millis=" + exchange.getAgeMillis() + " reason=\"" + reason + '"');
+                "prefill=" + isPrefill(exchange) + " millis=" + exchange.getAgeMillis() + " body_millis="
+                        + exchange.getBodyMillis() + " parts="
+                        + request.metadata().formatSharedParts() + " reason=\"" + reason + '"');
         if (isPrefill(exchange)) {
             handlePrefillFailure(exchange);
             return;
--- /dev/null
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerEndDetector.java
@@ -0,0 +1,70 @@
+package org.magnoliavane.router.dispatch;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.http.ConnectResult;
+import org.magnoliavane.http.HttpClient;
+
+/**
+ * Finds out whether the process of a worker has ended when a connection to it breaks, since a connection may also be reset
+ * while the worker goes on.
+ *
+ * <p>Thread-safe.
+ */
+public final class WorkerEndDetector {
+    private static final Logger LOG = System.getLogger(WorkerEndDetector.class.getName());
+
+    /**
+     * Time for which the result of a check holds. The connections that break with a worker do so within a few
+     * milliseconds, and a worker needs longer than that to start again.
+     */
+    private static final long RESULT_MILLIS = 300;
+
+    private final HttpClient client;
+    private final ScheduledExecutorService timers;
+    private final Map<String, CompletableFuture<Boolean>> checks = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a detector.
+     *
+     * @param client connects to the workers
+     * @param timers removes old results
+     */
+    public WorkerEndDetector(HttpClient client, ScheduledExecutorService timers) {
+        this.client = client;
+        this.timers = timers;
+    }
+
+    /** Gets the id of one start of a worker, which several nodes use for the same crash. */
+    static String getProcessId(ListedWorker worker) {
+        return worker.id() + "@" + worker.startedAtMillis();
+    }
+
+    /**
+     * Checks a worker to which a connection has broken.
+     *
+     * @param closedByWorker whether the worker's host closed or reset the connection. The host can be reached then, so a
+     *     worker that does not respond has ended; otherwise this node may be disconnected, and only a refusal counts
+     * @return a future of true if the process of the worker has ended
+     */
+    CompletableFuture<Boolean> checkEnded(ListedWorker worker, boolean closedByWorker) {
+        String process = getProcessId(worker);
+        return checks.computeIfAbsent(process, p -> start(worker, process, closedByWorker));
+    }
+
+    private CompletableFuture<Boolean> start(ListedWorker worker, String process, boolean closedByWorker) {
+        timers.schedule(() -> checks.remove(process), RESULT_MILLIS, TimeUnit.MILLISECONDS);
+        return client.check(worker.server().host(), worker.server().port()).thenApply(result -> {
+            boolean ended = result == ConnectResult.REFUSED || closedByWorker && result == ConnectResult.NO_RESPONSE;
+            LOG.log(Level.INFO, "event=worker_checked worker={0} ended={1} connect={2}", process, ended, result);
+            return ended;
+        });
+    }
+}
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -66,6 +66,7 @@
     private boolean ended;
     private boolean headReceived;
     private int status;
+    private long firstBytesMillis;
 
     private WorkerExchange(
             DispatchContext context,
@@ -133,6 +134,11 @@
         return context.clockMillis().getAsLong() - startMillis;
     }
 
+    /** Gets the time since the first byte of the body arrived; 0 if none has. */
+    long getBodyMillis() {
+        return firstBytesMillis == 0 ? 0 : context.clockMillis().getAsLong() - firstBytesMillis;
+    }
+
     /** Closes the connection, so that the worker stops. The listener is not called any more. */
     void cancel() {
         ended = true;
@@ -161,6 +167,7 @@
     public void onBytes(byte[] bytes) {
         executor.execute(() -> {
             if (!ended && headReceived) {
+                firstBytesMillis = firstBytesMillis == 0 ? context.clockMillis().getAsLong() : firstBytesMillis;
                 listener.onBytes(this, bytes);
             }
         });
@@ -197,6 +204,7 @@
                 listener.onNotRun(this, UNREACHABLE);
             } else {
                 recordCrash();
+                context.endDetector().checkEnded(getWorker(), true);
                 listener.onBroken(this, cause.getMessage());
             }
         });
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.AbstractMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -192,7 +193,8 @@
     }
 
     private static WireFormat createWireFormat() {
-        RequestMetadata metadata = new RequestMetadata("1", OptionalLong.empty(), Optional.empty(), Optional.empty());
+        RequestMetadata metadata =
+                new RequestMetadata("1", OptionalLong.empty(), Optional.empty(), Optional.empty(), List.of());
         return (WireFormat) Proxy.newProxyInstance(
                 WireFormat.class.getClassLoader(),
                 new Class<?>[] {WireFormat.class},
