Refuse requests with a part of their prompt that crashes workers

Cause: crashes were counted by the hash of the whole request. No two requests with the part are alike, so none was ever counted twice. Of the same class, and mended here because the part's count needs it: only the start of a request asked the count, not the exchanges after a wait; each reset of a connection counted as a crash; a stream that ended within an event, or one that was given up as unresponsive, never did. Change: PoisonDetector (core) replaces CrashTracker. It keeps, for each content and each shared part, the crashes at which it was present, and the answers that contradict them. Evidence is a map that merges in any order, so lost, late and repeated reports do no harm, and a node that starts is told of convictions. Parts are accused only when a new connection shows that the worker has ended. The decision is made again before each exchange, when the connection is established, and for all requests under way when a feature is convicted.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -18,7 +18,6 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import org.magnoliavane.balance.CrashTracker;
 import org.magnoliavane.balance.RetryBudget;
 import org.magnoliavane.balance.StoreAvailability;
 import org.magnoliavane.balance.UnreachableWorkers;
@@ -27,12 +26,14 @@
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.RendezvousHashing;
+import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.StorePeriod;
 import org.magnoliavane.protocol.generated.WorkerPause;
 import org.magnoliavane.router.dispatch.AdmissionQueues;
 import org.magnoliavane.router.dispatch.DispatchContext;
 import org.magnoliavane.router.dispatch.Dispatcher;
+import org.magnoliavane.router.dispatch.PoisonGuard;
 import org.magnoliavane.router.dispatch.RetryBudgets;
 import org.magnoliavane.router.dispatch.WireFormat;
 import org.magnoliavane.router.dispatch.WorkerEndDetector;
@@ -101,9 +102,6 @@
     /** Number of address lifetimes for which some callers continue to use an address. */
     private static final int CACHED_ADDRESS_LIFETIMES = 3;
 
-    /** Number of crashed workers after which requests with the same content are refused. */
-    private static final int MAX_CRASHED_WORKERS = 3;
-
     /** Number of renewals in a row that the store must miss before the listing of a running worker expires. */
     private static final int MISSED_RENEWALS = 2;
 
@@ -176,7 +174,12 @@
                 ReadSchedule.heldOpen(2 * RARE_CHANGE_WAIT_MILLIS, NODES_READ_INTERVAL_MILLIS));
         storeUpdates.start(Map.of(
                 Topic.CONFIGURATION, configurationFollower, Topic.WORKERS, workerFollower, Topic.NODES, nodeFollower));
-        CrashTracker crashTracker = new CrashTracker(MAX_CRASHED_WORKERS);
+        PoisonGuard poisonGuard = new PoisonGuard(
+                new PoisonDetector(this::ownsTrials),
+                new WorkerEndDetector(client, timers),
+                timers,
+                millis,
+                this::onCrash);
         this.admissionQueues = new AdmissionQueues(
                 timers,
                 millis,
@@ -184,7 +187,7 @@
                 service -> peerTable.hasOnTimeRequests(service, millis.getAsLong()),
                 this::onLoadChanged);
         this.peerReports = PeerReports.open(
-                peerChannel, peerTable, loadTracker, crashTracker, millis, this::createReport, this::onPeerReport);
+                peerChannel, peerTable, loadTracker, poisonGuard, millis, this::createReport, this::onPeerReport);
         WorkerSelector workerSelector = new WorkerSelector(
                 loadTracker, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
         RetryBudgets retryBudgets = new RetryBudgets(
@@ -199,9 +202,7 @@
                 admissionQueues,
                 PeerReservationService.open(self, peerTable, peerChannel, millis),
                 retryBudgets,
-                crashTracker,
-                peerReports::addCrash,
-                new WorkerEndDetector(client, timers),
+                poisonGuard,
                 this::onUnreachable,
                 client,
                 wire,
@@ -374,6 +375,15 @@
         availability.record(new StoreAvailability.Period(until - served.getLengthMillis(), until));
     }
 
+    private void onCrash() {
+        peerReports.scheduleEvidenceReport();
+    }
+
+    /** Returns whether this node sends the trials of a feature that crashed workers, as {@link #isElected}. */
+    private boolean ownsTrials(long feature) {
+        return isOwner(Long.toHexString(feature));
+    }
+
     /** Tells the other nodes at once, before each of them loses requests to the same worker. */
     private void onUnreachable(String worker, long untilMillis) {
         if (unreachableWorkers.record(worker, untilMillis, millis.getAsLong())) {
@@ -405,12 +415,15 @@
      * one.
      */
     private boolean isElected() {
+        return isReady() && isOwner(ROLE_ELECTION_KEY);
+    }
+
+    private boolean isOwner(String name) {
         List<NodeListing> nodes = new ArrayList<>(peerTable.getLiveListings(millis.getAsLong()));
         nodes.add(self);
-        return isReady()
-                && RendezvousHashing.findOwner(ROLE_ELECTION_KEY, nodes, NodeListing::name)
-                        .filter(self::equals)
-                        .isPresent();
+        return RendezvousHashing.findOwner(name, nodes, NodeListing::name)
+                .filter(self::equals)
+                .isPresent();
     }
 
     private void onRoleChanged(String worker) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -6,7 +6,6 @@
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
-import org.magnoliavane.balance.CrashTracker;
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.balance.WorkerSelector;
 import org.magnoliavane.http.HttpClient;
@@ -22,9 +21,7 @@
  * @param admissionQueues the requests that wait for free capacity at model workers
  * @param reservationService reserves capacity at model workers
  * @param retryBudgets the limits on retries and hedged requests
- * @param crashTracker the worker crashes by request content
- * @param onCrash receives the content hash and the id of the crash when a worker fails while it runs a request
- * @param endDetector finds out whether workers have ended
+ * @param poisonGuard keeps requests that crash workers away from them
  * @param onUnreachable receives the id of a worker that accepted no connection, and the time in milliseconds until which it
  *     is suspended
  * @param client sends requests to workers
@@ -42,9 +39,7 @@
         AdmissionQueues admissionQueues,
         ReservationService reservationService,
         RetryBudgets retryBudgets,
-        CrashTracker crashTracker,
-        BiConsumer<Long, String> onCrash,
-        WorkerEndDetector endDetector,
+        PoisonGuard poisonGuard,
         BiConsumer<String, Long> onUnreachable,
         HttpClient client,
         WireFormat wireFormat,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -44,8 +44,19 @@
         }
     }
 
+    @Override
+    boolean isBeginning() {
+        return !activeAttempts.isEmpty();
+    }
+
+    /** A plain request that a worker is running is left to its end, whose outcome is certain only then. */
+    @Override
+    boolean isPastBeginning() {
+        return !activeAttempts.isEmpty();
+    }
+
     private boolean trySend() {
-        if (attempts >= MAX_ATTEMPTS || getRemainingMillis() <= 0) {
+        if (attempts >= MAX_ATTEMPTS || getRemainingMillis() <= 0 || !mayProceed()) {
             return false;
         }
         Optional<ListedWorker> worker = context.workerSelector()
@@ -105,6 +116,11 @@
         Attempt attempt = removeAttempt(exchange);
         possibleExecutions++;
         mayHaveRun = true;
+        if (exchange.isDelimited()) {
+            context.poisonGuard().recordAnswer(features);
+        } else {
+            context.poisonGuard().recordAnswerWithoutLength(features, exchange.getWorker(), false);
+        }
         if (attempt.status < 500) {
             sendResponse(attempt);
             return;
@@ -137,6 +153,9 @@
         if (ended || !activeAttempts.isEmpty() || isAnotherExecutionAllowed() && trySend()) {
             return;
         }
+        if (ended) {
+            return;
+        }
         if (errorResponse.isPresent()) {
             sendResponse(errorResponse.get());
             return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -11,6 +11,8 @@
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.http.SerialExecutor;
+import org.magnoliavane.poison.PoisonDecision;
+import org.magnoliavane.poison.RequestFeatures;
 
 /**
  * Implements what the executions of plain and streamed requests have in common: deadline, retry budget, error responses and
@@ -22,6 +24,9 @@
     /** Time after which a caller may retry if no worker is listed or reachable. */
     static final long NO_WORKER_RETRY_AFTER_MILLIS = 700;
 
+    /** Time after which a caller may retry if a similar request is under trial; a trial takes about as long. */
+    static final long TRIAL_RETRY_AFTER_MILLIS = 1000;
+
     private static final Logger LOG = System.getLogger(RequestExecution.class.getName());
 
     final DispatchContext context;
@@ -38,6 +43,8 @@
     int exchanges;
 
     boolean ended;
+    final RequestFeatures features;
+    private volatile boolean trial;
     private Future<?> deadlineTimer;
 
     RequestExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
@@ -45,6 +52,7 @@
         this.request = request;
         this.service = service;
         this.response = response;
+        this.features = PoisonGuard.getFeatures(request);
     }
 
     /** Starts the execution of the request. */
@@ -57,12 +65,8 @@
                             Math.max(0, request.deadlineMillis() - now()),
                             TimeUnit.MILLISECONDS);
             response.onDisconnect(() -> executor.execute(this::handleDisconnect));
-            if (context.crashTracker().isRefused(ContentHash.compute(request))) {
-                fail(Fault.notRun(
-                        FaultKind.POISON,
-                        "this request has crashed " + context.crashTracker().countCrashes(ContentHash.compute(request))
-                                + " workers",
-                        "change the request; operators: look for its content in the workers' logs"));
+            context.poisonGuard().add(this);
+            if (!mayProceed()) {
                 return;
             }
             execute();
@@ -71,6 +75,71 @@
 
     abstract void execute();
 
+    /** Returns whether a worker may be running the request, and its answer has not got past its beginning. */
+    abstract boolean isBeginning();
+
+    /** Returns whether the answer has got past its beginning. */
+    abstract boolean isPastBeginning();
+
+    /**
+     * Fails the request and returns false if it has a feature that crashes workers. Called before each exchange, since the
+     * feature may be convicted while the request waits.
+     */
+    final boolean mayProceed() {
+        if (trial || !context.poisonGuard().isConvicted(features)) {
+            return !ended;
+        }
+        PoisonDecision decision = context.poisonGuard().decide(features);
+        LOG.log(
+                Level.INFO,
+                "event=poison_decision request={0} decision={1} feature={2} crashes={3} age_millis={4}",
+                request.getId(),
+                decision.kind(),
+                Long.toHexString(decision.feature()),
+                decision.crashes(),
+                Long.toString(decision.ageMillis()));
+        trial = decision.kind() == PoisonDecision.Kind.TRIAL;
+        if (!decision.maySend()) {
+            reject(toFault(decision));
+        }
+        return !ended;
+    }
+
+    @Override
+    public final boolean maySend() {
+        return trial || !context.poisonGuard().isConvicted(features);
+    }
+
+    /** Ends a request that must not be sent to a worker. */
+    void reject(Fault fault) {
+        fail(fault);
+    }
+
+    /** Checks a request that is under way again because a feature was convicted. */
+    final void handleConviction() {
+        executor.execute(() -> {
+            if (!ended && !isPastBeginning()) {
+                mayProceed();
+            }
+        });
+    }
+
+    private Fault toFault(PoisonDecision decision) {
+        if (decision.kind() == PoisonDecision.Kind.WAIT && !mayHaveRun && !isBeginning()) {
+            return Fault.notRun(
+                            FaultKind.UNAVAILABLE,
+                            "a similar request is being tried, because workers crashed",
+                            "send the request again after the stated time")
+                    .withRetryAfterMillis(TRIAL_RETRY_AFTER_MILLIS);
+        }
+        String reason = "a part of this request was present when " + decision.crashes() + " workers crashed";
+        String remedy = "change the request; operators: look for feature " + Long.toHexString(decision.feature())
+                + " in the routers' logs";
+        return mayHaveRun || isBeginning()
+                ? Fault.unknownOutcome(FaultKind.POISON, reason, remedy)
+                : Fault.notRun(FaultKind.POISON, reason, remedy);
+    }
+
     /** Cancels all open exchanges with workers. */
     abstract void cancelExchanges();
 
@@ -124,6 +193,10 @@
             deadlineTimer.cancel(false);
         }
         cancelExchanges();
+        context.poisonGuard().remove(this);
+        if (trial) {
+            context.poisonGuard().endTrial(features);
+        }
         long millis = now() - request.arrivalMillis();
         context.metrics().counter("requests." + outcome).inc();
         context.metrics().histogram("requests.millis." + outcome).update(millis);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.ReservationTable;
@@ -111,6 +112,7 @@
     private int possibleExecutions;
     private long lastEventMillis;
     private long longestPauseMillis;
+    private boolean progressRecorded;
 
     StreamExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         super(context, request, service, response);
@@ -124,8 +126,21 @@
         enqueue();
     }
 
+    @Override
+    boolean isBeginning() {
+        return !activeDecodes.isEmpty();
+    }
+
+    @Override
+    boolean isPastBeginning() {
+        return activeDecodes.stream().anyMatch(WorkerExchange::isPastBeginning);
+    }
+
     /** Waits for free capacity; the queue calls {@link #tryAdmit} immediately if there is some. */
     private void enqueue() {
+        if (!mayProceed()) {
+            return;
+        }
         if (!hasWorkers()) {
             failStream("no worker is available");
             return;
@@ -303,6 +318,9 @@
     }
 
     private void startPrefill(ListedWorker worker) {
+        if (!mayProceed()) {
+            return;
+        }
         prefills++;
         prefillBody = new ByteArrayOutputStream();
         int queued = context.loadTracker().countTokens(worker.id(), now());
@@ -382,6 +400,9 @@
     }
 
     private void startDecode(ListedWorker worker) {
+        if (!mayProceed()) {
+            return;
+        }
         exchanges++;
         Optional<CacheHandle> handle = prompt.findHandle(now() + CACHE_EXPIRY_MARGIN_MILLIS);
         Optional<ListedWorker> cachedAt = handle.isPresent() ? Optional.empty() : prompt.findPrefillWorker();
@@ -493,6 +514,10 @@
             longestPauseMillis = Math.max(longestPauseMillis, now() - lastEventMillis);
         }
         lastEventMillis = now();
+        if (!progressRecorded && exchange.isPastBeginning()) {
+            progressRecorded = true;
+            context.poisonGuard().recordProgress(features);
+        }
         if (!started) {
             log("first_event", exchange, "millis=" + exchange.getAgeMillis());
             context.metrics().histogram("streams.first_event_millis").update(now() - request.arrivalMillis());
@@ -506,10 +531,12 @@
             return;
         }
         activeDecodes.remove(exchange);
-        if (!stream.isError() && stream.hasPartialEvent()) {
+        if (!stream.isError() && isBrokenOff(exchange)) {
+            exchange.recordBroken(true);
             handleDecodeFailure(exchange, "the stream ended within an event", false);
             return;
         }
+        recordAnswer(exchange);
         finish(
                 "answered",
                 "worker=" + exchange.getWorker().id() + " status=" + stream.getStatus() + " decode_millis="
@@ -518,6 +545,22 @@
         stream.complete();
     }
 
+    /** Returns whether a stream that seems to have ended was broken off: within an event, or before its first byte. */
+    private boolean isBrokenOff(WorkerExchange exchange) {
+        return stream.hasPartialEvent() || !exchange.isDelimited() && !exchange.hasBody();
+    }
+
+    private void recordAnswer(WorkerExchange exchange) {
+        if (stream.isError()) {
+            return;
+        }
+        if (exchange.isDelimited()) {
+            context.poisonGuard().recordAnswer(features);
+        } else {
+            context.poisonGuard().recordAnswerWithoutLength(features, exchange.getWorker(), exchange.isPastBeginning());
+        }
+    }
+
     @Override
     public void onNotRun(WorkerExchange exchange, String reason) {
         log("not_run", exchange, "prefill=" + isPrefill(exchange) + " reason=\"" + reason + '"');
@@ -608,6 +651,15 @@
         failStream(reason);
     }
 
+    @Override
+    void reject(Fault fault) {
+        if (stream.hasStarted()) {
+            failStream(fault.message());
+        } else {
+            fail(fault);
+        }
+    }
+
     private void failStream(String reason) {
         if (!stream.hasStarted()) {
             failWithoutResponse(reason, NO_WORKER_RETRY_AFTER_MILLIS);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -11,6 +11,7 @@
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.ResponseListener;
 import org.magnoliavane.http.WithdrawnException;
+import org.magnoliavane.poison.PoisonDetector;
 
 /**
  * Sends a request to one worker, updates the load tracker, and notifies a listener of the outcome. The listener is called on
@@ -39,6 +40,9 @@
 
     /** Receives the events of an exchange. */
     interface Listener {
+        /** Returns whether the request may still be sent; called on any thread when the connection is established. */
+        boolean maySend();
+
         /** Called when the worker runs the request and has sent status and headers. */
         void onHead(WorkerExchange exchange, int status, Map<String, String> headers);
 
@@ -67,6 +71,7 @@
     private boolean headReceived;
     private int status;
     private long firstBytesMillis;
+    private boolean delimited;
 
     private WorkerExchange(
             DispatchContext context,
@@ -108,11 +113,15 @@
                 context.wireFormat().toWorkerHeaders(callerRequest, workerRequest),
                 callerRequest.body(),
                 0);
-        exchange.httpExchange = context.client().stream(
-                request, exchange, () -> context.routingState().isUsable(workerRequest.worker()));
+        exchange.httpExchange = context.client().stream(request, exchange, exchange::maySend);
         return exchange;
     }
 
+    /** Returns whether the request may still be sent, after the time that it took to connect. */
+    private boolean maySend() {
+        return context.routingState().isUsable(getWorker()) && listener.maySend();
+    }
+
     /** Returns whether the reason of {@link Listener#onNotRun} means that no byte of the request was sent. */
     static boolean isUnsent(String reason) {
         return reason.equals(UNREACHABLE) || reason.equals(LEAVING);
@@ -134,6 +143,20 @@
         return context.clockMillis().getAsLong() - startMillis;
     }
 
+    /** Returns whether the body has a length or chunks, so that its end can be told from a broken connection. */
+    boolean isDelimited() {
+        return delimited;
+    }
+
+    boolean hasBody() {
+        return firstBytesMillis != 0;
+    }
+
+    /** Returns whether the worker has sent its answer for longer than a request takes to crash a worker that begins with it. */
+    boolean isPastBeginning() {
+        return getBodyMillis() >= PoisonDetector.BEGINNING_MILLIS;
+    }
+
     /** Gets the time since the first byte of the body arrived; 0 if none has. */
     long getBodyMillis() {
         return firstBytesMillis == 0 ? 0 : context.clockMillis().getAsLong() - firstBytesMillis;
@@ -149,9 +172,20 @@
     /** Records a failure of the worker because it is unresponsive, and closes the connection. */
     void cancelAsUnresponsive() {
         recordOutcome(1);
+        recordBroken(false);
         cancel();
     }
 
+    /**
+     * Records that the request broke off at the worker, which may have crashed.
+     *
+     * @param closedByWorker whether the worker's host closed or reset the connection
+     */
+    void recordBroken(boolean closedByWorker) {
+        context.poisonGuard()
+                .recordBroken(PoisonGuard.getFeatures(callerRequest), getWorker(), isPastBeginning(), closedByWorker);
+    }
+
     /** Ends an exchange whose worker sends more than any response can have, and notifies the listener. */
     void breakOff(String reason) {
         closeWithOutcome(1);
@@ -203,8 +237,7 @@
                 context.onUnreachable().accept(getWorker().id(), untilMillis);
                 listener.onNotRun(this, UNREACHABLE);
             } else {
-                recordCrash();
-                context.endDetector().checkEnded(getWorker(), true);
+                recordBroken(true);
                 listener.onBroken(this, cause.getMessage());
             }
         });
@@ -215,6 +248,8 @@
             return;
         }
         status = responseStatus;
+        delimited = headers.containsKey("content-length")
+                || headers.getOrDefault("transfer-encoding", "").contains("chunked");
         switch (context.wireFormat().classify(callerRequest, workerRequest, responseStatus, headers)) {
             case VALID:
                 headReceived = true;
@@ -237,14 +272,6 @@
         }
     }
 
-    private void recordCrash() {
-        long content = ContentHash.compute(callerRequest);
-        String crash = getWorker().id() + "@" + getWorker().startedAtMillis();
-        if (context.crashTracker().recordCrash(content, crash)) {
-            context.onCrash().accept(content, crash);
-        }
-    }
-
     private void closeWithOutcome(double failure) {
         recordOutcome(failure);
         cancel();
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -2,10 +2,9 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -14,12 +13,13 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-import org.magnoliavane.balance.CrashTracker;
 import org.magnoliavane.balance.WorkerLoadTracker;
-import org.magnoliavane.protocol.generated.ContentCrash;
+import org.magnoliavane.poison.Refutation;
+import org.magnoliavane.protocol.generated.CrashEvidence;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.WorkerPause;
 import org.magnoliavane.protocol.generated.WorkerShare;
+import org.magnoliavane.router.dispatch.PoisonGuard;
 import org.magnoliavane.router.store.NodeListing;
 
 /**
@@ -46,34 +46,37 @@
     /** Maximum number of workers in a report, so that it fits into one packet. */
     private static final int MAX_WORKER_SHARES = 40;
 
-    /** Number of the latest crashes that each report repeats, since a report may be lost. */
-    private static final int MAX_CRASHES = 12;
+    /** Maximum number of features with evidence on crashes in a report. */
+    private static final int MAX_EVIDENCE = 64;
+
+    /** Delay of a report on a crash, so that it has the evidence of all requests that broke off with the worker. */
+    private static final long EVIDENCE_REPORT_MILLIS = 3;
 
     private static final double PERMILLE = 1000.0;
 
     private final PeerTable peerTable;
     private final WorkerLoadTracker loadTracker;
-    private final CrashTracker crashTracker;
+    private final PoisonGuard poisonGuard;
     private final LongSupplier millis;
     private final Supplier<NodeReport> baseReport;
     private final Consumer<NodeReport> onReport;
-    private final Deque<ContentCrash> newestCrashes = new ArrayDeque<>();
     private final PeerChannel channel;
     private final AtomicBoolean changePending = new AtomicBoolean();
+    private final AtomicBoolean evidencePending = new AtomicBoolean();
     private int nextNode;
 
     private PeerReports(
             PeerChannel channel,
             PeerTable peerTable,
             WorkerLoadTracker loadTracker,
-            CrashTracker crashTracker,
+            PoisonGuard poisonGuard,
             LongSupplier millis,
             Supplier<NodeReport> baseReport,
             Consumer<NodeReport> onReport) {
         this.channel = channel;
         this.peerTable = peerTable;
         this.loadTracker = loadTracker;
-        this.crashTracker = crashTracker;
+        this.poisonGuard = poisonGuard;
         this.millis = millis;
         this.baseReport = baseReport;
         this.onReport = onReport;
@@ -92,7 +95,7 @@
      * @param channel transports the reports
      * @param peerTable the table of the other nodes
      * @param loadTracker the load and health of the workers
-     * @param crashTracker the request contents that have crashed workers
+     * @param poisonGuard knows which features of requests crash workers
      * @param millis a monotonic clock in milliseconds
      * @param baseReport supplies the report of this node without loads and crashes
      * @param onReport called with each report of another node
@@ -102,28 +105,24 @@
             PeerChannel channel,
             PeerTable peerTable,
             WorkerLoadTracker loadTracker,
-            CrashTracker crashTracker,
+            PoisonGuard poisonGuard,
             LongSupplier millis,
             Supplier<NodeReport> baseReport,
             Consumer<NodeReport> onReport) {
-        return new PeerReports(channel, peerTable, loadTracker, crashTracker, millis, baseReport, onReport);
+        return new PeerReports(channel, peerTable, loadTracker, poisonGuard, millis, baseReport, onReport);
     }
 
-    /**
-     * Adds a crash that this node has observed to its reports.
-     *
-     * @param content the hash of the request content that the worker ran
-     * @param crash identifies the process of the worker that crashed
-     */
-    public void addCrash(long content, String crash) {
-        synchronized (newestCrashes) {
-            newestCrashes.addFirst(ContentCrash.newBuilder()
-                    .setContent(content)
-                    .setCrash(crash)
-                    .build());
-            while (newestCrashes.size() > MAX_CRASHES) {
-                newestCrashes.removeLast();
-            }
+    /** Schedules a report to all nodes, because this node has seen a crash of a worker. */
+    public void scheduleEvidenceReport() {
+        if (evidencePending.compareAndSet(false, true)) {
+            channel.getExecutor()
+                    .schedule(
+                            () -> {
+                                evidencePending.set(false);
+                                send(peerTable.getListings());
+                            },
+                            EVIDENCE_REPORT_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
@@ -177,9 +176,7 @@
                         .setRequests(Math.max(0, e.getValue().requests()))
                         .setTokens(Math.max(0, e.getValue().tokens()))
                         .setFailurePermille((int) (PERMILLE * e.getValue().failureRate()))));
-        synchronized (newestCrashes) {
-            report.addAllCrashes(newestCrashes);
-        }
+        poisonGuard.getReport(MAX_EVIDENCE).forEach(e -> report.addCrashEvidence(toMessage(e)));
         return report.build();
     }
 
@@ -206,16 +203,25 @@
             loadTracker.suspendByPeerReport(pause.getWorker(), pause.getMillis(), now);
         }
         report.getPausesList().forEach(p -> loadTracker.suspendByPeerReport(p.getWorker(), p.getMillis(), now));
-        for (ContentCrash crash : report.getCrashesList()) {
-            if (crashTracker.recordCrash(crash.getContent(), crash.getCrash())) {
-                LOG.log(
-                        Level.INFO,
-                        "event=crash_learned content={0} crash={1} from={2}",
-                        Long.toHexString(crash.getContent()),
-                        crash.getCrash(),
-                        report.getNode());
-            }
-        }
+        report.getCrashEvidenceList().forEach(e -> poisonGuard.merge(toEvidence(e), report.getNode()));
         onReport.accept(report);
     }
+
+    private static CrashEvidence toMessage(org.magnoliavane.poison.CrashEvidence evidence) {
+        CrashEvidence.Builder message = CrashEvidence.newBuilder().setFeature(evidence.feature());
+        evidence.crashes()
+                .forEach((crash, refutation) -> message.addCrashes(crash).addRefutations(refutation.ordinal()));
+        return message.build();
+    }
+
+    /** Converts evidence of another node. A value that this version does not know counts as the strongest. */
+    private static org.magnoliavane.poison.CrashEvidence toEvidence(CrashEvidence message) {
+        Refutation[] values = Refutation.values();
+        Map<Long, Refutation> crashes = new LinkedHashMap<>();
+        for (int i = 0; i < Math.min(message.getCrashesCount(), message.getRefutationsCount()); i++) {
+            int value = Math.min(message.getRefutations(i), values.length - 1);
+            crashes.put(message.getCrashes(i), values[Math.max(0, value)]);
+        }
+        return new org.magnoliavane.poison.CrashEvidence(message.getFeature(), crashes);
+    }
 }
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -21,7 +21,6 @@
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.balance.CrashTracker;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.RetryBudget;
 import org.magnoliavane.balance.WorkerLoadTracker;
@@ -29,6 +28,7 @@
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.server.StreamWriter;
+import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.router.RoutingState;
 import org.magnoliavane.routing.CallerLimits;
 import org.magnoliavane.routing.EngineProfile;
@@ -100,9 +100,12 @@
                 new AdmissionQueues(timers, millis, () -> 0.5, service -> false, () -> {}),
                 reservationService,
                 new RetryBudgets(() -> new RetryBudget(0, retryAllowance, 10_000), () -> 1, millis),
-                new CrashTracker(3),
-                (content, crash) -> {},
-                new WorkerEndDetector(client, timers),
+                new PoisonGuard(
+                        new PoisonDetector(feature -> false),
+                        new WorkerEndDetector(client, timers),
+                        timers,
+                        millis,
+                        () -> {}),
                 (worker, until) -> {},
                 client,
                 new PlainFormat(),
