Ignore the timer of an earlier wait of a request for capacity

Cause: each wait schedules its own timer, and none is cancelled; the first, which leaves time for a prefill, ended a later wait of the prefilled request. Change: a timer counts only for the wait that scheduled it.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -106,6 +106,7 @@
     private final long claimId;
     private volatile Optional<ListedWorker> claimedWorker = Optional.empty();
     private volatile boolean waiting;
+    private int waits;
     private int prefills;
     private int refusedDecodes;
     private boolean hadAmpleMemory;
@@ -155,7 +156,13 @@
                 : request.arrivalMillis() + request.route().targetMillis() - expectedMillis - FIRST_EVENT_MILLIS;
         context.admissionQueues().enqueue(service, this, request.arrivalMillis(), latestStartMillis);
         if (waiting) {
-            schedule(getLatestStartMillis() - now(), this::handleQueueTimeout);
+            int wait = ++waits;
+            schedule(getLatestStartMillis() - now(), () -> {
+                // The timer of an earlier wait may be due while the request waits again.
+                if (wait == waits) {
+                    handleQueueTimeout();
+                }
+            });
         }
     }
 
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
@@ -46,6 +47,11 @@
     /** Called with each worker to which a request is about to be sent. */
     Consumer<ListedWorker> onChoice = worker -> {};
 
+    /** Classifies the responses of workers. */
+    Function<ListedWorker, ResponseKind> classification = worker -> ResponseKind.VALID;
+
+    int promptTokens = 1000;
+
     ReservationService reservationService = new GrantingReservations();
     double retryAllowance = 10;
 
@@ -123,7 +129,7 @@
                         new RequestMetadata(
                                 "a1",
                                 OptionalLong.empty(),
-                                Optional.of(new GenerationSize(1000, 50, 50)),
+                                Optional.of(new GenerationSize(promptTokens, 50, 50)),
                                 Optional.empty(),
                                 List.of()),
                         new byte[0],
@@ -204,7 +210,7 @@
         @Override
         public ResponseKind classify(
                 CallerRequest request, WorkerRequest workerRequest, int status, Map<String, String> headers) {
-            return ResponseKind.VALID;
+            return classification.apply(workerRequest.worker());
         }
 
         @Override
