--- a/core/src/main/java/org/magnoliavane/poison/PoisonDetector.java
+++ b/core/src/main/java/org/magnoliavane/poison/PoisonDetector.java
@@ -68,6 +68,7 @@
     private final Set<Long> convicted = new HashSet<>();
     private final Map<Long, Long> trialStartMillis = new HashMap<>();
     private final LongPredicate ownsTrials;
+    private long lastChangeMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a detector without evidence.
@@ -159,7 +160,7 @@
             }
             boolean raised = add(feature, crash.getKey(), refutation, nowMillis);
             if (raised && refutation != crash.getValue()) {
-                getSuspect(feature).changedMillis = nowMillis;
+                markChanged(getSuspect(feature), nowMillis);
             }
             changed |= raised;
         }
@@ -220,6 +221,9 @@
      * @return the evidence, the most important first
      */
     public synchronized List<CrashEvidence> getReport(int limit, long nowMillis) {
+        if (convicted.isEmpty() && nowMillis - lastChangeMillis >= REPORT_MILLIS) {
+            return List.of();
+        }
         return suspects.entrySet().stream()
                 .filter(e -> convicted.contains(e.getKey()) || nowMillis - e.getValue().changedMillis < REPORT_MILLIS)
                 .sorted(Comparator.comparingInt(
@@ -235,7 +239,7 @@
         for (long feature : features) {
             boolean contradicted = pastBeginning || isContradicted(feature);
             if (add(feature, crash, contradicted ? Refutation.PROGRESSED : Refutation.NONE, nowMillis)) {
-                getSuspect(feature).changedMillis = nowMillis;
+                markChanged(getSuspect(feature), nowMillis);
                 changed.add(feature);
             }
         }
@@ -340,6 +344,11 @@
         return created;
     }
 
+    private void markChanged(Suspect suspect, long nowMillis) {
+        suspect.changedMillis = nowMillis;
+        lastChangeMillis = nowMillis;
+    }
+
     private void evict(long added) {
         Long eldest = null;
         for (Map.Entry<Long, Suspect> entry : suspects.entrySet()) {
@@ -366,7 +375,7 @@
             for (Map.Entry<Long, Refutation> crash : suspect.crashes.entrySet()) {
                 if (crash.getValue().compareTo(refutation) < 0) {
                     crash.setValue(refutation);
-                    suspect.changedMillis = nowMillis;
+                    markChanged(suspect, nowMillis);
                     changed.add(feature);
                 }
             }
--- a/core/src/test/java/org/magnoliavane/poison/PoisonLoadTest.java
+++ b/core/src/test/java/org/magnoliavane/poison/PoisonLoadTest.java
@@ -21,7 +21,7 @@
     private static final int MAX_LATE = 3;
 
     private static final double MIN_SOUND_SHARE = 0.5;
-    private static final int SEEDS = Integer.getInteger("poison.seeds", 3);
+    private static final int SEEDS = Integer.getInteger("poison.load.seeds", 3);
 
     @DataProvider
     public Iterator<Object[]> loads() {
