--- a/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
+++ b/systemtests/src/test/java/org/magnoliavane/systemtest/streams/PoisonRequestTest.java
@@ -57,16 +57,29 @@
             dependsOnMethods = "contentThatCrashesPrefillsIsRejectedAfterTwoWorkersWhenThreeCopiesAreSentAtOnce",
             alwaysRun = true)
     public void contentIsRejectedAfterTwoWorkersWhenTheCoordinatorIsKilledAtTheFirstCrash() throws IOException {
+        verifyPoisonContainedWhileTheCoordinatorIsKilled("poison-both", "0000f002", 1);
+    }
+
+    /** Guards against a third lost worker when the coordinator is killed with its knowledge of the second crash. */
+    @Test(
+            dependsOnMethods = "contentIsRejectedAfterTwoWorkersWhenTheCoordinatorIsKilledAtTheFirstCrash",
+            alwaysRun = true)
+    public void contentIsRejectedAfterTwoWorkersWhenTheCoordinatorIsKilledAtTheSecondCrash() throws IOException {
+        verifyPoisonContainedWhileTheCoordinatorIsKilled("poison-second", "0000f003", 2);
+    }
+
+    private void verifyPoisonContainedWhileTheCoordinatorIsKilled(String marker, String id, int crashes)
+            throws IOException {
         replaceLostWorkers();
         String coordinator = streams.getCoordinator();
         List<String> others = streams.getDeployment().getNodes().stream()
                 .filter(n -> !n.equals(coordinator))
                 .toList();
-        setCrashMarker("poison-both", "decode");
+        setCrashMarker(marker, "decode");
         long alive = countWorkers();
-        Chat poison = Chat.of("lesson poison-both", "0000f002", 20).withClass("patient");
+        Chat poison = Chat.of("lesson " + marker, id, 20).withClass("patient");
         ChatStream first = streams.send(others.get(0), poison);
-        StreamsDeployment.awaitTrue("a worker crashes", 5_000, this::hasDeadWorker);
+        StreamsDeployment.awaitTrue(crashes + " workers crash", 5_000, () -> countDeadWorkers() >= crashes);
         streams.getDeployment().killNode(coordinator);
         List<String> errors = new ArrayList<>();
         errors.add(awaitError(first));
@@ -80,10 +93,11 @@
         assertTrue(errors.get(errors.size() - 1).contains("\"poison\""), errors.toString());
     }
 
-    private boolean hasDeadWorker() {
+    private long countDeadWorkers() {
         return Stream.of("prefill", "decode")
                 .flatMap(role -> streams.getDeployment().getWorkers(role).stream())
-                .anyMatch(w -> !streams.getDeployment().getProcess(w).isAlive());
+                .filter(w -> !streams.getDeployment().getProcess(w).isAlive())
+                .count();
     }
 
     private void replaceLostWorkers() throws IOException {
