Verify the failure of an isolated request at its own node too

Callers saw: as before, a third worker lost to one content when the coordinator was killed (PoisonRequestTest, once: the third copy was rejected as poison). Cause: a request has two attempts. If the coordinator is lost with the crash of the second, isolated one, the request places no third, and the next copy reaches another node, which knows the suspicion only. That gives the sequence that was seen: two workers for the first copy, one for the second, the third rejected. Change: the node of the request probes the workers of its failed isolated attempt itself and shares the verdict by its heartbeat.

--- a/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PeerPlacementService.java
@@ -180,7 +180,9 @@
         isolatedFailures.remove(content);
         boolean failed = phase == AttemptPhase.PREFILL_FAILED || phase == AttemptPhase.DECODE_FAILED;
         active.grant.filter(g -> failed && g.isolated()).map(Grant::placement).ifPresent(p -> {
-            isolatedFailures.put(content, List.of(p.prefillWorker(), p.decodeWorker()));
+            List<BackendServer> workers = List.of(p.prefillWorker(), p.decodeWorker());
+            isolatedFailures.put(content, workers);
+            coordinator.verifyIsolatedFailure(content, workers);
         });
     }
 
--- a/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PlacementCoordinator.java
@@ -123,15 +123,26 @@
             NodeRun run,
             Collection<BackendServer> failedIsolatedWorkers,
             PlacementListener listener) {
-        CompletableFuture<?>[] probes = failedIsolatedWorkers.stream()
+        verifyIsolatedFailure(request.contentHash(), failedIsolatedWorkers)
+                .whenComplete((done, cause) -> place(request, run, listener));
+    }
+
+    /**
+     * Probes the workers on which a content failed while it ran isolated, and convicts the content if one has crashed. The
+     * node of the request does so too, because its coordinator may be lost with the only knowledge of the crash.
+     *
+     * @return completes when the verdict is known
+     */
+    CompletableFuture<Void> verifyIsolatedFailure(long content, Collection<BackendServer> workers) {
+        CompletableFuture<?>[] probes = workers.stream()
                 .map(worker -> probeRefused(worker).thenAccept(refused -> {
                     if (refused) {
-                        runOnPool(request.service(), pool -> pool.confirmPoison(request.contentHash()));
+                        poison.confirmPoison(content);
                     }
                 }))
                 .map(CompletionStage::toCompletableFuture)
                 .toArray(CompletableFuture<?>[]::new);
-        CompletableFuture.allOf(probes).whenComplete((done, cause) -> place(request, run, listener));
+        return CompletableFuture.allOf(probes);
     }
 
     private void place(PlacementRequest request, NodeRun run, PlacementListener listener) {
--- a/node/src/main/java/org/magnoliavane/node/placement/PoisonRegistry.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/PoisonRegistry.java
@@ -88,6 +88,22 @@
         changeListener.get().run();
     }
 
+    /**
+     * Convicts a content that crashed a worker while it ran isolated, whether or not this node knew that it was suspected.
+     *
+     * @param contentHash the hash of the content; 0 if it is unknown
+     */
+    void confirmPoison(long contentHash) {
+        if (contentHash == 0 || getStatus(contentHash) == PoisonStatus.CONVICTED) {
+            return;
+        }
+        synchronized (this) {
+            tracker.recordCrash(Set.of(contentHash), Optional.empty());
+            tracker.recordCrash(Set.of(contentHash), Optional.of(contentHash));
+        }
+        changeListener.get().run();
+    }
+
     /**
      * Records the complete answer to a content.
      *
--- a/node/src/main/java/org/magnoliavane/node/placement/Pool.java
+++ b/node/src/main/java/org/magnoliavane/node/placement/Pool.java
@@ -269,15 +269,6 @@
         decide(nowMicros);
     }
 
-    /** Convicts a content that crashed a worker while it ran isolated under another coordinator. */
-    void confirmPoison(long content) {
-        if (content != 0) {
-            // Only a suspected content can be confirmed, and this coordinator may not know the suspicion.
-            poison.recordCrash(Set.of(content), Optional.empty());
-            poison.recordCrash(Set.of(content), Optional.of(content));
-        }
-    }
-
     /** Handles a load report, which also shows that the worker is up. */
     void handleReport(String worker, EngineLoadReport report, long ageMillis, long nowMicros) {
         if (downSinceMicros.remove(worker) != null) {
--- a/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
+++ b/node/src/test/java/org/magnoliavane/node/placement/PeerPlacementServiceTest.java
@@ -269,6 +269,18 @@
         assertEquals(other.place("x-3", POISON).getLeft().kind(), FaultKind.POISON);
     }
 
+    /** Guards against a third lost worker when a copy is sent to another node after that coordinator failed. */
+    @Test
+    public void aCrashOfAnIsolatedRequestIsKnownToAllNodesWithoutItsCoordinator() throws Exception {
+        TestNode other = getOtherNode();
+        crash(other.place("x-1", POISON).get().prefillWorker().id());
+        Placement isolated = other.place("x-2", POISON).get();
+        engines.down.add(isolated.prefillWorker().id());
+        stopOwner(() -> other.finish("x-2", AttemptPhase.PREFILL_FAILED));
+        TestNode third = nodes.stream().filter(n -> n != other).findFirst().orElseThrow();
+        assertEquals(third.place("y-1", POISON).getLeft().kind(), FaultKind.POISON);
+    }
+
     /** Guards against engine memory that is never freed, and against cancelling a stream that has just started. */
     @Test
     public void onlyOrphanedAttemptsAreCancelled() throws Exception {
@@ -318,8 +330,14 @@
     }
 
     private void stopOwner() throws InterruptedException {
+        stopOwner(() -> {});
+    }
+
+    /** Stops the owner, and does something that only the owner is told of, after it has stopped. */
+    private void stopOwner(Runnable untold) throws InterruptedException {
         TestNode owner = getOwner();
         owner.close();
+        untold.run();
         cluster.stop(owner.member);
         nodes.remove(owner);
         cluster.awaitNodes(NODES - 1);
