Log the end of a conviction of a part or content

Cause: the end of a conviction changes what the router believes, and no line told of it; found by reading the change. Change: PoisonDetector.takeCleared, event=poison_cleared. Measured: PoisonDetectorTest, PoisonLoadTest, RepeatedWaitTest and LeavingWorkerTest passed.

--- a/core/src/main/java/org/magnoliavane/poison/PoisonDetector.java
+++ b/core/src/main/java/org/magnoliavane/poison/PoisonDetector.java
@@ -66,6 +66,7 @@
     private final Map<Long, Boolean> answeredContents = createBoundedMap();
 
     private final Set<Long> convicted = new HashSet<>();
+    private final List<Long> cleared = new ArrayList<>();
     private final Map<Long, Long> trialStartMillis = new HashMap<>();
     private final LongPredicate ownsTrials;
     private long lastChangeMillis = Long.MIN_VALUE / 2;
@@ -212,6 +213,20 @@
                 .anyMatch(f -> suspects.containsKey(f) && !getActiveCrashes(f).isEmpty());
     }
 
+    /**
+     * Gets the features whose conviction has ended since the last call.
+     *
+     * @return the features
+     */
+    public synchronized List<Long> takeCleared() {
+        if (cleared.isEmpty()) {
+            return List.of();
+        }
+        List<Long> taken = List.copyOf(cleared);
+        cleared.clear();
+        return taken;
+    }
+
     /**
      * Gets the evidence to report to other nodes: convicted features, since a node may have just started, and what this node
      * has changed lately.
@@ -388,9 +403,9 @@
         for (long feature : changed) {
             int active = getActiveCrashes(feature).size();
             boolean guilty = countFresh(feature) >= UNCONTRADICTED_CRASHES || active >= ANY_CRASHES;
-            if (!guilty) {
-                convicted.remove(feature);
-            } else if (convicted.add(feature)) {
+            if (!guilty && convicted.remove(feature)) {
+                cleared.add(feature);
+            } else if (guilty && convicted.add(feature)) {
                 added.add(feature);
             }
         }
--- a/core/src/test/java/org/magnoliavane/poison/PoisonDetectorTest.java
+++ b/core/src/test/java/org/magnoliavane/poison/PoisonDetectorTest.java
@@ -101,7 +101,11 @@
     @Test
     public void aCompletedAnswerContradictsTheCrashesKnownBefore() {
         crash(5);
+        assertTrue(detector.isConvicted(SOUND));
+        assertEquals(detector.takeCleared(), List.of());
         detector.recordAnswer(SOUND, 0);
+        assertEquals(detector.takeCleared(), List.of(FIRST));
+        assertEquals(detector.takeCleared(), List.of());
         crash(5);
         assertFalse(detector.isConvicted(SOUND));
         assertTrue(detector.isConvicted(POISON));
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
@@ -23,6 +23,7 @@
  */
 public final class PoisonGuard {
     private static final Logger LOG = System.getLogger(PoisonGuard.class.getName());
+    private static final String THIS_NODE = "this node";
     private static final LongHashFunction HASH = LongHashFunction.xx();
 
     private final PoisonDetector detector;
@@ -78,6 +79,7 @@
      */
     public void merge(CrashEvidence evidence, String node) {
         handleConvictions(detector.merge(evidence, clockMillis.getAsLong()), node);
+        logCleared(node);
     }
 
     void add(RequestExecution execution) {
@@ -102,10 +104,12 @@
 
     void recordProgress(RequestFeatures request) {
         detector.recordProgress(request, clockMillis.getAsLong());
+        logCleared(THIS_NODE);
     }
 
     void recordAnswer(RequestFeatures request) {
         detector.recordAnswer(request, clockMillis.getAsLong());
+        logCleared(THIS_NODE);
     }
 
     /** Records an answer that ended with its connection, which a worker that crashed between two events leaves as well. */
@@ -131,7 +135,7 @@
      */
     void recordBroken(RequestFeatures request, ListedWorker worker, boolean pastBeginning, boolean closedByWorker) {
         if (closedByWorker) {
-            handleConvictions(detector.recordBroken(request, getCrashId(worker), clockMillis.getAsLong()), "this node");
+            handleConvictions(detector.recordBroken(request, getCrashId(worker), clockMillis.getAsLong()), THIS_NODE);
         }
         endDetector.checkEnded(worker, closedByWorker).thenAccept(ended -> {
             if (ended) {
@@ -142,7 +146,7 @@
 
     private void recordCrash(RequestFeatures request, ListedWorker worker, boolean pastBeginning) {
         handleConvictions(
-                detector.recordCrash(request, getCrashId(worker), pastBeginning, clockMillis.getAsLong()), "this node");
+                detector.recordCrash(request, getCrashId(worker), pastBeginning, clockMillis.getAsLong()), THIS_NODE);
         onEvidence.run();
     }
 
@@ -159,4 +163,10 @@
         // On another thread, because the caller may hold the lock of a queue.
         timers.execute(() -> active.forEach(RequestExecution::handleConviction));
     }
+
+    private void logCleared(String source) {
+        for (long feature : detector.takeCleared()) {
+            LOG.log(Level.INFO, "event=poison_cleared feature={0} from={1}", Long.toHexString(feature), source);
+        }
+    }
 }
