--- a/review/src/BurstAndScaleOut.java
+++ b/review/src/BurstAndScaleOut.java
@@ -175,5 +175,6 @@
             Rig.sleep((long) Math.min(retryAfterMillis, (deadlineMillis - (rig.millis() - start)) / 3.0));
         }
         kind.count(outcome);
+        rig.note("sent=" + start + " path=" + path + " millis=" + (rig.millis() - start) + " " + outcome);
     }
 }
--- a/review/src/EndlessBodies.java
+++ b/review/src/EndlessBodies.java
@@ -143,8 +143,8 @@
         if (millis > TIMEOUT_MILLIS) {
             counts.overdue.incrementAndGet();
             counts.unanswered.addAndGet(millis > TIMEOUT_MILLIS + ANSWER_SLACK_MILLIS ? 1 : 0);
-            rig.note("sent=" + sent + " request=" + id + " path=" + path + " millis=" + millis + " " + outcome);
         }
+        rig.note("sent=" + sent + " request=" + id + " path=" + path + " millis=" + millis + " " + outcome);
     }
 
     /** A worker that, while it is in trouble, sends a body without end to each request, until its caller closes. */
@@ -204,6 +204,7 @@
                 }
                 boolean inTrouble = faulty && endless;
                 String attempt = request.getHeader("magnoliavane-attempt-id");
+                rig.note("run request=" + attempt + " worker=" + id + (inTrouble ? " body without end" : ""));
                 Map<String, String> headers = Map.of(
                         "Magnoliavane-Attempt-Id", attempt, "Magnoliavane-Response-Signature", id + "." + attempt,
                         "Connection", "close");
--- a/review/src/ForeignEntries.java
+++ b/review/src/ForeignEntries.java
@@ -138,8 +138,6 @@
             boolean late = millis > TIMEOUT_MILLIS + ANSWER_SLACK_MILLIS;
             UNANSWERED.addAndGet(late ? 1 : 0);
         }
-        if (!outcome.equals("status=200") || millis > TIMEOUT_MILLIS) {
-            rig.note("sent=" + sent + " request=" + id + " router=" + router.name + " millis=" + millis + " " + outcome);
-        }
+        rig.note("sent=" + sent + " request=" + id + " router=" + router.name + " millis=" + millis + " " + outcome);
     }
 }
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -28,6 +29,7 @@
     final Path temporary;
     final boolean trouble;
     final Store store;
+    final List<Worker> workers = new CopyOnWriteArrayList<>();
     private final long startNanos = System.nanoTime();
     private final PrintWriter record;
     private final List<Router> routers = new ArrayList<>();
@@ -53,6 +55,7 @@
                 rig.note("the case could not run: " + e);
                 e.printStackTrace();
             }
+            rig.workers.forEach(w -> rig.note("worker=" + w.id + " service=" + w.service + " runs=" + w.runs.size()));
             rig.note("status=" + status);
         } catch (Exception e) {
             e.printStackTrace();
--- a/review/src/Worker.java
+++ b/review/src/Worker.java
@@ -48,6 +48,7 @@
         this.service = service;
         this.stage = stage;
         server = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+        rig.workers.add(this);
         start(this::accept);
     }
 
