--- a/review/src/LargeBodies.java
+++ b/review/src/LargeBodies.java
@@ -2,6 +2,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
@@ -16,8 +17,11 @@
     private static final int CALLERS = Integer.parseInt(System.getenv().getOrDefault("CALLERS", "4"));
     private static final double BURST_FACTOR = 2.2;
     private static final int SECONDS = 36;
-    private static final int BURST_FROM = 8;
-    private static final int BURST_SECONDS = 18;
+    private static final int BURST_SECONDS = 9;
+
+    /** The seconds at which the two bursts begin. */
+    private static final List<Integer> BURSTS = List.of(5, 20);
+
     private static final AtomicInteger IDS = new AtomicInteger();
     private static final Map<String, Integer> OUTCOMES = new TreeMap<>();
 
@@ -44,7 +48,8 @@
         Arrays.fill(body, (byte) 'x');
         ExecutorService callers = Executors.newCachedThreadPool();
         for (int second = 0; second < SECONDS; second++) {
-            boolean burst = rig.trouble && second >= BURST_FROM && second < BURST_FROM + BURST_SECONDS;
+            int current = second;
+            boolean burst = rig.trouble && BURSTS.stream().anyMatch(b -> current >= b && current < b + BURST_SECONDS);
             int count = (int) Math.round(CALLERS * (burst ? BURST_FACTOR : 1));
             for (int i = 0; i < count; i++) {
                 callers.execute(() -> send(rig, router, body));
