--- a/review/src/ForeignEntries.java
+++ b/review/src/ForeignEntries.java
@@ -12,7 +12,7 @@
 /** Another writer writes entries of workers from which a field is missing, beside the entries of the workers. */
 final class ForeignEntries {
     private static final String HOST = "surf.example";
-    private static final int ROUTERS = 6;
+    private static final int ROUTERS = 7;
     private static final int ENGINES = 18;
     private static final long TIMEOUT_MILLIS = 2000;
     private static final long DEADLINE_MILLIS = 4000;
@@ -52,7 +52,7 @@
         List<Worker> engines = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             engines.add(new Worker(rig, "i-brief-" + i, "brief-llm", i < ENGINES / 3 ? "prefill" : "decode").list());
-            Rig.sleep(40);
+            Rig.sleep(5);
         }
         for (int i = 0; i < 3; i++) {
             new Worker(rig, "i-booking-" + i, "booking-app", "").list();
