Keep a silent worker's exchange until another worker continues its stream

What callers saw: a stream that had begun was cut off although its worker was sound and went on (LOST). Cause: after 1,200 ms of silence the exchange was cancelled first, and a place at another worker was looked for afterwards. The stream was lost if no other worker was listed, free, willing, or responded with a success. Change: the silent exchange goes on while a replacement waits for capacity; the first of the two that sends an event or a success continues the stream, and the other is cancelled at once. Each of the two keeps its own reservation. A hedge that responds with an error no longer ends the exchange that it was meant to help, nor does the conviction of a feature before the hedge was sent. Why this works: nothing is given up before its replacement has responded, so that a sound worker's silence costs no answer.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -23,6 +23,9 @@
  * cache, which only one of the two can fetch. Other streams are not hedged, because a request that crashes its worker has
  * run without having fetched the cache.
  *
+ * <p>A silent worker may be sound, so its exchange is not ended for its silence: a resumable stream that is silent for long gets a
+ * replacement as soon as another worker has capacity for it. The first of the two workers that responds continues the stream.
+ *
  * <p>The admission queue calls {@link #isDone} and {@link #tryAdmit} on any thread. Everything else runs on the executor of
  * the request.
  */
@@ -86,7 +89,7 @@
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
 
-    /** Time without an event after which a stream resumes at another worker; callers disconnect after two seconds. */
+    /** Time without an event after which a replacement is looked for; callers disconnect after two seconds. */
     private static final long STALL_TIMEOUT_MILLIS = 1200;
 
     /** Largest response to a prefill, which has only a handle; a faulty worker may send bytes without end. */
@@ -100,6 +103,10 @@
     private final List<WorkerExchange> activeDecodes = new ArrayList<>();
     private Optional<ListedWorker> plannedDecodeWorker = Optional.empty();
     private ReservationService.Reservation reservation = () -> {};
+
+    /** The reservation of a replacement, while the exchange that it may replace goes on. */
+    private ReservationService.Reservation replacementReservation = () -> {};
+
     private Optional<WorkerExchange> activePrefill = Optional.empty();
     private final PrefilledPrompt prompt = new PrefilledPrompt();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
@@ -112,6 +119,10 @@
     private boolean hadAmpleMemory;
     private int possibleExecutions;
     private long lastEventMillis;
+
+    /** Time of the last event, or of the last start of a decode. */
+    private long lastProgressMillis;
+
     private long longestPauseMillis;
     private boolean progressRecorded;
 
@@ -147,6 +158,10 @@
             return;
         }
         reservation.release();
+        waitForCapacity();
+    }
+
+    private void waitForCapacity() {
         waiting = true;
         long expectedMillis = estimatePrefillMillis(generationSize.promptTokens());
         // A finished prefill would be wasted if its request had to wait behind later requests as an overdue one.
@@ -182,6 +197,10 @@
     private void handleQueueTimeout() {
         if (waiting) {
             waiting = false;
+            if (!activeDecodes.isEmpty()) {
+                // No replacement was found, and the worker may go on.
+                return;
+            }
             if (stream.hasStarted()) {
                 failStream("no free capacity to resume the stream");
                 return;
@@ -236,7 +255,7 @@
         Optional<EngineProfile> engine = findEngine();
         if (engine.isEmpty()) {
             waiting = false;
-            executor.execute(() -> startExchanges(decodeWorker.get(), prefillWorker));
+            executor.execute(() -> admit(() -> {}, decodeWorker.get(), prefillWorker));
             return AdmissionQueues.Outcome.ADMITTED;
         }
         requestReservation(engine.get(), decodeWorker.get(), prefillWorker, claims);
@@ -293,8 +312,7 @@
             Optional<ListedWorker> prefillWorker) {
         if (granted && waiting) {
             waiting = false;
-            reservation = handle;
-            startExchanges(decodeWorker, prefillWorker);
+            admit(handle, decodeWorker, prefillWorker);
         } else {
             handle.release();
         }
@@ -304,6 +322,33 @@
         context.admissionQueues().handleReservationResult(service, granted);
     }
 
+    private void admit(
+            ReservationService.Reservation handle, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
+        if (ended) {
+            handle.release();
+            return;
+        }
+        if (activeDecodes.isEmpty()) {
+            reservation = handle;
+            startExchanges(decodeWorker, prefillWorker);
+            return;
+        }
+        replacementReservation = handle;
+        if (getPauseMillis() >= STALL_TIMEOUT_MILLIS
+                && maySend()
+                && context.retryBudgets().tryAcquire(service)) {
+            log("replace", activeDecodes.get(0), "second=" + decodeWorker.id() + " silent_millis=" + getPauseMillis());
+            startDecode(decodeWorker);
+        } else {
+            releaseReplacement();
+        }
+    }
+
+    private void releaseReplacement() {
+        replacementReservation.release();
+        replacementReservation = () -> {};
+    }
+
     private void startExchanges(ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
         if (prefillWorker.isEmpty() || prefills > 0 && !context.retryBudgets().tryAcquire(service)) {
             startDecode(decodeWorker);
@@ -428,19 +473,21 @@
         WorkerExchange exchange = WorkerExchange.start(
                 context, request, workerRequest, generationSize.estimateMemoryTokens(), executor, this);
         activeDecodes.add(exchange);
-        lastEventMillis = now();
+        lastProgressMillis = now();
         if (handle.isPresent() && request.route().resumable() && activeDecodes.size() == 1) {
             schedule(HEDGE_DELAY_MILLIS, () -> sendHedge(exchange));
         }
-        if (request.route().resumable() && activeDecodes.size() == 1) {
+        if (request.route().resumable()) {
             schedule(STALL_TIMEOUT_MILLIS, () -> checkStall(exchange));
         }
     }
 
     /** Also sends the decode to a second worker if the first one is unresponsive. */
     private void sendHedge(WorkerExchange unresponsive) {
-        boolean eligible =
-                activeDecodes.size() == 1 && activeDecodes.get(0) == unresponsive && !unresponsive.isHeadReceived();
+        boolean eligible = activeDecodes.size() == 1
+                && activeDecodes.get(0) == unresponsive
+                && !unresponsive.isHeadReceived()
+                && maySend();
         if (!eligible || prompt.findHandle(now() + CACHE_EXPIRY_MARGIN_MILLIS).isEmpty()) {
             return;
         }
@@ -452,21 +499,62 @@
         }
     }
 
+    /** Looks for a replacement for a silent exchange, which goes on until the replacement responds. */
     private void checkStall(WorkerExchange exchange) {
         if (!activeDecodes.contains(exchange)) {
             return;
         }
-        long pauseMillis = now() - lastEventMillis;
+        long pauseMillis = getPauseMillis();
         if (pauseMillis < STALL_TIMEOUT_MILLIS) {
             schedule(STALL_TIMEOUT_MILLIS - pauseMillis, () -> checkStall(exchange));
             return;
         }
-        if (possibleExecutions + 1 < request.route().maxAttempts()
-                && context.retryBudgets().tryAcquire(service)) {
-            log("stalled", exchange, "millis=" + pauseMillis);
-            exchange.cancelAsUnresponsive();
-            activeDecodes.remove(exchange);
-            handleDecodeFailure(exchange, "no event for " + pauseMillis + " ms", true);
+        schedule(STALL_TIMEOUT_MILLIS, () -> checkStall(exchange));
+        boolean mayReplace = activeDecodes.size() == 1
+                && !waiting
+                && activePrefill.isEmpty()
+                && possibleExecutions + 1 < request.route().maxAttempts();
+        if (!mayReplace) {
+            return;
+        }
+        log("stalled", exchange, "millis=" + pauseMillis);
+        excludedWorkers.add(exchange.getWorker().id());
+        if (hasWorkers()) {
+            waitForCapacity();
+        }
+    }
+
+    private long getPauseMillis() {
+        return now() - lastProgressMillis;
+    }
+
+    /** Ends the other exchanges of the stream once one of them continues it. */
+    private void continueWith(WorkerExchange exchange) {
+        waiting = false;
+        for (WorkerExchange other : List.copyOf(activeDecodes)) {
+            if (other == exchange) {
+                continue;
+            }
+            log("taken_over", other, "by=" + exchange.getWorker().id());
+            if (other.isHeadReceived() || other.getWorkerRequest().cache().isEmpty()) {
+                possibleExecutions++;
+            }
+            other.cancelAsUnresponsive();
+            removeBesideAnother(other);
+        }
+    }
+
+    /** Removes an exchange while another one goes on, which keeps its own reservation. */
+    private void removeBesideAnother(WorkerExchange exchange) {
+        boolean isFirst = activeDecodes.indexOf(exchange) == 0;
+        activeDecodes.remove(exchange);
+        if (isFirst) {
+            stream.discardPartialEvent();
+            reservation.release();
+            reservation = replacementReservation;
+            replacementReservation = () -> {};
+        } else {
+            releaseReplacement();
         }
     }
 
@@ -484,20 +572,20 @@
             }
             return;
         }
-        for (WorkerExchange other : List.copyOf(activeDecodes)) {
-            if (other != exchange) {
-                log("taken_over", other, "by=" + exchange.getWorker().id());
-                other.cancelAsUnresponsive();
-                activeDecodes.remove(other);
-            }
-        }
         mayHaveRun = true;
+        if (activeDecodes.size() > 1 && responseStatus != 200) {
+            log("replacement_error", exchange, "status=" + responseStatus);
+            exchange.cancel();
+            handleBroken(exchange, "status " + responseStatus);
+            return;
+        }
+        continueWith(exchange);
         prompt.invalidateHandle();
         if (!stream.handleHead(responseStatus, responseHeaders)) {
             log("resume_error", exchange, "status=" + responseStatus);
             exchange.cancel();
             activeDecodes.remove(exchange);
-            handleDecodeFailure(exchange, "the stream could not be resumed: status " + responseStatus, false);
+            handleDecodeFailure(exchange, "the stream could not be resumed: status " + responseStatus);
         }
     }
 
@@ -510,6 +598,8 @@
             }
             return;
         }
+        // A worker that goes on needs no replacement.
+        continueWith(exchange);
         boolean started = stream.hasStarted();
         if (!stream.relayBytes(bytes)) {
             if (stream.getBufferedBytes() > MAX_EVENT_BYTES) {
@@ -521,6 +611,7 @@
             longestPauseMillis = Math.max(longestPauseMillis, now() - lastEventMillis);
         }
         lastEventMillis = now();
+        lastProgressMillis = lastEventMillis;
         if (!progressRecorded && exchange.isPastBeginning()) {
             progressRecorded = true;
             context.poisonGuard().recordProgress(features);
@@ -537,12 +628,12 @@
             handlePrefillEnd(exchange);
             return;
         }
-        activeDecodes.remove(exchange);
         if (!stream.isError() && isBrokenOff(exchange)) {
             exchange.recordBroken(true);
-            handleDecodeFailure(exchange, "the stream ended within an event", false);
+            handleBroken(exchange, "the stream ended within an event");
             return;
         }
+        activeDecodes.remove(exchange);
         recordAnswer(exchange);
         finish(
                 "answered",
@@ -576,10 +667,11 @@
             handlePrefillFailure(exchange);
             return;
         }
-        activeDecodes.remove(exchange);
-        if (!activeDecodes.isEmpty()) {
+        if (activeDecodes.size() > 1) {
+            removeBesideAnother(exchange);
             return;
         }
+        activeDecodes.remove(exchange);
         if (mayHaveRun && !request.route().resumable()) {
             failStream(reason);
             return;
@@ -633,25 +725,30 @@
             handlePrefillFailure(exchange);
             return;
         }
-        activeDecodes.remove(exchange);
-        if (activeDecodes.isEmpty()) {
-            handleDecodeFailure(exchange, reason, false);
+        handleBroken(exchange, reason);
+    }
+
+    /** Handles the failure of a decode, beside which another one may go on. */
+    private void handleBroken(WorkerExchange exchange, String reason) {
+        if (activeDecodes.size() > 1) {
+            possibleExecutions++;
+            excludedWorkers.add(exchange.getWorker().id());
+            removeBesideAnother(exchange);
+            return;
         }
+        activeDecodes.remove(exchange);
+        handleDecodeFailure(exchange, reason);
     }
 
-    /**
-     * Handles a decode that may have run: enqueues the request again if its stream is resumable, else fails it.
-     *
-     * @param budgetAcquired true if the retry has already been acquired from the retry budget
-     */
-    private void handleDecodeFailure(WorkerExchange exchange, String reason, boolean budgetAcquired) {
+    /** Handles a decode that may have run: enqueues the request again if its stream is resumable, else fails it. */
+    private void handleDecodeFailure(WorkerExchange exchange, String reason) {
         mayHaveRun = true;
         possibleExecutions++;
         excludedWorkers.add(exchange.getWorker().id());
         stream.discardPartialEvent();
         boolean mayRetry = request.route().resumable()
                 && possibleExecutions < request.route().maxAttempts();
-        if (mayRetry && (budgetAcquired || context.retryBudgets().tryAcquire(service))) {
+        if (mayRetry && context.retryBudgets().tryAcquire(service)) {
             enqueue();
             return;
         }
@@ -698,6 +795,7 @@
         activeDecodes.clear();
         removePlannedLoad();
         reservation.release();
+        releaseReplacement();
         context.admissionQueues().handleCapacityFreed(service);
     }
 
