Use the engine of a request's own version when a newer one has no such service

What callers saw: a request under way when its service left the configuration lost its prefilled cache, and a waiting one was refused, because its decode worker was chosen as for a plain service. Change: the engine at arrival is used when the newest configuration has none. Result: ConfigurationChangeTest 2 of 2 failed before, pass now.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -99,6 +99,10 @@
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private final GenerationSize generationSize;
+
+    /** The engine of the service when the request arrived; a later configuration may no longer contain the service. */
+    private final Optional<EngineProfile> engineAtArrival;
+
     private final StreamResponse stream;
     private final List<WorkerExchange> activeDecodes = new ArrayList<>();
     private Optional<ListedWorker> plannedDecodeWorker = Optional.empty();
@@ -129,6 +133,7 @@
     StreamExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         super(context, request, service, response);
         this.stream = new StreamResponse(response, context.wireFormat());
+        this.engineAtArrival = findCurrentEngine();
         this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
     }
@@ -363,6 +368,10 @@
     }
 
     private Optional<EngineProfile> findEngine() {
+        return findCurrentEngine().or(() -> engineAtArrival);
+    }
+
+    private Optional<EngineProfile> findCurrentEngine() {
         return context.routingState()
                 .getRoutingTable()
                 .flatMap(r -> r.findService(service))
