Do not count a replacement as unresponsive when the first worker goes on

Cause: the exchange that was not needed any more was recorded as a failure of its worker. Change: it is cancelled without a record. Result: SilentWorkerTest, StreamRequestTest, ConfigurationChangeTest pass.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -548,7 +548,11 @@
             if (other.isHeadReceived() || other.getWorkerRequest().cache().isEmpty()) {
                 possibleExecutions++;
             }
-            other.cancelAsUnresponsive();
+            if (activeDecodes.indexOf(other) == 0) {
+                other.cancelAsUnresponsive();
+            } else {
+                other.cancel();
+            }
             removeBesideAnother(other);
         }
     }
