Admit waiting requests in a loop and without the lock of the queue

Cause: an admission whose reservation is granted during the attempt called the admission of the next request from within, one level for each request. With the stack of the deploy file it overflowed, and reservationPending stayed true. An attempt that threw anything else had the same effect, and requests were started under the lock of the queue.

Change: one thread at a time admits the requests of a queue in a loop; a result or freed capacity meanwhile lets it continue. Requests and other components are called without the lock. A request whose attempt fails leaves the queue and is refused when its wait ends; a failed round is repeated at the next poll. LoopFailures logs and counts both. The queue also gets the result of a reservation if the start of its request fails (no test of its own).

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -114,6 +114,7 @@
     private final LongSupplier millis = () -> System.nanoTime() / NANOS_PER_MILLI;
     private final ScheduledExecutorService timers = DaemonTimers.open("timers", 1);
     private final MetricRegistry metrics = new MetricRegistry();
+    private final LoopFailures failures = LoopFailures.create(metrics);
     private final RoutingState routingState = new RoutingState();
     private final StoreAvailability availability;
     private final PeerTable peerTable = new PeerTable();
@@ -185,7 +186,8 @@
                 millis,
                 () -> ThreadLocalRandom.current().nextDouble(),
                 service -> peerTable.hasOnTimeRequests(service, millis.getAsLong()),
-                this::onLoadChanged);
+                this::onLoadChanged,
+                failures);
         this.peerReports = PeerReports.open(
                 peerChannel, peerTable, loadTracker, poisonGuard, millis, this::createReport, this::onPeerReport);
         WorkerSelector workerSelector = new WorkerSelector(
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 
 import org.magnoliavane.balance.AdmissionQueue;
+import org.magnoliavane.router.LoopFailures;
 
 /**
  * Holds the requests of this node that wait for free capacity at the workers of a service, and admits them one at a time in
@@ -32,6 +33,8 @@
      */
     private static final int MAX_CANDIDATES = 4;
 
+    private static final String LOOP = "admission";
+
     /** Outcome of an attempt to admit a request. */
     enum Outcome {
         /** The request is admitted or no longer waits. */
@@ -62,6 +65,7 @@
     private final DoubleSupplier random;
     private final Predicate<String> onTimeElsewhere;
     private final Runnable onChange;
+    private final LoopFailures failures;
 
     /**
      * Creates empty queues.
@@ -71,18 +75,21 @@
      * @param random supplies random numbers between 0 and 1
      * @param onTimeElsewhere returns whether on-time requests for a service wait at another node
      * @param onChange called when this node gets its first waiting on-time request for a service, or has none left
+     * @param failures records failed attempts
      */
     public AdmissionQueues(
             ScheduledExecutorService timers,
             LongSupplier clockMillis,
             DoubleSupplier random,
             Predicate<String> onTimeElsewhere,
-            Runnable onChange) {
+            Runnable onChange,
+            LoopFailures failures) {
         this.timers = timers;
         this.clockMillis = clockMillis;
         this.random = random;
         this.onTimeElsewhere = onTimeElsewhere;
         this.onChange = onChange;
+        this.failures = failures;
     }
 
     /**
@@ -134,9 +141,39 @@
         admitWaiting(queue);
     }
 
+    /**
+     * Admits requests until none is left or a reservation is pending. One thread at a time does this for a queue; a call
+     * meanwhile, which an attempt may also make itself, lets that thread continue.
+     */
     private void admitWaiting(ServiceQueue queue) {
         synchronized (queue) {
-            admitNext(queue);
+            queue.admissionRequested = true;
+            if (queue.admitting) {
+                return;
+            }
+            queue.admitting = true;
+        }
+        while (continueAdmitting(queue)) {
+            if (!failures.run(LOOP, () -> admitNext(queue))) {
+                synchronized (queue) {
+                    queue.reservationPending = false;
+                    restart(queue);
+                }
+            }
+        }
+        failures.run(LOOP, () -> reportOnTime(queue));
+    }
+
+    private static boolean continueAdmitting(ServiceQueue queue) {
+        synchronized (queue) {
+            queue.admitting = queue.admissionRequested;
+            queue.admissionRequested = false;
+            return queue.admitting;
+        }
+    }
+
+    private void reportOnTime(ServiceQueue queue) {
+        synchronized (queue) {
             boolean hasOnTime = queue.waiting.hasOnTime(clockMillis.getAsLong());
             if (hasOnTime == queue.reportedOnTime) {
                 return;
@@ -147,31 +184,25 @@
     }
 
     private void admitNext(ServiceQueue queue) {
-        synchronized (queue) {
-            while (!queue.reservationPending) {
-                long now = clockMillis.getAsLong();
-                Optional<AdmissionQueue.Entry<WaitingRequest>> next = queue.waiting.peek(queue.candidate, now);
-                boolean mustWait = next.isEmpty()
-                        ? queue.candidate > 0
-                        : next.get().isOverdue(now) && onTimeElsewhere.test(queue.service);
-                if (mustWait) {
+        // Requests and other components are called without the lock.
+        for (Optional<Attempt> next = startAttempt(queue); next.isPresent(); next = startAttempt(queue)) {
+            Attempt attempt = next.get();
+            if (attempt.entry.isOverdue(attempt.nowMillis) && onTimeElsewhere.test(queue.service)) {
+                synchronized (queue) {
+                    queue.reservationPending = false;
                     restart(queue);
-                    return;
-                }
-                if (next.isEmpty()) {
-                    return;
-                }
-                WaitingRequest request = next.get().request();
-                // Set before the attempt, because the result may arrive before it returns.
-                queue.reservationPending = true;
-                boolean mayClaim = queue.candidate == 0 && !next.get().isOverdue(now);
-                Outcome outcome = request.isDone() ? Outcome.ADMITTED : request.tryAdmit(mayClaim);
-                if (outcome == Outcome.PENDING) {
-                    return;
                 }
+                return;
+            }
+            Outcome outcome = tryAdmit(attempt);
+            if (outcome == Outcome.PENDING) {
+                // A result that arrived during the attempt has requested to continue.
+                return;
+            }
+            synchronized (queue) {
                 queue.reservationPending = false;
                 if (outcome == Outcome.ADMITTED) {
-                    queue.waiting.remove(next.get());
+                    queue.waiting.remove(attempt.entry);
                 } else if (!advance(queue)) {
                     return;
                 }
@@ -179,6 +210,39 @@
         }
     }
 
+    /** Chooses the request to try next; empty if a reservation is pending or no request can be tried before the next poll. */
+    private Optional<Attempt> startAttempt(ServiceQueue queue) {
+        synchronized (queue) {
+            if (queue.reservationPending) {
+                return Optional.empty();
+            }
+            long now = clockMillis.getAsLong();
+            Optional<AdmissionQueue.Entry<WaitingRequest>> next = queue.waiting.peek(queue.candidate, now);
+            if (next.isEmpty()) {
+                if (queue.candidate > 0) {
+                    restart(queue);
+                }
+                return Optional.empty();
+            }
+            // Set before the attempt, because the result may arrive before it returns.
+            queue.reservationPending = true;
+            return Optional.of(new Attempt(next.get(), now, queue.candidate == 0));
+        }
+    }
+
+    /** Tries to admit a request. One whose attempt fails leaves the queue, and is refused when its wait ends. */
+    private Outcome tryAdmit(Attempt attempt) {
+        WaitingRequest request = attempt.entry.request();
+        try {
+            return request.isDone()
+                    ? Outcome.ADMITTED
+                    : request.tryAdmit(attempt.first && !attempt.entry.isOverdue(attempt.nowMillis));
+        } catch (RuntimeException | Error e) {
+            failures.record(LOOP, e);
+            return Outcome.ADMITTED;
+        }
+    }
+
     /** Continues with the next candidate, or waits for the next poll and returns false if there are no more. */
     private boolean advance(ServiceQueue queue) {
         queue.candidate++;
@@ -199,7 +263,7 @@
         if (!queue.pollScheduled) {
             queue.pollScheduled = true;
             long delayMillis = 1 + (long) (MAX_POLL_MILLIS * random.getAsDouble());
-            timers.schedule(() -> poll(queue), delayMillis, TimeUnit.MILLISECONDS);
+            timers.schedule(failures.guard(LOOP, () -> poll(queue)), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -216,10 +280,14 @@
         private boolean reportedOnTime;
         private boolean pollScheduled;
         private boolean reservationPending;
+        private boolean admitting;
+        private boolean admissionRequested;
         private int candidate;
 
         ServiceQueue(String service) {
             this.service = service;
         }
     }
+
+    private record Attempt(AdmissionQueue.Entry<WaitingRequest> entry, long nowMillis, boolean first) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -315,16 +315,19 @@
             boolean claims,
             ListedWorker decodeWorker,
             Optional<ListedWorker> prefillWorker) {
-        if (granted && waiting) {
-            waiting = false;
-            admit(handle, decodeWorker, prefillWorker);
-        } else {
-            handle.release();
-        }
-        if (!granted && !claims) {
-            context.loadTracker().markFull(decodeWorker.id(), now() + REJECTED_BACKOFF_MILLIS);
+        try {
+            if (granted && waiting) {
+                waiting = false;
+                admit(handle, decodeWorker, prefillWorker);
+            } else {
+                handle.release();
+            }
+            if (!granted && !claims) {
+                context.loadTracker().markFull(decodeWorker.id(), now() + REJECTED_BACKOFF_MILLIS);
+            }
+        } finally {
+            context.admissionQueues().handleReservationResult(service, granted);
         }
-        context.admissionQueues().handleReservationResult(service, granted);
     }
 
     private void admit(
--- a/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/AdmissionQueuesTest.java
@@ -6,8 +6,11 @@
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
+import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.router.LoopFailures;
 import org.magnoliavane.router.VirtualTimers;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -21,12 +24,19 @@
     private static final long START_WITHIN_MILLIS = 600;
     private static final long REPORT_DELAY_MILLIS = 30;
 
+    /** Stack of the threads of a deployment. */
+    private static final long STACK_BYTES = 256 << 10;
+
+    private static final long BLOCKED_MILLIS = 5000;
+
+    private MetricRegistry metrics;
     private VirtualTimers timers;
     private Random random;
     private int freeCapacity;
 
     @BeforeMethod
     public void reset() {
+        metrics = new MetricRegistry();
         timers = new VirtualTimers();
         random = new Random(7);
         freeCapacity = CAPACITY;
@@ -107,6 +117,92 @@
         assertTrue(!first.claimsNow && !second.claimsNow);
     }
 
+    /** Guards against a stack overflow after about 55 requests whose reservations are granted during the attempt. */
+    @Test
+    public void thousandsOfRequestsAreAdmittedAtOnceOnASmallStack() throws InterruptedException {
+        AdmissionQueues queues = createQueues(service -> false, () -> {});
+        List<ReservingRequest> requests = new ArrayList<>();
+        freeCapacity = 0;
+        for (int i = 0; i < 5000; i++) {
+            requests.add(new ReservingRequest(queues));
+            queues.enqueue(SERVICE, requests.get(i), i, START_WITHIN_MILLIS);
+        }
+        freeCapacity = requests.size();
+        Thread thread = new Thread(null, () -> queues.handleCapacityFreed(SERVICE), "test", STACK_BYTES);
+        thread.start();
+        thread.join();
+        assertEquals(requests.stream().filter(r -> r.done).count(), requests.size());
+    }
+
+    @DataProvider
+    public Object[][] failures() {
+        return new Object[][] {{new IllegalStateException("test")}, {new StackOverflowError("test")}};
+    }
+
+    /** Guards against a queue that admits no request any more after one attempt has failed. */
+    @Test(dataProvider = "failures")
+    public void theRequestsAfterOneWhoseAttemptFailsAreAdmitted(Throwable failure) {
+        AdmissionQueues queues = createQueues(service -> false, () -> {});
+        queues.enqueue(SERVICE, new CallingRequest(() -> throwUnchecked(failure)), 0, START_WITHIN_MILLIS);
+        Request next = new Request(1);
+        queues.enqueue(SERVICE, next, 1, START_WITHIN_MILLIS);
+        timers.runUntil(100);
+        assertTrue(next.startMillis >= 0);
+        assertEquals(metrics.counter(LoopFailures.getCounterName("admission")).getCount(), 1);
+    }
+
+    /** Guards against a queue that admits no request any more after the reports of other nodes could not be read. */
+    @Test(dataProvider = "failures")
+    public void requestsAreAdmittedAfterAFailedRound(Throwable failure) {
+        boolean[] fails = {true};
+        AdmissionQueues queues = createQueues(
+                service -> {
+                    if (fails[0]) {
+                        fails[0] = false;
+                        throwUnchecked(failure);
+                    }
+                    return false;
+                },
+                () -> {});
+        Request overdue = new Request(0);
+        timers.runUntil(START_WITHIN_MILLIS);
+        queues.enqueue(SERVICE, overdue, 0, 0);
+        timers.runUntil(START_WITHIN_MILLIS + 100);
+        assertTrue(overdue.startMillis >= 0);
+    }
+
+    /** Guards against a deadlock of the lock of a queue with those of the components that an attempt calls. */
+    @Test
+    public void theQueueIsNotLockedDuringAnAttempt() {
+        AdmissionQueues queues = createQueues(service -> false, () -> {});
+        boolean[] returned = {false};
+        queues.enqueue(
+                SERVICE,
+                new CallingRequest(() -> returned[0] = returnsOnAnotherThread(queues::getServicesWithOnTimeRequests)),
+                0,
+                START_WITHIN_MILLIS);
+        assertTrue(returned[0]);
+    }
+
+    private static boolean returnsOnAnotherThread(Runnable call) {
+        Thread thread = new Thread(call);
+        thread.setDaemon(true);
+        thread.start();
+        try {
+            thread.join(BLOCKED_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        return !thread.isAlive();
+    }
+
+    private static void throwUnchecked(Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
     /** Returns the requests of the node without a burst, which arrive after the burst. */
     private List<Request> simulateBurst(boolean withReports) {
         boolean[] reportsOnTime = new boolean[NODES];
@@ -146,7 +242,8 @@
     }
 
     private AdmissionQueues createQueues(Predicate<String> onTimeElsewhere, Runnable onChange) {
-        return new AdmissionQueues(timers, timers::now, random::nextDouble, onTimeElsewhere, onChange);
+        return new AdmissionQueues(
+                timers, timers::now, random::nextDouble, onTimeElsewhere, onChange, LoopFailures.create(metrics));
     }
 
     private final class Request implements AdmissionQueues.WaitingRequest {
@@ -184,4 +281,44 @@
             return false;
         }
     }
+
+    /** A request whose reservation is granted before its attempt returns, as when the node owns the reservations. */
+    private final class ReservingRequest implements AdmissionQueues.WaitingRequest {
+        private final AdmissionQueues queues;
+        private boolean done;
+
+        ReservingRequest(AdmissionQueues queues) {
+            this.queues = queues;
+        }
+
+        @Override
+        public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
+            if (freeCapacity == 0) {
+                return AdmissionQueues.Outcome.NO_CAPACITY;
+            }
+            freeCapacity--;
+            done = true;
+            queues.handleReservationResult(SERVICE, true);
+            return AdmissionQueues.Outcome.PENDING;
+        }
+
+        @Override
+        public boolean isDone() {
+            return done;
+        }
+    }
+
+    /** A request that makes a call in its attempt. */
+    private record CallingRequest(Runnable call) implements AdmissionQueues.WaitingRequest {
+        @Override
+        public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
+            call.run();
+            return AdmissionQueues.Outcome.ADMITTED;
+        }
+
+        @Override
+        public boolean isDone() {
+            return false;
+        }
+    }
 }
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -30,6 +30,7 @@
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.server.StreamWriter;
 import org.magnoliavane.poison.PoisonDetector;
+import org.magnoliavane.router.LoopFailures;
 import org.magnoliavane.router.RoutingState;
 import org.magnoliavane.routing.CallerLimits;
 import org.magnoliavane.routing.EngineProfile;
@@ -103,7 +104,13 @@
                 () -> 0,
                 loadTracker,
                 new WorkerSelector(loadTracker, "z", () -> 0.5),
-                new AdmissionQueues(timers, millis, () -> 0.5, service -> false, () -> {}),
+                new AdmissionQueues(
+                        timers,
+                        millis,
+                        () -> 0.5,
+                        service -> false,
+                        () -> {},
+                        LoopFailures.create(new MetricRegistry())),
                 reservationService,
                 new RetryBudgets(() -> new RetryBudget(0, retryAllowance, 10_000), () -> 1, millis),
                 new PoisonGuard(
