Call listeners of followers and the roles' components without locks

By a second path, a listener that threw ended the reads of its topic for good, and the records after an odd one were not applied.

Cause: TopicFollower called its listener under its lock, which called RoleController; RoleController called the follower under its own. The listener's exception left `refreshing` set and no further read scheduled. Both are in the same few lines, so they are fixed together.

Change: a follower applies results one at a time and in order (SerialExecutor), with its lock for its own state only; the age counts from the arrival of the response and is set after its records were applied; a refresh that begins meanwhile completes with its own read. RoleController has no lock, RoleOrderSender holds its lock for the lease only. A failing listener, peer update or store call is logged and counted, and the reads go on. TopicSource groups three parameters.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -57,6 +57,7 @@
 import org.magnoliavane.router.store.Topic;
 import org.magnoliavane.router.store.TopicFollower;
 import org.magnoliavane.router.store.TopicListener;
+import org.magnoliavane.router.store.TopicSource;
 
 /**
  * Runs a router process: creates and connects its components and stops them in order.
@@ -327,7 +328,8 @@
     }
 
     private TopicFollower createFollower(Topic topic, TopicListener listener, ReadSchedule schedule) {
-        return new TopicFollower(store, topic, listener, timers, millis, schedule, storeUpdates::send);
+        return new TopicFollower(
+                new TopicSource(store, topic, schedule), listener, timers, millis, storeUpdates::send, failures);
     }
 
     private long getConfigurationVersion() {
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -18,9 +19,9 @@
 
 /**
  * Changes the roles of model workers as the load changes. Only the elected node does this; serving requests does not
- * depend on it.
+ * depend on it. It has no lock, because it is called by the components that it calls.
  *
- * <p>Thread-safe.
+ * <p>Thread-safe, except for {@link #evaluateServices}.
  */
 public final class RoleController {
     /**
@@ -47,9 +48,9 @@
     private final RoleOrderSender orderSender;
     private final LongSupplier millis;
     private final Map<String, RoleBalancer> balancers = new HashMap<>();
-    private final Map<String, Long> pendingChanges = new HashMap<>();
+    private final Map<String, Long> pendingChanges = new ConcurrentHashMap<>();
     private boolean leasePrepared;
-    private long nextChangeMillis = Long.MIN_VALUE;
+    private volatile long nextChangeMillis = Long.MIN_VALUE;
 
     /**
      * Creates a controller.
@@ -75,9 +76,9 @@
 
     /**
      * Samples the load of each service and orders a change of roles where needed. Must be called several times a
-     * second.
+     * second, by one thread at a time.
      */
-    public synchronized void evaluateServices() {
+    public void evaluateServices() {
         if (!isElected.getAsBoolean()) {
             balancers.clear();
             leasePrepared = false;
@@ -99,7 +100,7 @@
      *
      * @return the remaining time in milliseconds during which a worker should get no requests, by the id of the worker
      */
-    public synchronized Map<String, Long> getPendingChanges() {
+    public Map<String, Long> getPendingChanges() {
         long now = millis.getAsLong();
         pendingChanges.values().removeIf(until -> until <= now);
         Map<String, Long> remaining = new HashMap<>();
@@ -112,7 +113,7 @@
      *
      * @param worker the id of the worker
      */
-    public synchronized void onRoleListed(String worker) {
+    public void onRoleListed(String worker) {
         pendingChanges.remove(worker);
     }
 
@@ -153,7 +154,7 @@
                 .toList();
     }
 
-    private synchronized void onOrderOutcome(ListedWorker worker, boolean confirmed) {
+    private void onOrderOutcome(ListedWorker worker, boolean confirmed) {
         long now = millis.getAsLong();
         long until = now + (confirmed ? MAX_CHANGE_MILLIS : MAX_UNCONFIRMED_CHANGE_MILLIS);
         nextChangeMillis = now + SETTLE_MILLIS;
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
@@ -111,19 +111,20 @@
         return lease.getLogEnd() == 0;
     }
 
-    private synchronized void acquireLease(Runnable orders) {
-        OptionalLong end = lease.startAcquisition(millis.getAsLong(), System.currentTimeMillis());
-        if (end.isEmpty()) {
-            return;
-        }
-        store.appendOrderClaim(self, end.getAsLong())
-                .whenComplete((claim, failure) -> onClaimResult(Optional.ofNullable(claim), failure, orders));
+    private void acquireLease(Runnable orders) {
+        startAcquisition()
+                .ifPresent(end -> store.appendOrderClaim(self, end)
+                        .whenComplete((claim, failure) -> onClaimResult(Optional.ofNullable(claim), failure, orders)));
+    }
+
+    private synchronized OptionalLong startAcquisition() {
+        return lease.startAcquisition(millis.getAsLong(), System.currentTimeMillis());
     }
 
-    private synchronized void onClaimResult(Optional<OrderClaimResult> claim, Throwable failure, Runnable orders) {
+    private void onClaimResult(Optional<OrderClaimResult> claim, Throwable failure, Runnable orders) {
         if (claim.isEmpty()) {
             LOG.log(Level.WARNING, "event=order_claim outcome=unanswered reason=\"{0}\"", failure.getMessage());
-            lease.abandonAcquisition(millis.getAsLong());
+            abandonAcquisition();
             return;
         }
         LOG.log(
@@ -131,14 +132,28 @@
                 "event=order_claim outcome={0} end={1}",
                 claim.get().accepted() ? "accepted" : "refused",
                 Long.toString(claim.get().logEnd()));
+        endAcquisition(claim.get());
         if (claim.get().accepted()) {
-            lease.completeAcquisition(claim.get().logEnd());
             orders.run();
+        }
+    }
+
+    private synchronized void endAcquisition(OrderClaimResult claim) {
+        if (claim.accepted()) {
+            lease.completeAcquisition(claim.logEnd());
         } else {
-            lease.rejectAcquisition(claim.get().logEnd(), millis.getAsLong());
+            lease.rejectAcquisition(claim.logEnd(), millis.getAsLong());
         }
     }
 
+    private synchronized void abandonAcquisition() {
+        lease.abandonAcquisition(millis.getAsLong());
+    }
+
+    private synchronized OptionalLong findFencingToken() {
+        return lease.findFencingToken(millis.getAsLong(), System.currentTimeMillis());
+    }
+
     /**
      * Reads the state before an order is sent. The order names the number of orders accepted until then, so that a
      * worker refuses it when it arrives after newer ones.
@@ -164,11 +179,11 @@
         return format.readState(response.body());
     }
 
-    private synchronized void send(Order order, WorkerState state) throws IOException {
+    private void send(Order order, WorkerState state) throws IOException {
         if (state.changingRole() || state.role() != order.worker.server().role()) {
             throw new IOException("the worker is changing its role or has another role than listed");
         }
-        OptionalLong fencingToken = lease.findFencingToken(millis.getAsLong(), System.currentTimeMillis());
+        OptionalLong fencingToken = findFencingToken();
         if (fencingToken.isEmpty()) {
             throw new IOException("the order lease has expired");
         }
@@ -192,9 +207,7 @@
         if (outcome == OrderOutcome.ACCEPTED) {
             order.onOutcome.accept(order.worker, true);
         } else if (outcome == OrderOutcome.FENCED) {
-            synchronized (this) {
-                lease.abandonAcquisition(millis.getAsLong());
-            }
+            abandonAcquisition();
         }
     }
 
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,6 +18,8 @@
 import java.util.stream.Collectors;
 
 import org.magnoliavane.http.Failures;
+import org.magnoliavane.http.SerialExecutor;
+import org.magnoliavane.router.LoopFailures;
 
 /**
  * Follows a topic of the store. Reads a snapshot first and then the changes. When changes were deleted before they were
@@ -26,6 +30,8 @@
  * calls to the store do not grow with the number of nodes. It reads again when an update is missing, or when no recent
  * one has arrived.
  *
+ * <p>The listener is called without the lock of the follower, in the order of the results and one call at a time.
+ *
  * <p>Thread-safe.
  */
 public final class TopicFollower {
@@ -45,13 +51,20 @@
     private final LongSupplier millis;
     private final ReadSchedule schedule;
     private final Consumer<TopicUpdate> onRead;
+    private final LoopFailures failures;
+    private final String loop;
+
+    /** Applies results one at a time, in the order in which they arrive. */
+    private final SerialExecutor results = SerialExecutor.create();
 
+    /** The offset of the newest known record of each key. Only the tasks of {@link #results} use it. */
     private final Map<String, Long> offsets = new HashMap<>();
+
     private CompletableFuture<Void> nextRefresh = new CompletableFuture<>();
     private long nextOffset = -1;
     private long generation;
     private long retryMillis;
-    private int failures;
+    private int failedReads;
     private boolean slowStore;
     private long lastSuccessMillis = Long.MIN_VALUE;
     private long updatedUntilMillis = Long.MIN_VALUE;
@@ -63,30 +76,30 @@
     /**
      * Creates a follower.
      *
-     * @param store the store
-     * @param topic the topic
+     * @param source the topic and the times of its reads
      * @param listener receives the changes
      * @param timers schedules the reads and retries
      * @param millis a monotonic clock in milliseconds
-     * @param schedule the times of the reads
      * @param onRead receives what each read of changes returned
+     * @param failures records what could not be applied
      */
     public TopicFollower(
-            KeyedStore store,
-            Topic topic,
+            TopicSource source,
             TopicListener listener,
             ScheduledExecutorService timers,
             LongSupplier millis,
-            ReadSchedule schedule,
-            Consumer<TopicUpdate> onRead) {
-        this.store = store;
-        this.topic = topic;
+            Consumer<TopicUpdate> onRead,
+            LoopFailures failures) {
+        this.store = source.store();
+        this.topic = source.topic();
         this.listener = listener;
         this.timers = timers;
         this.millis = millis;
-        this.schedule = schedule;
+        this.schedule = source.schedule();
         this.retryMillis = schedule.retryMillis();
         this.onRead = onRead;
+        this.failures = failures;
+        this.loop = "store." + topic.name().toLowerCase(Locale.ROOT);
     }
 
     /**
@@ -145,32 +158,43 @@
      * @param update the update
      */
     public void applyUpdate(TopicUpdate update) {
+        long received = millis.getAsLong();
+        results.execute(failures.guard(loop, () -> applyUpdate(update, received)));
+    }
+
+    private void applyUpdate(TopicUpdate update, long received) {
+        boolean isGap;
         synchronized (this) {
             if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > schedule.overdueMillis()) {
                 return;
             }
-            long now = millis.getAsLong();
-            if (update.from() <= nextOffset) {
-                applyRecords(update.records(), update.to(), ReadGap.Source.PEER);
-                lastSuccessMillis = Math.max(lastSuccessMillis, now - update.ageMillis());
-                if (updatedUntilMillis < now) {
-                    LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
-                }
-                updatedUntilMillis = Math.max(
-                        updatedUntilMillis,
-                        now + Math.min(UPDATE_TIMEOUT_MILLIS, schedule.overdueMillis() - update.ageMillis()));
-                return;
+            isGap = update.from() > nextOffset;
+            if (isGap) {
+                LOG.log(
+                        Level.INFO,
+                        "event=store_updates topic={0} outcome=gap known={1} from={2}",
+                        topic,
+                        Long.toString(nextOffset),
+                        Long.toString(update.from()));
+                catchingUp = true;
+                generation++;
             }
-            LOG.log(
-                    Level.INFO,
-                    "event=store_updates topic={0} outcome=gap known={1} from={2}",
-                    topic,
-                    Long.toString(nextOffset),
-                    Long.toString(update.from()));
-            catchingUp = true;
-            generation++;
         }
-        sendRead(0);
+        if (isGap) {
+            sendRead(0);
+            return;
+        }
+        applyRecords(update.records(), update.to(), ReadGap.Source.PEER);
+        synchronized (this) {
+            nextOffset = Math.max(nextOffset, update.to());
+            lastSuccessMillis = Math.max(lastSuccessMillis, received - update.ageMillis());
+            if (updatedUntilMillis < received) {
+                LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
+            }
+            updatedUntilMillis = Math.max(
+                    updatedUntilMillis,
+                    received + Math.min(UPDATE_TIMEOUT_MILLIS, schedule.overdueMillis() - update.ageMillis()));
+        }
     }
 
     /** Gets the time for which the follower relies on the updates of other nodes; 0 if it must read itself. */
@@ -187,42 +211,63 @@
         synchronized (this) {
             current = generation;
             from = nextOffset;
-            responseMillis = slowStore || failures >= SLOW_STORE_FAILURES
+            responseMillis = slowStore || failedReads >= SLOW_STORE_FAILURES
                     ? schedule.slowResponseMillis()
                     : schedule.responseMillis();
         }
         boolean isSnapshot = from < 0;
         long start = millis.getAsLong();
-        CompletionStage<RecordBatch> batch =
-                isSnapshot ? store.readSnapshot(topic) : store.readChanges(topic, from, wait, responseMillis);
-        batch.whenComplete((result, failure) -> {
-            if (failure == null) {
-                apply(current, result, isSnapshot, wait, millis.getAsLong() - start);
-            } else {
-                handleFailure(current, Failures.unwrap(failure));
-            }
+        read(isSnapshot, from, wait, responseMillis).whenComplete((result, failure) -> {
+            long received = millis.getAsLong();
+            results.execute(() -> {
+                if (failure != null) {
+                    handleFailure(current, Failures.unwrap(failure));
+                } else if (!failures.run(
+                        loop, () -> apply(current, result, isSnapshot, wait, received - start, received))) {
+                    handleFailure(current, new IllegalStateException("the result could not be applied"));
+                }
+            });
         });
     }
 
-    private void apply(long current, RecordBatch batch, boolean isSnapshot, long wait, long elapsed) {
+    private CompletionStage<RecordBatch> read(boolean isSnapshot, long from, long wait, long responseMillis) {
+        try {
+            return isSnapshot ? store.readSnapshot(topic) : store.readChanges(topic, from, wait, responseMillis);
+        } catch (RuntimeException | Error e) {
+            failures.record(loop, e);
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** Applies the result of a read. Runs as a task of {@link #results}, without the lock while listeners are called. */
+    private void apply(long current, RecordBatch batch, boolean isSnapshot, long wait, long elapsed, long received) {
+        long from;
+        synchronized (this) {
+            if (current != generation) {
+                return;
+            }
+            from = nextOffset;
+        }
+        boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
+        List<KeyedRecord> changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE);
+        if (isSnapshot && !outdated) {
+            Set<String> keys = batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet());
+            failures.run(loop, () -> listener.onSnapshot(keys));
+        }
         CompletableFuture<Void> refresh;
         TopicUpdate update;
         synchronized (this) {
+            nextOffset = Math.max(nextOffset, batch.nextOffset());
+            // The age counts from the response, because the listener may have taken time.
+            lastSuccessMillis = Math.max(lastSuccessMillis, received);
+            snapshotKnown = true;
             if (current != generation) {
+                // A refresh that began meanwhile has sent its own read.
                 return;
             }
-            boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
-            long from = nextOffset;
             retryMillis = schedule.retryMillis();
-            failures = 0;
+            failedReads = 0;
             slowStore = !isSnapshot && elapsed > wait + schedule.responseMillis();
-            List<KeyedRecord> changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE);
-            lastSuccessMillis = millis.getAsLong();
-            if (isSnapshot && !outdated) {
-                listener.onSnapshot(
-                        batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet()));
-            }
-            snapshotKnown = true;
             refreshing = false;
             catchingUp = false;
             refresh = nextRefresh;
@@ -231,38 +276,49 @@
                     : new TopicUpdate(topic, from, nextOffset, changes, 0);
         }
         refresh.complete(null);
-        onRead.accept(update);
+        failures.run(loop, () -> onRead.accept(update));
         scheduleRead(current, isSnapshot ? 0 : Math.max(0, schedule.intervalMillis() - elapsed));
     }
 
     /**
-     * Tells the listener of the records that are newer than the known ones.
+     * Tells the listener of the records that are newer than the known ones. A record that the listener cannot handle does not
+     * stop the others.
      *
      * @return the records that other nodes must learn: those that do more than renew an entry, and those that this node knows
      *     from a later page of a snapshot
      */
     private List<KeyedRecord> applyRecords(List<KeyedRecord> records, long end, ReadGap.Source source) {
-        listener.onRead(new ReadGap(snapshotKnown ? getAgeMillis() : 0, source));
-        if (inOutage) {
-            LOG.log(Level.INFO, "event=store_regained topic={0} offset={1}", topic, Long.toString(end));
-            inOutage = false;
+        ReadGap gap;
+        synchronized (this) {
+            gap = new ReadGap(snapshotKnown ? getAgeMillis() : 0, source);
+            if (inOutage) {
+                LOG.log(Level.INFO, "event=store_regained topic={0} offset={1}", topic, Long.toString(end));
+                inOutage = false;
+            }
         }
+        failures.run(loop, () -> listener.onRead(gap));
         List<KeyedRecord> changes = new ArrayList<>();
         for (KeyedRecord change : records) {
-            if (change.offset() > offsets.getOrDefault(change.key(), -1L)) {
-                offsets.put(change.key(), change.offset());
-                if (listener.onChange(change)) {
-                    changes.add(change);
-                }
-            } else {
+            boolean isNew = change.offset() > offsets.getOrDefault(change.key(), -1L);
+            if (!isNew || apply(change)) {
                 changes.add(change);
             }
         }
-        nextOffset = Math.max(nextOffset, end);
         return changes;
     }
 
-    private synchronized long getHighestOffset() {
+    /** Tells the listener of a record, and returns false if it only renews an entry. */
+    private boolean apply(KeyedRecord change) {
+        offsets.put(change.key(), change.offset());
+        try {
+            return listener.onChange(change);
+        } catch (RuntimeException | Error e) {
+            failures.record(loop, e);
+            return true;
+        }
+    }
+
+    private long getHighestOffset() {
         return offsets.values().stream().mapToLong(o -> o).max().orElse(-1);
     }
 
@@ -281,7 +337,7 @@
                     LOG.log(Level.WARNING, "event=store_lost topic={0} reason=\"{1}\"", topic, failure.getMessage());
                 }
                 inOutage = true;
-                failures++;
+                failedReads++;
                 catchingUp = false;
                 delay = retryMillis;
                 retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
@@ -291,23 +347,22 @@
     }
 
     private void scheduleRead(long current, long delay) {
-        timers.schedule(
-                () -> {
-                    boolean stillCurrent;
-                    long wait;
-                    long updatedMillis;
-                    synchronized (this) {
-                        stillCurrent = current == generation;
-                        wait = inOutage || slowStore ? 0 : schedule.getWaitMillis(getAgeMillis());
-                        updatedMillis = getUpdatedMillis();
-                    }
-                    if (stillCurrent && updatedMillis > 0) {
-                        scheduleRead(current, updatedMillis);
-                    } else if (stillCurrent) {
-                        sendRead(wait);
-                    }
-                },
-                delay,
-                TimeUnit.MILLISECONDS);
+        timers.schedule(() -> readAgain(current), delay, TimeUnit.MILLISECONDS);
+    }
+
+    private void readAgain(long current) {
+        boolean stillCurrent;
+        long wait;
+        long updatedMillis;
+        synchronized (this) {
+            stillCurrent = current == generation;
+            wait = inOutage || slowStore ? 0 : schedule.getWaitMillis(getAgeMillis());
+            updatedMillis = getUpdatedMillis();
+        }
+        if (stillCurrent && updatedMillis > 0) {
+            scheduleRead(current, updatedMillis);
+        } else if (stillCurrent) {
+            sendRead(wait);
+        }
     }
 }
--- a/router/src/test/java/org/magnoliavane/router/LeavingWorkerListTest.java
+++ b/router/src/test/java/org/magnoliavane/router/LeavingWorkerListTest.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
+import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
@@ -20,6 +21,7 @@
 import org.magnoliavane.router.store.ReadSchedule;
 import org.magnoliavane.router.store.Topic;
 import org.magnoliavane.router.store.TopicFollower;
+import org.magnoliavane.router.store.TopicSource;
 import org.magnoliavane.routing.RoutingTable;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -76,7 +78,12 @@
                 timers::now,
                 worker -> {});
         TopicFollower follower = new TopicFollower(
-                store, Topic.WORKERS, controller, timers, timers::now, ReadSchedule.within(DRAIN_MILLIS), update -> {});
+                new TopicSource(store, Topic.WORKERS, ReadSchedule.within(DRAIN_MILLIS)),
+                controller,
+                timers,
+                timers::now,
+                update -> {},
+                LoopFailures.create(new MetricRegistry()));
         follower.refresh();
         timers.at(timers.now() + REPORT_MILLIS, this::receiveReport);
         timers.at(timers.now() + TICK_MILLIS, () -> removeExpired(controller));
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -6,9 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
+import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.router.LoopFailures;
 import org.magnoliavane.router.VirtualTimers;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -28,6 +32,8 @@
     private static final long WAIT_MILLIS = 500;
     private static final long POSITION_INTERVAL_MILLIS = 500;
 
+    private static final long BLOCKED_MILLIS = 5000;
+
     private VirtualTimers timers;
     private FakeKeyedStore store;
     private List<Node> nodes;
@@ -200,6 +206,71 @@
         assertTrue(nodes.get(0).longestGapMillis >= 4000, "longest gap " + nodes.get(0).longestGapMillis);
     }
 
+    /** Guards against a deadlock of the lock of a follower with those of its listeners, which stopped all timers of a process. */
+    @Test
+    public void theFollowerIsNotLockedWhileItsListenerIsCalled() {
+        List<TopicFollower> followers = new ArrayList<>();
+        List<Boolean> returned = new ArrayList<>();
+        Runnable ask = () -> returned.add(!returned.contains(false)
+                && returnsOnAnotherThread(() -> followers.forEach(TopicFollower::findPosition)));
+        followers.add(createFollower(new CallingListener(ask), update -> ask.run()));
+        followers.get(0).refresh();
+        timers.runUntil(100);
+        assertTrue(returned.size() > WORKERS && !returned.contains(false), returned.toString());
+    }
+
+    private static boolean returnsOnAnotherThread(Runnable call) {
+        Thread thread = new Thread(call);
+        thread.setDaemon(true);
+        thread.start();
+        try {
+            thread.join(BLOCKED_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        return !thread.isAlive();
+    }
+
+    @DataProvider
+    public Object[][] listenerFailures() {
+        return new Object[][] {{new IllegalStateException("test")}, {new StackOverflowError("test")}};
+    }
+
+    /** Guards against a topic that is never read again after its listener has thrown, and requests that wait for its refresh. */
+    @Test(dataProvider = "listenerFailures")
+    public void aFollowerGoesOnAfterItsListenerHasFailed(Throwable failure) {
+        Node node = new Node(false);
+        node.failure = Optional.of(failure);
+        CompletableFuture<Void> refresh = node.follower.refresh().toCompletableFuture();
+        timers.runUntil(3 * INTERVAL_MILLIS);
+        assertTrue(refresh.isDone());
+        node.failure = Optional.empty();
+        store.put("w7", "role-b 0");
+        timers.runUntil(6 * INTERVAL_MILLIS);
+        assertEquals(node.roles.get("w7"), "role-b");
+    }
+
+    /** Guards against workers that are not known because another writer's entry before them could not be handled. */
+    @Test(dataProvider = "listenerFailures")
+    public void aRecordThatTheListenerCannotHandleDoesNotStopTheOthers(Throwable failure) {
+        Node node = new Node(false);
+        node.failure = Optional.of(failure);
+        node.failingKey = "w30";
+        node.follower.refresh();
+        timers.runUntil(100);
+        assertEquals(node.roles.size(), WORKERS - 1);
+    }
+
+    private TopicFollower createFollower(TopicListener listener, Consumer<TopicUpdate> onRead) {
+        return new TopicFollower(
+                new TopicSource(store, Topic.WORKERS, schedule),
+                listener,
+                timers,
+                timers::now,
+                onRead,
+                LoopFailures.create(new MetricRegistry()));
+    }
+
     private void startNodes(int count) {
         for (int i = 0; i < count; i++) {
             nodes.add(new Node(i < 2));
@@ -223,6 +294,8 @@
         private final List<String> events = new ArrayList<>();
         private final boolean reader;
         private final TopicFollower follower;
+        private Optional<Throwable> failure = Optional.empty();
+        private String failingKey = "";
         private boolean sends = true;
         private boolean receives = true;
         private Optional<TopicUpdate> lastPosition = Optional.empty();
@@ -232,7 +305,7 @@
 
         Node(boolean reader) {
             this.reader = reader;
-            follower = new TopicFollower(store, Topic.WORKERS, this, timers, timers::now, schedule, this::send);
+            follower = createFollower(this, this::send);
             if (reader) {
                 timers.schedule(this::sendPosition, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             }
@@ -273,6 +346,12 @@
 
         @Override
         public boolean onChange(KeyedRecord change) {
+            if (failure.isPresent() && change.key().startsWith(failingKey)) {
+                failure.filter(Error.class::isInstance).map(Error.class::cast).ifPresent(e -> {
+                    throw e;
+                });
+                throw new IllegalStateException(failure.get());
+            }
             if (change.isRemoval()) {
                 roles.remove(change.key());
                 events.add("removed " + change.key());
@@ -287,4 +366,23 @@
             roles.keySet().retainAll(keys);
         }
     }
+
+    /** A listener that makes a call whenever it is called. */
+    private record CallingListener(Runnable call) implements TopicListener {
+        @Override
+        public void onRead(ReadGap gap) {
+            call.run();
+        }
+
+        @Override
+        public boolean onChange(KeyedRecord change) {
+            call.run();
+            return true;
+        }
+
+        @Override
+        public void onSnapshot(Set<String> keys) {
+            call.run();
+        }
+    }
 }
