Answer every request before the process ends at a planned stop

Callers saw connections closed without an answer at the end of the grace period: streams that were accepted after SIGTERM and waited for a worker, and bookings whose worker took longer than the grace period.

Cause: a request was judged once, and nothing that was accepted was bound to the end of the process. The margins were fixed for a grace period of 8 s; with 3 s streams were accepted almost until the exit.

Change: GracefulShutdown derives all times from the grace period. A request is accepted by its own deadline, waits for the node's state end while it can still be answered, and shortly before the exit all requests without a response are answered: 503 if no worker has them, else 504. Streams that have started go on until the exit.

Evidence: without the change PlannedStopTest failed: the waiting stream and the slow booking got no byte (expected 503 and 504, found 0). The 170 short requests on open connections were answered before, too; that test failed only for the slow booking beside them. With it all pass, and GracefulShutdownTest checks the sums for graces from 0.5 to 600 s.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -97,9 +97,6 @@
     /** Delay before this node is listed again when the store did not confirm its listing. */
     private static final long LISTING_RETRY_MILLIS = 1000;
 
-    /** Time before the end of the stop grace period at which the process exits even with active requests. */
-    private static final long EXIT_MARGIN_MILLIS = 600;
-
     /** Number of address lifetimes for which some callers continue to use an address. */
     private static final int CACHED_ADDRESS_LIFETIMES = 3;
 
@@ -130,6 +127,7 @@
     private final AdmissionQueues admissionQueues;
     private final RoleOrderSender roleOrderSender;
     private final RoleController roleController;
+    private final Dispatcher dispatcher;
     private final FrontendServer frontend;
     private final GracefulShutdown shutdown = new GracefulShutdown();
     private final AtomicReference<CompletableFuture<Void>> pendingRefresh =
@@ -197,7 +195,7 @@
                 () -> new RetryBudget(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()),
                 () -> peerTable.countNodes(millis.getAsLong()),
                 millis);
-        Dispatcher dispatcher = new Dispatcher(new DispatchContext(
+        this.dispatcher = new Dispatcher(new DispatchContext(
                 routingState,
                 workerFollower::getAgeMillis,
                 loadTracker,
@@ -279,7 +277,8 @@
                 .toCompletableFuture()
                 .copy()
                 .thenApply(done -> true)
-                .completeOnTimeout(false, REFRESH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+                .completeOnTimeout(
+                        false, shutdown.limitWait(millis.getAsLong(), REFRESH_TIMEOUT_MILLIS), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -289,10 +288,10 @@
     @Override
     public void close() {
         long start = millis.getAsLong();
-        long exitBy = start + settings.stopGraceMillis() - EXIT_MARGIN_MILLIS;
-        if (!shutdown.start(start, exitBy)) {
+        if (!shutdown.start(start, settings.stopGraceMillis())) {
             return;
         }
+        GracefulShutdown.Schedule schedule = shutdown.getSchedule();
         LOG.log(Level.INFO, "event=leaving node={0} active={1}", self.name(), frontend.countActive());
         peerReports.sendToAll();
         store.removeNode(self.name()).whenComplete((done, failure) -> {
@@ -301,10 +300,13 @@
             }
         });
         long addressesExpired = start + (long) (CACHED_ADDRESS_LIFETIMES * 1000 * settings.addressLifetimeSeconds());
-        awaitUntil(exitBy, () -> millis.getAsLong() >= addressesExpired && frontend.countActive() == 0);
+        awaitUntil(
+                schedule.answerByMillis(), () -> millis.getAsLong() >= addressesExpired && frontend.countActive() == 0);
         // Callers may use the node until it is gone. A request that is accepted from now on would be cut off.
         shutdown.stopAccepting();
-        awaitUntil(exitBy, () -> frontend.countActive() == 0);
+        awaitUntil(schedule.answerByMillis(), () -> frontend.countActive() == 0);
+        dispatcher.answerAll();
+        awaitUntil(schedule.exitMillis(), () -> frontend.countActive() == 0);
         LOG.log(Level.INFO, "event=stop node={0} active={1}", self.name(), frontend.countActive());
         frontend.close();
         peerChannel.close();
@@ -319,7 +321,7 @@
     private void awaitUntil(long endMillis, BooleanSupplier condition) {
         while (millis.getAsLong() < endMillis && !condition.getAsBoolean()) {
             try {
-                Thread.sleep(TICK_MILLIS);
+                Thread.sleep(Math.min(TICK_MILLIS, Math.max(1, endMillis - millis.getAsLong())));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
@@ -1,5 +1,8 @@
 package org.magnoliavane.router.dispatch;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
 import org.magnoliavane.routing.RequestKind;
 
 /**
@@ -9,6 +12,7 @@
  */
 public final class Dispatcher {
     private final DispatchContext context;
+    private final Set<RequestExecution> active = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a dispatcher.
@@ -30,6 +34,12 @@
         RequestExecution execution = request.route().kind() == RequestKind.STREAM
                 ? new StreamExecution(context, request, service, response)
                 : new PlainExecution(context, request, service, response);
-        execution.start();
+        active.add(execution);
+        execution.start(() -> active.remove(execution));
+    }
+
+    /** Answers all requests that have no response yet, because the process is about to end. Streams that have started go on. */
+    public void answerAll() {
+        active.forEach(RequestExecution::answerBeforeExit);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -180,6 +180,15 @@
         super.handleTimeout();
     }
 
+    @Override
+    void handleExit() {
+        if (errorResponse.isPresent()) {
+            sendResponse(errorResponse.get());
+            return;
+        }
+        super.handleExit();
+    }
+
     @Override
     void cancelExchanges() {
         activeAttempts.forEach(a -> a.exchange.cancel());
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -27,6 +27,9 @@
     /** Time after which a caller may retry if a similar request is under trial; a trial takes about as long. */
     static final long TRIAL_RETRY_AFTER_MILLIS = 1000;
 
+    /** Time after which a caller may retry if the node stops; another node may accept the request at once. */
+    private static final long EXIT_RETRY_AFTER_MILLIS = 50;
+
     private static final Logger LOG = System.getLogger(RequestExecution.class.getName());
 
     final DispatchContext context;
@@ -46,6 +49,7 @@
     final RequestFeatures features;
     private volatile boolean trial;
     private Future<?> deadlineTimer;
+    private Runnable onFinish = () -> {};
 
     RequestExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         this.context = context;
@@ -55,9 +59,14 @@
         this.features = PoisonGuard.getFeatures(request);
     }
 
-    /** Starts the execution of the request. */
-    final void start() {
+    /**
+     * Starts the execution of the request.
+     *
+     * @param whenFinished called when the execution has finished
+     */
+    final void start(Runnable whenFinished) {
         executor.execute(() -> {
+            onFinish = whenFinished;
             context.retryBudgets().countRequest(service);
             deadlineTimer = context.timers()
                     .schedule(
@@ -189,6 +198,7 @@
 
     final void finish(String outcome, String detail) {
         ended = true;
+        onFinish.run();
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
@@ -247,6 +257,27 @@
                 "find out whether the work was done before sending it again"));
     }
 
+    /** Answers the request if it has no response yet, because the process is about to end. */
+    final void answerBeforeExit() {
+        executor.execute(() -> {
+            if (!ended) {
+                handleExit();
+            }
+        });
+    }
+
+    void handleExit() {
+        if (mayHaveRun || isBeginning()) {
+            fail(Fault.unknownOutcome(
+                    FaultKind.DEADLINE_EXCEEDED,
+                    "the node stops before the worker has responded",
+                    "find out whether the work was done before sending it again"));
+            return;
+        }
+        fail(Fault.notRun(FaultKind.UNAVAILABLE, "the node stops", "send the request to another address")
+                .withRetryAfterMillis(EXIT_RETRY_AFTER_MILLIS));
+    }
+
     private void handleDisconnect() {
         if (!ended) {
             finish("caller_gone", "");
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -802,6 +802,13 @@
         super.handleTimeout();
     }
 
+    @Override
+    void handleExit() {
+        if (!stream.hasStarted()) {
+            super.handleExit();
+        }
+    }
+
     @Override
     void cancelExchanges() {
         waiting = false;
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -140,10 +140,14 @@
         body = received;
     }
 
+    /** Gets the time at which the request must be answered. The route must have been set. */
+    long getDeadlineMillis() {
+        long timeoutMillis = metadata.timeoutMillis().orElse(route.timeoutMillis()) - RESPONSE_MARGIN_MILLIS;
+        return arrivalMillis + Math.min(timeoutMillis, route.timeoutMillis());
+    }
+
     /** Creates the input of the dispatcher. The route and the body must have been set. */
     CallerRequest createCallerRequest() {
-        long timeoutMillis = metadata.timeoutMillis().orElse(route.timeoutMillis()) - RESPONSE_MARGIN_MILLIS;
-        long deadlineMillis = arrivalMillis + Math.min(timeoutMillis, route.timeoutMillis());
         return new CallerRequest(
                 getMethod(),
                 getTarget(),
@@ -153,7 +157,7 @@
                 route,
                 routingTable.getVersion(),
                 arrivalMillis,
-                deadlineMillis);
+                getDeadlineMillis());
     }
 
     @Override
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -138,7 +138,10 @@
                 .whenRefreshed()
                 .toCompletableFuture()
                 .copy()
-                .completeOnTimeout(null, MAX_REFRESH_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+                .completeOnTimeout(
+                        null,
+                        context.shutdown().limitWait(context.millis().getAsLong(), MAX_REFRESH_WAIT_MILLIS),
+                        TimeUnit.MILLISECONDS)
                 .thenRun(() -> handleFailures(exchange, () -> next.accept(exchange)));
     }
 
@@ -184,7 +187,12 @@
     }
 
     private void refuseDuringShutdown(FrontendExchange exchange, Consumer<FrontendExchange> next) {
-        if (context.shutdown().canAccept(exchange.getRoute(), context.millis().getAsLong())) {
+        boolean accepted = context.shutdown()
+                .canAccept(
+                        exchange.getRoute().kind(),
+                        exchange.getDeadlineMillis(),
+                        context.millis().getAsLong());
+        if (accepted) {
             next.accept(exchange);
             return;
         }
