Wait until responses are written before a planned stop ends

Callers saw a response end early when the node stopped while it was still being sent to a slow caller.

Cause: the process ended as soon as no request was active, and a request counts as answered once its response is handed to the connection, before its bytes are written. Connections that had just been accepted were closed at the same moment.

Change: the node stops listening first, refuses what arrives on open connections for 100 ms more, and waits until the connections that have sent a request are closed, which happens after their last byte is written, or until the exit time.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -97,6 +97,9 @@
     /** Delay before this node is listed again when the store did not confirm its listing. */
     private static final long LISTING_RETRY_MILLIS = 1000;
 
+    /** Time after the end of listening in which requests on connections that were just accepted are still refused. */
+    private static final long LAST_REQUESTS_MILLIS = 100;
+
     /** Number of address lifetimes for which some callers continue to use an address. */
     private static final int CACHED_ADDRESS_LIFETIMES = 3;
 
@@ -306,7 +309,11 @@
         shutdown.stopAccepting();
         awaitUntil(schedule.answerByMillis(), () -> frontend.countActive() == 0);
         dispatcher.answerAll();
-        awaitUntil(schedule.exitMillis(), () -> frontend.countActive() == 0);
+        frontend.stopListening();
+        long lastRequestsUntil = millis.getAsLong() + LAST_REQUESTS_MILLIS;
+        awaitUntil(
+                schedule.exitMillis(),
+                () -> millis.getAsLong() >= lastRequestsUntil && !frontend.hasUnwrittenResponses());
         LOG.log(Level.INFO, "event=stop node={0} active={1}", self.name(), frontend.countActive());
         frontend.close();
         peerChannel.close();
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -14,6 +14,8 @@
 import com.codahale.metrics.Gauge;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.glassfish.grizzly.CloseListener;
+import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -64,6 +66,10 @@
     private final FrontendContext context;
     private final RouterSettings settings;
     private final AtomicInteger active = new AtomicInteger();
+
+    /** Connections of callers that have sent a request and are not closed; a connection is closed after its response. */
+    private final AtomicInteger unclosed = new AtomicInteger();
+
     private final HttpServer server = new HttpServer();
     private final Consumer<FrontendExchange> chain;
 
@@ -128,6 +134,20 @@
         return active.get();
     }
 
+    /**
+     * Returns whether a response is not completely written, or a request has no response yet.
+     *
+     * @return true if closing the server would cut a response
+     */
+    public boolean hasUnwrittenResponses() {
+        return active.get() > 0 || unclosed.get() > 0;
+    }
+
+    /** Refuses new connections. Requests on open connections are still handled. */
+    public void stopListening() {
+        server.getListeners().forEach(l -> l.getTransport().unbindAll());
+    }
+
     @Override
     public void close() {
         server.shutdownNow();
@@ -299,6 +319,9 @@
             boolean fromCaller = port == settings.callers().port();
             if (fromCaller) {
                 active.incrementAndGet();
+                unclosed.incrementAndGet();
+                CloseListener<Closeable, ?> closed = (closeable, type) -> unclosed.decrementAndGet();
+                request.getRequest().getConnection().addCloseListener(closed);
             }
             FrontendExchange exchange = new FrontendExchange(
                     request, response, context.wire(), context.millis().getAsLong(), () -> {
