Read callers' bodies within a budget in bytes

Cause: BodyReader collected each body in a buffer that doubles and copied it at the end, with no bound on the bodies read at once. The OutOfMemoryError reached onError, which reported every failure as malformed.

A body of known length is allocated as a whole before it is read, into one array; others are allocated as they arrive. A body without room is received, discarded and refused with 503, Retry-After and "not run"; closing with unread bytes would reset the connection. An allocation ends with its exchange, in every ending. Failures that are not the caller's are 503, not 400. An exception after the body has been read is answered instead of leaving the request without an answer. Gauges show use and refusals. The node of the product's own deployment has no bound yet.

--- /dev/null
+++ b/core/src/main/java/org/magnoliavane/budget/package-info.java
@@ -0,0 +1,2 @@
+/** The bound on the bytes that a process buffers. */
+package org.magnoliavane.budget;
--- a/http/src/main/java/org/magnoliavane/http/server/BodyReader.java
+++ b/http/src/main/java/org/magnoliavane/http/server/BodyReader.java
@@ -1,7 +1,9 @@
 package org.magnoliavane.http.server;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -9,11 +11,16 @@
 import java.util.function.Consumer;
 
 import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.HttpBrokenContentException;
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.Request;
+import org.magnoliavane.budget.BudgetedBuffer;
+import org.magnoliavane.budget.ByteBudget.Allocation;
 
 /**
- * Reads the body of a request without blocking, with a maximum size and a timeout.
+ * Reads the body of a request without blocking, with a maximum size, within a budget and a timeout. A body for which there
+ * is no room is received and discarded: closing a connection with unread bytes would reset it, and the caller might not
+ * get the refusal.
  *
  * <p>Thread-safe.
  */
@@ -25,22 +32,44 @@
         /** The body is incomplete or malformed, or the connection failed. */
         MALFORMED,
         /** The body was not complete within the timeout. */
-        TOO_SLOW
+        TOO_SLOW,
+        /** The budget has no room for the body. */
+        NO_ROOM,
+        /** The reader itself failed. */
+        INTERNAL
     }
 
+    private static final Logger LOG = System.getLogger(BodyReader.class.getName());
+
+    /** Size of the parts in which bytes are read from a connection or discarded. */
+    private static final int PART_BYTES = 16 * 1024;
+
     private final NIOInputStream in;
     private final int limitBytes;
+    private final Allocation allocation;
     private final Consumer<byte[]> onBody;
     private final Consumer<Failure> onFailure;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final AtomicBoolean finished = new AtomicBoolean();
+    private final Optional<byte[]> known;
+    private final BudgetedBuffer parts = BudgetedBuffer.create();
+    private int size;
+    private boolean discarding;
     private volatile ScheduledFuture<?> timer;
 
-    private BodyReader(NIOInputStream in, int limitBytes, Consumer<byte[]> onBody, Consumer<Failure> onFailure) {
-        this.in = in;
+    private BodyReader(
+            Request request,
+            int limitBytes,
+            Allocation allocation,
+            Consumer<byte[]> onBody,
+            Consumer<Failure> onFailure) {
+        this.in = request.getNIOInputStream();
         this.limitBytes = limitBytes;
+        this.allocation = allocation;
         this.onBody = onBody;
         this.onFailure = onFailure;
+        long length = request.getContentLengthLong();
+        this.discarding = length > 0 && !allocation.tryGrow(length);
+        this.known = length >= 0 && !discarding ? Optional.of(new byte[(int) length]) : Optional.empty();
     }
 
     /**
@@ -50,6 +79,7 @@
      * @param limitBytes the maximum size of the body in bytes
      * @param timeoutMillis the time in milliseconds within which the body must be complete
      * @param timers the executor of the timeout
+     * @param allocation allocates the body; the caller of this method closes it
      * @param onBody receives the complete body
      * @param onFailure receives the reason if the body could not be read
      */
@@ -58,13 +88,14 @@
             int limitBytes,
             long timeoutMillis,
             ScheduledExecutorService timers,
+            Allocation allocation,
             Consumer<byte[]> onBody,
             Consumer<Failure> onFailure) {
         if (request.getContentLengthLong() > limitBytes) {
             onFailure.accept(Failure.TOO_LARGE);
             return;
         }
-        BodyReader reader = new BodyReader(request.getNIOInputStream(), limitBytes, onBody, onFailure);
+        BodyReader reader = new BodyReader(request, limitBytes, allocation, onBody, onFailure);
         reader.start();
         reader.startTimer(timers, timeoutMillis);
     }
@@ -98,7 +129,12 @@
 
     @Override
     public void onError(Throwable cause) {
-        fail(Failure.MALFORMED);
+        if (cause instanceof IOException || cause instanceof HttpBrokenContentException) {
+            fail(Failure.MALFORMED);
+            return;
+        }
+        LOG.log(Level.ERROR, "event=body_unread received=" + size, cause);
+        fail(Failure.INTERNAL);
     }
 
     private void startTimer(ScheduledExecutorService timers, long timeoutMillis) {
@@ -119,9 +155,12 @@
     }
 
     private void finish() {
-        if (finished.compareAndSet(false, true)) {
+        Optional<byte[]> body = discarding ? Optional.empty() : known.or(() -> parts.join(allocation));
+        if (body.isEmpty()) {
+            fail(Failure.NO_ROOM);
+        } else if (finished.compareAndSet(false, true)) {
             cancelTimer();
-            onBody.accept(body.toByteArray());
+            onBody.accept(body.get());
         }
     }
 
@@ -133,13 +172,20 @@
     }
 
     private boolean readAvailable() throws IOException {
-        byte[] chunk = new byte[in.readyData()];
-        int length = chunk.length == 0 ? 0 : in.read(chunk);
-        body.write(chunk, 0, Math.max(0, length));
-        if (body.size() <= limitBytes) {
-            return true;
+        byte[] part = known.orElseGet(() -> new byte[PART_BYTES]);
+        while (in.readyData() > 0) {
+            int offset = known.isPresent() ? size : 0;
+            int length = in.read(part, offset, Math.min(in.readyData(), part.length - offset));
+            if (length <= 0) {
+                return true;
+            }
+            size += length;
+            if (size > limitBytes) {
+                fail(Failure.TOO_LARGE);
+                return false;
+            }
+            discarding = discarding || known.isEmpty() && !parts.append(part, 0, length, allocation);
         }
-        fail(Failure.TOO_LARGE);
-        return false;
+        return true;
     }
 }
--- a/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/ReadBodyFilter.java
@@ -5,6 +5,7 @@
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.http.server.BodyReader;
 
 /** Reads the request body without blocking, up to the configured limit. */
@@ -12,6 +13,9 @@
     /** Time within which a body must arrive, so that slow senders cannot keep requests open. */
     private static final long READ_TIMEOUT_MILLIS = 30_000;
 
+    /** The heap of a node of the product's own deployment is not limited to that of the router. */
+    private final ByteBudget budget = ByteBudget.of(Long.MAX_VALUE);
+
     private final ScheduledExecutorService timers;
 
     ReadBodyFilter(ScheduledExecutorService timers) {
@@ -26,6 +30,7 @@
                 limit,
                 READ_TIMEOUT_MILLIS,
                 timers,
+                budget.open(ByteBudget.Use.CALLER_BODY),
                 body -> {
                     exchange.setBody(body);
                     exchange.watchConnection();
@@ -44,6 +49,8 @@
             case MALFORMED ->
                 Fault.notRun(
                         FaultKind.INVALID_REQUEST, "the body ended early or is malformed", "send the request again");
+            case NO_ROOM, INTERNAL ->
+                Fault.notRun(FaultKind.UNAVAILABLE, "the node cannot receive the body", "send the request again");
             case TOO_SLOW ->
                 Fault.notRun(
                         FaultKind.INVALID_REQUEST,
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -23,6 +23,7 @@
 import org.magnoliavane.balance.UnreachableWorkers;
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.balance.WorkerSelector;
+import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.RendezvousHashing;
@@ -116,6 +117,7 @@
     private final ScheduledExecutorService timers = DaemonTimers.open("timers", 1);
     private final MetricRegistry metrics = new MetricRegistry();
     private final LoopFailures failures = LoopFailures.create(metrics);
+    private final ByteBudget budget = ByteBudget.ofHeap();
     private final RoutingState routingState = new RoutingState();
     private final StoreAvailability availability;
     private final PeerTable peerTable = new PeerTable();
@@ -210,6 +212,7 @@
                 this::onUnreachable,
                 client,
                 wire,
+                budget,
                 timers,
                 millis,
                 () -> ThreadLocalRandom.current().nextDouble(),
@@ -225,10 +228,12 @@
                 this::getCallerAddresses,
                 this::isReady,
                 shutdown,
+                budget,
                 timers,
                 millis,
                 metrics));
         metrics.register("configuration.version", (Gauge<Long>) this::getConfigurationVersion);
+        BudgetMetrics.register(metrics, budget);
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
         listSelf();
         startPauseDetection(workerController);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
@@ -47,4 +47,11 @@
      * @param task the task, which runs at most once; immediately if the caller has already disconnected
      */
     void onDisconnect(Runnable task);
+
+    /**
+     * Adds a task that runs when the response is complete or the caller has disconnected.
+     *
+     * @param task the task, which runs once; immediately if that is the case already
+     */
+    void onComplete(Runnable task);
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.balance.WorkerSelector;
+import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.router.RoutingState;
 
@@ -26,6 +27,7 @@
  *     is suspended
  * @param client sends requests to workers
  * @param wireFormat encodes and decodes requests and responses
+ * @param budget bounds the bytes that are buffered
  * @param timers runs timeouts
  * @param clockMillis a monotonic clock, in milliseconds
  * @param random supplies random numbers between 0 and 1
@@ -43,6 +45,7 @@
         BiConsumer<String, Long> onUnreachable,
         HttpClient client,
         WireFormat wireFormat,
+        ByteBudget budget,
         ScheduledExecutorService timers,
         LongSupplier clockMillis,
         DoubleSupplier random,
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
@@ -5,6 +5,7 @@
 import java.util.function.LongSupplier;
 
 import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.router.RoutingState;
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.WireFormat;
@@ -21,6 +22,7 @@
  * @param directory lists the addresses for callers
  * @param ready returns whether this node is ready for requests
  * @param shutdown decides which requests are accepted while the node shuts down
+ * @param budget bounds the bytes that are buffered
  * @param timers schedules timeouts
  * @param millis a monotonic clock in milliseconds
  * @param metrics the metrics of the node
@@ -34,6 +36,7 @@
         NodeDirectory directory,
         BooleanSupplier ready,
         GracefulShutdown shutdown,
+        ByteBudget budget,
         ScheduledExecutorService timers,
         LongSupplier millis,
         MetricRegistry metrics) {}
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -6,6 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -52,7 +54,7 @@
     private final Map<String, String> headers;
     private final RequestMetadata metadata;
     private final long arrivalMillis;
-    private final Runnable onComplete;
+    private final Queue<Runnable> completionTasks = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean responseStarted = new AtomicBoolean();
     private final AtomicBoolean completed = new AtomicBoolean();
     private final AtomicBoolean disconnected = new AtomicBoolean();
@@ -70,7 +72,7 @@
         this.headers = readHeaders(request);
         this.metadata = wire.readMetadata(headers);
         this.arrivalMillis = arrivalMillis;
-        this.onComplete = onComplete;
+        this.completionTasks.add(onComplete);
     }
 
     void suspend() {
@@ -218,11 +220,27 @@
         response.setHeader("Connection", "close");
     }
 
+    @Override
+    public void onComplete(Runnable task) {
+        completionTasks.add(task);
+        if (completed.get()) {
+            runCompletionTasks();
+        }
+    }
+
+    private void runCompletionTasks() {
+        Runnable task = completionTasks.poll();
+        while (task != null) {
+            task.run();
+            task = completionTasks.poll();
+        }
+    }
+
     private void complete() {
         if (completed.compareAndSet(false, true)) {
             connection.removeCloseListener(closeListener);
             response.resume();
-            onComplete.run();
+            runCompletionTasks();
         }
     }
 
@@ -238,7 +256,7 @@
             disconnected.set(true);
             responseStarted.set(true);
             onDisconnect.get().run();
-            onComplete.run();
+            runCompletionTasks();
         }
     }
 
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -25,6 +25,8 @@
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.budget.ByteBudget;
+import org.magnoliavane.budget.ByteBudget.Allocation;
 import org.magnoliavane.http.server.BodyReader;
 import org.magnoliavane.http.server.NoUpgradeFilter;
 import org.magnoliavane.http.server.SingleRequestFilter;
@@ -60,6 +62,9 @@
     /** Maximum time for which a request waits until the state of the node has been read again. */
     private static final long MAX_REFRESH_WAIT_MILLIS = 800;
 
+    /** Retry delay for callers whose body found no room; requests that hold the room take about as long. */
+    private static final long NO_ROOM_RETRY_MILLIS = 500;
+
     /** Maximum time for receiving a body, also when the caller states a longer timeout. */
     private static final long MAX_BODY_WAIT_MILLIS = 30_000;
 
@@ -239,16 +244,19 @@
                 .map(r -> r.getLimits().maxBodyBytes())
                 .orElse(DEFAULT_MAX_BODY_BYTES);
         long timeoutMillis = exchange.getMetadata().timeoutMillis().orElse(MAX_BODY_WAIT_MILLIS);
+        Allocation allocation = context.budget().open(ByteBudget.Use.CALLER_BODY);
+        exchange.onComplete(allocation::close);
         BodyReader.read(
                 exchange.getRequest(),
                 limit,
                 Math.min(timeoutMillis, MAX_BODY_WAIT_MILLIS),
                 context.timers(),
-                body -> {
+                allocation,
+                body -> handleFailures(exchange, () -> {
                     exchange.setBody(body);
                     exchange.watchConnection();
                     next.accept(exchange);
-                },
+                }),
                 failure -> refuse(exchange, toFault(failure, limit)));
     }
 
@@ -285,6 +293,13 @@
                 Fault.notRun(
                         FaultKind.INVALID_REQUEST, "the body ended early or is malformed", "send the request again");
             case TOO_SLOW -> createUnavailable("the body did not arrive in time");
+            case NO_ROOM ->
+                Fault.notRun(
+                                FaultKind.UNAVAILABLE,
+                                "the node has no memory for the body at present",
+                                "send the request again after the stated time")
+                        .withRetryAfterMillis(NO_ROOM_RETRY_MILLIS);
+            case INTERNAL -> createUnavailable("the node could not receive the body");
         };
     }
 
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -26,6 +26,7 @@
 import org.magnoliavane.balance.RetryBudget;
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.balance.WorkerSelector;
+import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.http.server.StreamWriter;
@@ -122,6 +123,7 @@
                 (worker, until) -> {},
                 client,
                 new PlainFormat(),
+                ByteBudget.ofHeap(),
                 timers,
                 millis,
                 () -> 0.5,
@@ -265,5 +267,10 @@
         public void onDisconnect(Runnable task) {
             // The caller stays connected.
         }
+
+        @Override
+        public void onComplete(Runnable task) {
+            body.thenRun(task);
+        }
     }
 }
