--- a/router/src/main/java/org/magnoliavane/router/settings/HostPort.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/HostPort.java
@@ -16,7 +16,8 @@
     /** Describes the accepted text form in messages. */
     public static final String SYNTAX = "<IP address>:<port>, such as 192.0.2.7:7070";
 
-    private static final Pattern PATTERN = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]{1,5})");
+    private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|[01]?[0-9]{1,2})";
+    private static final Pattern PATTERN = Pattern.compile("(" + OCTET + "(?:\\." + OCTET + "){3}):([0-9]{1,5})");
     private static final int MAX_PORT = 65_535;
 
     /**
