End an exchange whose owner failed while it handled the response

Callers got no answer until the time limit when the code that owns an exchange with a worker failed with an exception or error in a callback, and none at all where no timeout was set.

Cause: the callback of a check before sending, of a received head, part of a body or end ended by a Throwable; the connection stayed open and nobody was told.

Change: such a failure is counted and logged, the connection is closed and the listener is told once by onFailure. A check that fails before sending withdraws the request.

Evidence: HttpClientTest.anExchangeEndsWhenItsOwnerFails timed out before for head, body and end (3 of 4 cases; a failed check already ended by the connect timeout). Measured: all cases of HttpClientTest and SerialExecutorTest pass.

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -213,10 +213,20 @@
         }
 
         @Override
-        @SuppressWarnings("unchecked")
         public void completed(Connection connection) {
             exchanges.set(connection, exchange);
             exchange.attach(connection);
+            try {
+                send(connection);
+            } catch (RuntimeException | Error e) {
+                Failures.recordSurvived("send", e);
+                exchange.failUnlessSendingStarted(new WithdrawnException("the request could not be prepared"));
+                exchange.fail(new IOException("failed to send the request", e));
+            }
+        }
+
+        @SuppressWarnings("unchecked")
+        private void send(Connection connection) {
             if (!maySend.getAsBoolean()) {
                 exchange.failUnlessSendingStarted(
                         new WithdrawnException("the request was withdrawn while its connection was being established"));
@@ -251,11 +261,20 @@
         public NextAction handleRead(FilterChainContext context) {
             HttpExchange exchange = exchanges.get(context.getConnection());
             if (exchange != null) {
-                exchange.receive(context.getMessage());
+                receive(exchange, context.getMessage());
             }
             return context.getStopAction();
         }
 
+        private void receive(HttpExchange exchange, HttpContent content) {
+            try {
+                exchange.receive(content);
+            } catch (RuntimeException | Error e) {
+                Failures.recordSurvived("receive", e);
+                exchange.fail(new IOException("the response could not be received", e));
+            }
+        }
+
         @Override
         public NextAction handleClose(FilterChainContext context) {
             HttpExchange exchange = exchanges.get(context.getConnection());
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -19,9 +19,10 @@
  */
 public final class HttpExchange implements AutoCloseable {
     private final ResponseListener listener;
-    private final SerialExecutor serial = SerialExecutor.create();
+    private final SerialExecutor serial = SerialExecutor.create(this::handleListenerFailure);
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean sendingDecided = new AtomicBoolean();
+    private final AtomicBoolean failureNotified = new AtomicBoolean();
     private volatile boolean headReceived;
     private volatile boolean selfDelimited = true;
     private volatile Connection<?> connection;
@@ -123,8 +124,24 @@
 
     void fail(IOException cause) {
         if (ended.compareAndSet(false, true)) {
-            release();
-            serial.execute(() -> listener.onFailure(cause));
+            try {
+                release();
+            } finally {
+                serial.execute(() -> notifyFailure(cause));
+            }
+        }
+    }
+
+    /** Notifies a listener whose handling of the response has failed, also when the response is complete. */
+    private void handleListenerFailure(Throwable failure) {
+        ended.set(true);
+        release();
+        notifyFailure(new IOException("the response could not be handled", failure));
+    }
+
+    private void notifyFailure(IOException cause) {
+        if (failureNotified.compareAndSet(false, true)) {
+            listener.onFailure(cause);
         }
     }
 
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
@@ -17,6 +19,7 @@
 import org.glassfish.grizzly.http.server.Response;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -108,6 +111,58 @@
         }
     }
 
+    @DataProvider
+    public Object[][] stages() {
+        return new Object[][] {{"check"}, {"head"}, {"body"}, {"end"}};
+    }
+
+    /** Guards against requests that nobody ends, because the code that owns an exchange failed with an error. */
+    @Test(dataProvider = "stages")
+    public void anExchangeEndsWhenItsOwnerFails(String stage) throws Exception {
+        FailingListener listener = new FailingListener(stage);
+        client.stream(HttpRequest.of("POST", HOST, port, "/echo").withBody("text/plain", new byte[1]), listener, () -> {
+            listener.failAt("check");
+            return true;
+        });
+        listener.failure.get(5, TimeUnit.SECONDS);
+    }
+
+    /** Fails at one stage of an exchange. */
+    private static final class FailingListener implements ResponseListener {
+        private final CompletableFuture<IOException> failure = new CompletableFuture<>();
+        private final String stage;
+
+        FailingListener(String stage) {
+            this.stage = stage;
+        }
+
+        void failAt(String reached) {
+            if (reached.equals(stage)) {
+                throw new StackOverflowError();
+            }
+        }
+
+        @Override
+        public void onHead(int status, Map<String, String> headers) {
+            failAt("head");
+        }
+
+        @Override
+        public void onBytes(byte[] bytes) {
+            failAt("body");
+        }
+
+        @Override
+        public void onEnd() {
+            failAt("end");
+        }
+
+        @Override
+        public void onFailure(IOException cause) {
+            failure.complete(cause);
+        }
+    }
+
     private static final class EchoHandler extends HttpHandler {
         @Override
         public void service(Request request, Response response) throws Exception {
