Send no requests to a worker that has announced its leaving in an answer

What callers saw: nothing yet; the rule is new. Requests went on to a worker that leaves until its entry in the store said so, and were lost with it when it ended.

Cause: only the list of workers told whether a worker leaves. The header Server-Leaving of its answers was not read.

Change: WorkerNotices holds, by id and start, which workers have announced their leaving. WorkerExchange records it on the thread that reads the head, before the answer can be passed on, from any answer but 421, for which another worker has the address. Selection, the last check before the first byte, and role orders skip such a worker.

The header is forwarded as before: it is the worker's own, like its status and body.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
@@ -30,6 +30,7 @@
     private static final double MAX_HEALTHY_FAILURE_RATE = 0.45;
 
     private final Runnable onChange;
+    private final WorkerNotices notices = new WorkerNotices();
     private final Map<String, WorkerState> states = new ConcurrentHashMap<>();
     private final Map<String, PeerReport> peerReports = new ConcurrentHashMap<>();
 
@@ -42,6 +43,15 @@
         this.onChange = onChange;
     }
 
+    /**
+     * Gets what the workers have announced about themselves.
+     *
+     * @return the announcements
+     */
+    public WorkerNotices getNotices() {
+        return notices;
+    }
+
     /**
      * Records the start of an exchange with a worker.
      *
--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -132,6 +132,7 @@
         record Scored(ListedWorker worker, double cost) {}
         List<ListedWorker> usable = workers.stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !excluded.contains(w.id()))
+                .filter(w -> loadTracker.getNotices().isUsable(w, nowMillis))
                 .toList();
         List<ListedWorker> healthy = usable.stream()
                 .filter(w -> !loadTracker.isUnhealthy(w.id(), nowMillis))
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -162,8 +162,14 @@
                 availability,
                 millis,
                 this::onRoleChanged);
-        this.roleOrderSender =
-                new RoleOrderSender(self.name(), store, client, orders, settings.orderLeaseMillis(), millis);
+        this.roleOrderSender = new RoleOrderSender(
+                self.name(),
+                store,
+                w -> routingState.isUsable(w) && loadTracker.getNotices().isUsable(w, millis.getAsLong()),
+                client,
+                orders,
+                settings.orderLeaseMillis(),
+                millis);
         this.roleController = new RoleController(this::isElected, routingState, loadTracker, roleOrderSender, millis);
         this.peerChannel = PeerChannel.open(self);
         this.storeUpdates = PeerStoreUpdates.create(self, peerTable, peerChannel, millis);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -222,6 +222,7 @@
         return getWorkers().stream()
                 .anyMatch(w -> w.server().role() != WorkerRole.PREFILL
                         && !w.server().leaving()
+                        && !context.loadTracker().getNotices().isLeaving(w, now())
                         && !excludedWorkers.contains(w.id()));
     }
 
@@ -296,6 +297,7 @@
                 .filter(workers::contains)
                 .filter(w -> !excludedWorkers.contains(w.id()))
                 .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
+                .filter(this::isWilling)
                 .isPresent();
         if (!usable) {
             claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
@@ -309,6 +311,11 @@
         return claimedWorker.filter(w -> !context.loadTracker().isFull(w.id(), now()));
     }
 
+    /** Returns whether a worker has not announced that it wants no requests. */
+    private boolean isWilling(ListedWorker worker) {
+        return context.loadTracker().getNotices().isUsable(worker, now());
+    }
+
     private void handleReservationResult(
             ReservationService.Reservation handle,
             boolean granted,
@@ -430,6 +437,7 @@
             Optional<ListedWorker> decodeWorker = plannedDecodeWorker
                     .filter(context.routingState()::isUsable)
                     .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
+                    .filter(this::isWilling)
                     .or(() -> chooseDecodeWorker());
             removePlannedLoad();
             if (decodeWorker.isPresent()) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WireFormat.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WireFormat.java
@@ -40,6 +40,14 @@
      */
     ResponseKind classify(CallerRequest request, WorkerRequest workerRequest, int status, Map<String, String> headers);
 
+    /**
+     * Returns whether a response announces that its worker leaves and wants no more requests.
+     *
+     * @param headers the headers, by lower-case name
+     * @return true if the worker leaves
+     */
+    boolean isLeaving(Map<String, String> headers);
+
     /**
      * Selects the headers of a worker's response that are forwarded to the caller.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.router.dispatch;
 
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.ConnectException;
 import java.util.Map;
 import java.util.concurrent.Executor;
@@ -20,6 +22,8 @@
  * <p>Not thread-safe, except for the methods of {@link ResponseListener}. Everything else runs on the executor.
  */
 final class WorkerExchange implements ResponseListener {
+    private static final Logger LOG = System.getLogger(WorkerExchange.class.getName());
+
     /** Time for which a worker that accepts no connection is suspended. */
     private static final long UNREACHABLE_SUSPEND_MILLIS = 1500;
 
@@ -119,7 +123,11 @@
 
     /** Returns whether the request may still be sent, after the time that it took to connect. */
     private boolean maySend() {
-        return context.routingState().isUsable(getWorker()) && listener.maySend();
+        return context.routingState().isUsable(getWorker())
+                && context.loadTracker()
+                        .getNotices()
+                        .isUsable(getWorker(), context.clockMillis().getAsLong())
+                && listener.maySend();
     }
 
     /** Returns whether the reason of {@link Listener#onNotRun} means that no byte of the request was sent. */
@@ -194,6 +202,8 @@
 
     @Override
     public void onHead(int responseStatus, Map<String, String> headers) {
+        // Before anything of the answer can reach the caller.
+        recordNotices(responseStatus, headers);
         executor.execute(() -> handleHead(responseStatus, headers));
     }
 
@@ -243,6 +253,29 @@
         });
     }
 
+    /** Records what the worker announces about itself, also if the request no longer needs the answer. */
+    private void recordNotices(int responseStatus, Map<String, String> headers) {
+        WireFormat format = context.wireFormat();
+        if (!format.isLeaving(headers)
+                || format.classify(callerRequest, workerRequest, responseStatus, headers)
+                        == ResponseKind.WRONG_WORKER) {
+            return;
+        }
+        long now = context.clockMillis().getAsLong();
+        if (context.loadTracker().getNotices().recordLeaving(getWorker(), now)) {
+            context.metrics().counter("workers.leaving_announced").inc();
+            LOG.log(
+                    Level.INFO,
+                    "event=worker_leaving_announced worker={0} started_at={1} status={2} request={3}"
+                            + " list_millis={4}",
+                    getWorker().id(),
+                    Long.toString(getWorker().startedAtMillis()),
+                    responseStatus,
+                    callerRequest.getId(),
+                    context.workerListAgeMillis().getAsLong());
+        }
+    }
+
     private void handleHead(int responseStatus, Map<String, String> headers) {
         if (ended) {
             return;
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -151,6 +151,7 @@
     private List<ListedWorker> getUsableWorkers(String service, WorkerRole role) {
         return routingState.getWorkers(service).stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !pendingChanges.containsKey(w.id()))
+                .filter(w -> loadTracker.getNotices().isUsable(w, millis.getAsLong()))
                 .toList();
     }
 
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
@@ -33,6 +34,7 @@
 
     private final String self;
     private final KeyedStore store;
+    private final Predicate<ListedWorker> isUsable;
     private final HttpClient client;
     private final OrderFormat format;
     private final LongSupplier millis;
@@ -43,6 +45,7 @@
      *
      * @param self the name of this node
      * @param store contains the log that grants the lease
+     * @param isUsable returns whether a worker may still get requests
      * @param client sends the requests to the workers
      * @param format translates the orders
      * @param leaseMillis the time in milliseconds within which two nodes must not both send orders; 0 to send none
@@ -51,12 +54,14 @@
     public RoleOrderSender(
             String self,
             KeyedStore store,
+            Predicate<ListedWorker> isUsable,
             HttpClient client,
             OrderFormat format,
             long leaseMillis,
             LongSupplier millis) {
         this.self = self;
         this.store = store;
+        this.isUsable = isUsable;
         this.client = client;
         this.format = format;
         this.millis = millis;
@@ -159,6 +164,10 @@
      * worker refuses it when it arrives after newer ones.
      */
     private void requestState(Order order) {
+        if (!isUsable.test(order.worker)) {
+            order.logOutcome("not_sent reason=\"the worker leaves or wants no requests\"");
+            return;
+        }
         client.send(format.createStateRequest(order.worker).withTimeoutMillis(WORKER_TIMEOUT_MILLIS))
                 .whenComplete((response, failure) -> {
                     try {
@@ -180,6 +189,9 @@
     }
 
     private void send(Order order, WorkerState state) throws IOException {
+        if (!isUsable.test(order.worker)) {
+            throw new IOException("the worker leaves or wants no requests");
+        }
         if (state.changingRole() || state.role() != order.worker.server().role()) {
             throw new IOException("the worker is changing its role or has another role than listed");
         }
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -61,7 +61,7 @@
     private final ScheduledExecutorService timers = DaemonTimers.open("test", 1);
     private final HttpClient client = HttpClient.open("test", 300);
     private final RoutingState routingState = new RoutingState();
-    private final WorkerLoadTracker loadTracker = new WorkerLoadTracker(() -> {});
+    final WorkerLoadTracker loadTracker = new WorkerLoadTracker(() -> {});
 
     DispatchHarness() throws IOException {
         for (WorkerRole role : WorkerRole.values()) {
@@ -222,6 +222,11 @@
             return classification.apply(workerRequest.worker());
         }
 
+        @Override
+        public boolean isLeaving(Map<String, String> headers) {
+            return false;
+        }
+
         @Override
         public Map<String, String> toCallerHeaders(Map<String, String> headers) {
             return headers;
