Repeat the loops of a router after rounds that throw

What could be seen: one exception in a round ended the reports to other nodes, the renewal of reservations, the passing on of store positions or the detection of pauses for the rest of the process, without a log line; a listener of the peer channel that threw kept the later ones from the datagram. An error in the balance of roles ended it, since only exceptions were caught there.

Cause: scheduleWithFixedDelay does not repeat a task that has thrown.

Change: LoopFailures.repeat starts these loops (reports, positions, renewals, roles, pauses, expiry); a failed round is logged with the loop's name and counted as loops.NAME.failed. The pause detection and the expiry of listings are separate loops now. Listeners of datagrams, and calls that list the node, are guarded in the same way.

--- a/router/src/main/java/org/magnoliavane/router/LoopFailures.java
+++ b/router/src/main/java/org/magnoliavane/router/LoopFailures.java
@@ -2,6 +2,11 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 
@@ -40,6 +45,18 @@
         return () -> run(loop, round);
     }
 
+    /**
+     * Starts a loop whose next round follows the end of the last one after a delay, also if that one has failed.
+     *
+     * @param loop the name of the loop
+     * @param timers runs the rounds
+     * @param delayMillis the delay in milliseconds before each round
+     * @param round the round
+     */
+    public void repeat(String loop, ScheduledExecutorService timers, long delayMillis, Runnable round) {
+        timers.scheduleWithFixedDelay(guard(loop, round), delayMillis, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Runs a round of a loop, and records its failure.
      *
@@ -57,6 +74,23 @@
         }
     }
 
+    /**
+     * Makes a call of a loop that returns a stage.
+     *
+     * @param loop the name of the loop
+     * @param call the call
+     * @param <T> the type of the result
+     * @return the stage; a failed one if the call has thrown
+     */
+    public <T> CompletionStage<T> call(String loop, Supplier<CompletionStage<T>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException | Error e) {
+            record(loop, e);
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     /**
      * Records a failed round.
      *
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -171,7 +171,7 @@
                 settings.orderLeaseMillis(),
                 millis);
         this.roleController = new RoleController(this::isElected, routingState, loadTracker, roleOrderSender, millis);
-        this.peerChannel = PeerChannel.open(self);
+        this.peerChannel = PeerChannel.open(self, failures);
         this.storeUpdates = PeerStoreUpdates.create(self, peerTable, peerChannel, millis);
         this.configurationFollower = createFollower(
                 Topic.CONFIGURATION,
@@ -243,8 +243,7 @@
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
         listSelf();
         startPauseDetection(workerController);
-        timers.scheduleWithFixedDelay(
-                this::balanceRoles, ROLE_BALANCE_INTERVAL_MILLIS, ROLE_BALANCE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        failures.repeat("roles", timers, ROLE_BALANCE_INTERVAL_MILLIS, roleController::evaluateServices);
         LOG.log(
                 Level.INFO,
                 "event=start node={0} run={1} zone={2}",
@@ -462,7 +461,7 @@
         if (shutdown.isShuttingDown()) {
             return;
         }
-        store.listNode(self).whenComplete((done, failure) -> {
+        failures.call("listing", () -> store.listNode(self)).whenComplete((done, failure) -> {
             if (failure != null) {
                 LOG.log(Level.WARNING, "event=list_failed reason=\"{0}\"", failure.getMessage());
                 timers.schedule(this::listSelf, LISTING_RETRY_MILLIS, TimeUnit.MILLISECONDS);
@@ -473,23 +472,8 @@
     private void startPauseDetection(WorkerController workerController) {
         lastTickMonotonicMillis = millis.getAsLong();
         lastTickWallMillis = System.currentTimeMillis();
-        timers.scheduleWithFixedDelay(
-                () -> {
-                    detectPause();
-                    workerController.removeExpired();
-                },
-                TICK_MILLIS,
-                TICK_MILLIS,
-                TimeUnit.MILLISECONDS);
-    }
-
-    private void balanceRoles() {
-        try {
-            roleController.evaluateServices();
-        } catch (RuntimeException e) {
-            // The executor does not repeat a task that has thrown.
-            LOG.log(Level.ERROR, "event=roles_failed", e);
-        }
+        failures.repeat("pauses", timers, TICK_MILLIS, this::detectPause);
+        failures.repeat("expiry", timers, TICK_MILLIS, workerController::removeExpired);
     }
 
     private void detectPause() {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
@@ -26,6 +26,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.magnoliavane.protocol.generated.PeerDatagram;
+import org.magnoliavane.router.LoopFailures;
 import org.magnoliavane.router.store.NodeListing;
 
 /**
@@ -40,12 +41,14 @@
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
 
     private final NodeListing self;
+    private final LoopFailures failures;
     private final List<BiConsumer<PeerDatagram, InetSocketAddress>> listeners = new CopyOnWriteArrayList<>();
     private final EventLoopGroup group;
     private final Channel channel;
 
-    private PeerChannel(NodeListing self) {
+    private PeerChannel(NodeListing self, LoopFailures failures) {
         this.self = self;
+        this.failures = failures;
         group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
         channel = new Bootstrap()
                 .group(group)
@@ -61,10 +64,11 @@
      * Binds the UDP port of this node.
      *
      * @param self the listing of this node
+     * @param failures records failed rounds and listeners
      * @return the open channel
      */
-    public static PeerChannel open(NodeListing self) {
-        return new PeerChannel(self);
+    public static PeerChannel open(NodeListing self, LoopFailures failures) {
+        return new PeerChannel(self, failures);
     }
 
     @Override
@@ -77,6 +81,11 @@
         return group.next();
     }
 
+    /** Starts a loop on the executor of this channel. */
+    void repeat(String loop, long delayMillis, Runnable round) {
+        failures.repeat(loop, getExecutor(), delayMillis, round);
+    }
+
     void addListener(BiConsumer<PeerDatagram, InetSocketAddress> listener) {
         listeners.add(listener);
     }
@@ -111,7 +120,7 @@
             try {
                 PeerDatagram datagram = PeerDatagram.parseFrom(ByteBufUtil.getBytes(packet.content()));
                 if (!datagram.getNode().equals(self.name())) {
-                    listeners.forEach(l -> l.accept(datagram, packet.sender()));
+                    listeners.forEach(l -> failures.run("datagrams", () -> l.accept(datagram, packet.sender())));
                 }
             } catch (InvalidProtocolBufferException e) {
                 LOG.log(
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -85,8 +85,7 @@
                 handleReport(datagram.getReport());
             }
         });
-        channel.getExecutor()
-                .scheduleWithFixedDelay(this::sendRound, ROUND_MILLIS, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+        channel.repeat("reports", ROUND_MILLIS, this::sendRound);
     }
 
     /**
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -55,9 +55,7 @@
         this.channel = channel;
         this.millis = millis;
         channel.addListener(this::onDatagram);
-        channel.getExecutor()
-                .scheduleWithFixedDelay(
-                        this::renew, RENEWAL_INTERVAL_MILLIS, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        channel.repeat("renewals", RENEWAL_INTERVAL_MILLIS, this::renew);
     }
 
     /**
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -4,7 +4,6 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import com.google.protobuf.ByteString;
@@ -76,9 +75,7 @@
                 datagram.getStoreUpdate().getTopicsList().forEach(this::apply);
             }
         });
-        channel.getExecutor()
-                .scheduleWithFixedDelay(
-                        this::sendPositions, POSITION_INTERVAL_MILLIS, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        channel.repeat("positions", POSITION_INTERVAL_MILLIS, this::sendPositions);
     }
 
     /**
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -217,7 +217,10 @@
         }
         boolean isSnapshot = from < 0;
         long start = millis.getAsLong();
-        read(isSnapshot, from, wait, responseMillis).whenComplete((result, failure) -> {
+        CompletionStage<RecordBatch> batch = failures.call(
+                loop,
+                () -> isSnapshot ? store.readSnapshot(topic) : store.readChanges(topic, from, wait, responseMillis));
+        batch.whenComplete((result, failure) -> {
             long received = millis.getAsLong();
             results.execute(() -> {
                 if (failure != null) {
@@ -230,15 +233,6 @@
         });
     }
 
-    private CompletionStage<RecordBatch> read(boolean isSnapshot, long from, long wait, long responseMillis) {
-        try {
-            return isSnapshot ? store.readSnapshot(topic) : store.readChanges(topic, from, wait, responseMillis);
-        } catch (RuntimeException | Error e) {
-            failures.record(loop, e);
-            return CompletableFuture.failedFuture(e);
-        }
-    }
-
     /** Applies the result of a read. Runs as a task of {@link #results}, without the lock while listeners are called. */
     private void apply(long current, RecordBatch batch, boolean isSnapshot, long wait, long elapsed, long received) {
         long from;
