Stop listening only after all responses of a planned stop are written

Callers that connected at the end of a stop could be reset earlier than necessary: the end of listening resets connections that have not been accepted, and came as much as the response margin before the exit.

Change: the node keeps refusing with 503 until all responses are written and stops listening 50 ms before it closes its connections.

PlannedStopTest passes.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -99,7 +99,7 @@
     private static final long LISTING_RETRY_MILLIS = 1000;
 
     /** Time after the end of listening in which requests on connections that were just accepted are still refused. */
-    private static final long LAST_REQUESTS_MILLIS = 100;
+    private static final long LAST_REQUESTS_MILLIS = 50;
 
     /** Number of address lifetimes for which some callers continue to use an address. */
     private static final int CACHED_ADDRESS_LIFETIMES = 3;
@@ -319,6 +319,8 @@
         shutdown.stopAccepting();
         awaitUntil(schedule.answerByMillis(), () -> frontend.countActive() == 0);
         dispatcher.answerAll();
+        // Ends the listening last, because it resets connections that have not been accepted.
+        awaitUntil(schedule.exitMillis() - LAST_REQUESTS_MILLIS, () -> !frontend.hasUnwrittenResponses());
         frontend.stopListening();
         long lastRequestsUntil = millis.getAsLong() + LAST_REQUESTS_MILLIS;
         awaitUntil(
