Handle signals while a router starts, and keep its log during a stop

Operators saw a router end at once, with all its connections, when SIGHUP or SIGTERM came soon after it had begun to listen; and no log lines from the grace period of a planned stop.

Cause: the handler of SIGHUP and the shutdown hook were installed after the router had been started. A shutdown hook runs beside the hook of the JDK that removes all log handlers.

Change: handlers of SIGHUP, SIGTERM and SIGINT are installed before the start; the first signal to stop closes the router once it has started, further ones have no effect, and the log is written until the end.

--- a/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
@@ -5,7 +5,10 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
@@ -21,6 +24,11 @@
 /** Runs a router on the users' platform until the process receives a signal to stop. */
 @Parameters(commandDescription = "Run a router on the platform until the process receives a signal to stop (SIGTERM)")
 final class RouteCommand extends OperatorCommand {
+    private static final System.Logger LOG = System.getLogger(RouteCommand.class.getName());
+
+    /** Signals with handlers instead of a shutdown hook, beside which the JDK would end all logging. */
+    private static final List<String> STOP_SIGNALS = List.of("TERM", "INT");
+
     @Parameter(
             names = "--settings",
             converter = PathConverter.class,
@@ -58,23 +66,39 @@
             return Report.of(ExitStatus.OK, "the settings are valid");
         }
         Logging.configureStandardOutput(read.get().logLevel());
-        AutoCloseable router;
+        // Without a handler, SIGHUP would end the process. Signals may come while the router starts.
+        Signal.handle(new Signal("HUP"), signal -> reload(file.get(), read.get()));
+        CompletableFuture<AutoCloseable> router = new CompletableFuture<>();
+        AtomicBoolean stopping = new AtomicBoolean();
+        for (String name : STOP_SIGNALS) {
+            Signal.handle(new Signal(name), signal -> {
+                if (stopping.compareAndSet(false, true)) {
+                    stopOnceStarted(router);
+                }
+            });
+        }
         try {
-            router = PlatformRouter.start(read.get());
+            router.complete(PlatformRouter.start(read.get()));
         } catch (Exception e) {
-            System.getLogger(RouteCommand.class.getName()).log(Level.ERROR, "the router cannot be started", e);
+            router.completeExceptionally(e);
+            LOG.log(Level.ERROR, "the router cannot be started", e);
             return Report.failure(
                     ExitStatus.FAILED,
                     "the router cannot be started: " + e,
                     "Check that the addresses of [listen] are of this VM and that their ports are free.");
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> NodeCommand.stop(router), "stop"));
-        // Without a handler, SIGHUP would end the process.
-        Signal.handle(new Signal("HUP"), signal -> reload(file.get(), read.get()));
         new CountDownLatch(1).await();
         return Report.of(ExitStatus.OK, "stopped");
     }
 
+    private static void stopOnceStarted(CompletableFuture<AutoCloseable> router) {
+        try {
+            NodeCommand.stop(router.join());
+        } catch (CompletionException e) {
+            LOG.log(Level.DEBUG, "event=not_started", e);
+        }
+    }
+
     private static Report runWarmup() throws InterruptedException {
         Logging.configureStandardOutput(Level.WARNING);
         try {
@@ -90,6 +114,6 @@
         String outcome = read.fold(
                 problems -> "rejected problems=\"" + problems + '"',
                 changed -> changed.equals(running) ? "unchanged" : "changed, in force after the next start");
-        System.getLogger(RouteCommand.class.getName()).log(Level.INFO, () -> "event=reload outcome=" + outcome);
+        LOG.log(Level.INFO, () -> "event=reload outcome=" + outcome);
     }
 }
