Collect plain responses within the budget, and relay those without room

Cause: PlainExecution collected up to 16 MB of each response in a buffer that doubles, in a heap of 112 MB. An OutOfMemoryError thrown in a task ended SerialExecutor.execute before its counter was decremented. The executor never ran a task again, so that neither the timeout nor a disconnect ended the request, and what arrived was queued without a bound.

Change: responses are collected in segments that are allocated from the budget, up to 64 KB from a share of their own, so that large ones cannot starve small ones. A response without room is relayed as it is received if no other worker may run the request, and requested from another worker otherwise. Reading from a worker pauses while its caller has 64 KB to read. A relayed response that breaks off, exceeds 16 MB or is late is aborted, so that it cannot look complete. Larger collected responses are written as the caller reads them.

--- a/core/src/main/java/org/magnoliavane/budget/BudgetedBuffer.java
+++ b/core/src/main/java/org/magnoliavane/budget/BudgetedBuffer.java
@@ -1,8 +1,10 @@
 package org.magnoliavane.budget;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.magnoliavane.budget.ByteBudget.Allocation;
 
@@ -37,23 +39,34 @@
      * @param offset the position of the first one
      * @param length the number of bytes
      * @param allocation allocates the segments
-     * @return false if there is no room; some of the bytes may have been appended
+     * @return false if there is no room, and nothing was appended
      */
     public boolean append(byte[] bytes, int offset, int length, Allocation allocation) {
-        int done = 0;
-        while (done < length) {
-            if (lastLength == getLastCapacity() && !addSegment(length - done, allocation)) {
-                return false;
-            }
-            int part = Math.min(length - done, getLastCapacity() - lastLength);
-            System.arraycopy(bytes, offset + done, segments.get(segments.size() - 1), lastLength, part);
-            lastLength += part;
-            size += part;
-            done += part;
+        int first = Math.min(length, getLastCapacity() - lastLength);
+        if (first == length) {
+            copy(bytes, offset, first);
+            return true;
+        }
+        int capacity = Math.max(MIN_SEGMENT_BYTES, Math.min(MAX_SEGMENT_BYTES, 2 * getLastCapacity()));
+        int nextBytes = Math.max(length - first, capacity);
+        if (!allocation.tryGrow(nextBytes)) {
+            return false;
         }
+        copy(bytes, offset, first);
+        segments.add(new byte[nextBytes]);
+        lastLength = 0;
+        copy(bytes, offset + first, length - first);
         return true;
     }
 
+    private void copy(byte[] bytes, int offset, int length) {
+        if (length > 0) {
+            System.arraycopy(bytes, offset, segments.get(segments.size() - 1), lastLength, length);
+            lastLength += length;
+            size += length;
+        }
+    }
+
     /**
      * Gets the number of bytes.
      *
@@ -89,17 +102,22 @@
         return Optional.of(joined);
     }
 
-    private int getLastCapacity() {
-        return segments.isEmpty() ? 0 : segments.get(segments.size() - 1).length;
-    }
-
-    private boolean addSegment(int needed, Allocation allocation) {
-        int length = Math.min(MAX_SEGMENT_BYTES, Math.max(needed, Math.max(MIN_SEGMENT_BYTES, 2 * getLastCapacity())));
-        if (!allocation.tryGrow(length)) {
-            return false;
+    /**
+     * Passes the bytes on in order, and discards them. Their allocation remains.
+     *
+     * @param receiver receives each part
+     */
+    public void drainTo(Consumer<byte[]> receiver) {
+        for (byte[] segment : segments) {
+            int length = Math.min(segment.length, size);
+            receiver.accept(length == segment.length ? segment : Arrays.copyOf(segment, length));
+            size -= length;
         }
-        segments.add(new byte[length]);
+        segments.clear();
         lastLength = 0;
-        return true;
+    }
+
+    private int getLastCapacity() {
+        return segments.isEmpty() ? 0 : segments.get(segments.size() - 1).length;
     }
 }
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -260,10 +260,12 @@
         @Override
         public NextAction handleRead(FilterChainContext context) {
             HttpExchange exchange = exchanges.get(context.getConnection());
-            if (exchange != null) {
-                receive(exchange, context.getMessage());
+            if (exchange == null) {
+                return context.getStopAction();
             }
-            return context.getStopAction();
+            receive(exchange, context.getMessage());
+            NextAction suspend = context.getSuspendAction();
+            return exchange.trySuspend(context) ? suspend : context.getStopAction();
         }
 
         private void receive(HttpExchange exchange, HttpContent content) {
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -9,6 +9,7 @@
 
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 
@@ -29,6 +30,8 @@
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
     private volatile Future<?> connectTimeout;
+    private boolean paused;
+    private FilterChainContext suspended;
 
     HttpExchange(ResponseListener listener) {
         this.listener = listener;
@@ -51,6 +54,34 @@
         return (System.nanoTime() - lastReadNanos) / 1_000_000;
     }
 
+    /** Stops reading from the connection after the bytes that are being received, until {@link #resumeReading}. */
+    public synchronized void pauseReading() {
+        paused = true;
+    }
+
+    /** Continues reading from the connection. */
+    public void resumeReading() {
+        FilterChainContext context;
+        synchronized (this) {
+            paused = false;
+            context = suspended;
+            suspended = null;
+        }
+        if (context != null) {
+            context.resume(context.getStopAction());
+        }
+    }
+
+    /** Suspends the processing of received bytes if reading is paused. */
+    synchronized boolean trySuspend(FilterChainContext context) {
+        if (!paused || ended.get()) {
+            return false;
+        }
+        suspended = context;
+        context.suspend();
+        return true;
+    }
+
     /** Sets the established connection, and closes it if the exchange has already ended. */
     void attach(Connection<?> opened) {
         connection = opened;
--- a/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -17,6 +18,9 @@
  * <p>Thread-safe.
  */
 public final class StreamWriter {
+    /** Number of buffered bytes above which a source should stop. */
+    private static final long HIGH_WATER_BYTES = 64 * 1024;
+
     private final NIOOutputStream out;
     private final Runnable onComplete;
     private final Runnable onFailure;
@@ -25,6 +29,7 @@
     private final AtomicLong limitBytes;
     private final AtomicLong bufferedBytes = new AtomicLong();
     private final AtomicBoolean failed = new AtomicBoolean();
+    private Optional<Runnable> drainTask = Optional.empty();
     private boolean awaitingWritable;
     private boolean endRequested;
     private boolean ended;
@@ -70,6 +75,35 @@
         write(bytes);
     }
 
+    /**
+     * Returns whether the caller reads more slowly than bytes are written.
+     *
+     * @return true if the source of the bytes should stop until {@link #whenDrained}
+     */
+    public boolean isBehind() {
+        return bufferedBytes.get() > HIGH_WATER_BYTES;
+    }
+
+    /**
+     * Sets the task that runs once the caller has caught up or the stream has ended.
+     *
+     * @param task the task, which replaces an earlier one that has not run
+     */
+    public void whenDrained(Runnable task) {
+        serial.execute(() -> {
+            drainTask = Optional.of(task);
+            runDrainTask();
+        });
+    }
+
+    private void runDrainTask() {
+        if (ended || !isBehind()) {
+            Optional<Runnable> task = drainTask;
+            drainTask = Optional.empty();
+            task.ifPresent(Runnable::run);
+        }
+    }
+
     /** Ends the stream after all buffered bytes have been written. */
     public void end() {
         serial.execute(() -> {
@@ -116,6 +150,7 @@
             fail();
             return;
         }
+        runDrainTask();
         if (!pending.isEmpty()) {
             awaitingWritable = true;
             out.notifyCanWrite(new WritabilityHandler());
@@ -136,6 +171,7 @@
             ended = true;
             pending.clear();
             onComplete.run();
+            runDrainTask();
         }
     }
 
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -1,16 +1,24 @@
 package org.magnoliavane.router.dispatch;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import org.magnoliavane.Fault;
+import org.magnoliavane.FaultKind;
 import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.budget.BudgetedBuffer;
+import org.magnoliavane.budget.ByteBudget;
+import org.magnoliavane.budget.ByteBudget.Allocation;
+import org.magnoliavane.http.server.StreamWriter;
 
 /**
  * Executes a request for a plain service. A request that did not run is retried at another worker; a request that may have
  * run is retried only if it is idempotent.
+ *
+ * <p>Responses are collected, so that one that breaks off can be replaced by that of another worker. If there is no memory for
+ * that, the response is relayed as it is received, unless another worker may still run the request.
  */
 final class PlainExecution extends RequestExecution {
     /** Largest number of workers to which a request is sent, including those that do not run it. */
@@ -22,6 +30,9 @@
     /** Largest response; a faulty worker may send bytes without end. */
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+    /** Size up to which responses have a share of the budget of their own. */
+    private static final int SMALL_RESPONSE_BYTES = 64 * 1024;
+
     private final boolean retryable;
     private final List<Attempt> activeAttempts = new ArrayList<>();
     private Optional<Attempt> errorResponse = Optional.empty();
@@ -72,7 +83,8 @@
                 worker.get(),
                 "attempt=" + attempts + " requests="
                         + context.loadTracker().countRequests(worker.get().id(), now()));
-        Attempt attempt = new Attempt();
+        Attempt attempt = new Attempt(context.budget());
+        response.onComplete(attempt::release);
         activeAttempts.add(attempt);
         attempt.exchange = WorkerExchange.start(
                 context,
@@ -104,10 +116,40 @@
 
     @Override
     public void onBytes(WorkerExchange exchange, byte[] bytes) {
-        ByteArrayOutputStream body = getAttempt(exchange).body;
-        body.writeBytes(bytes);
-        if (body.size() > MAX_RESPONSE_BYTES) {
+        Attempt attempt = getAttempt(exchange);
+        attempt.receivedBytes += bytes.length;
+        if (attempt.receivedBytes > MAX_RESPONSE_BYTES) {
             exchange.breakOff("the response is larger than " + MAX_RESPONSE_BYTES + " bytes");
+        } else if (attempt.writer.isPresent()) {
+            relay(exchange, attempt.writer.get(), bytes);
+        } else if (!attempt.collect(bytes)) {
+            handleNoRoom(attempt, bytes);
+        }
+    }
+
+    private void handleNoRoom(Attempt attempt, byte[] bytes) {
+        boolean relayed = attempt.status < 500 && activeAttempts.size() == 1 && !isAnotherExecutionAllowed();
+        log(
+                "no_room",
+                attempt.exchange,
+                "received=" + attempt.receivedBytes + " collected=" + attempt.body.size() + " relayed=" + relayed);
+        if (!relayed) {
+            attempt.exchange.breakOff("no memory for the response");
+            return;
+        }
+        attempt.writer =
+                response.beginStream(attempt.status, context.wireFormat().toCallerHeaders(attempt.headers));
+        attempt.writer.ifPresent(w -> {
+            attempt.body.drainTo(w::writeReplayed);
+            relay(attempt.exchange, w, bytes);
+        });
+    }
+
+    private static void relay(WorkerExchange exchange, StreamWriter writer, byte[] bytes) {
+        writer.write(bytes);
+        if (writer.isBehind()) {
+            exchange.pauseReading();
+            writer.whenDrained(exchange::resumeReading);
         }
     }
 
@@ -121,6 +163,11 @@
         } else {
             context.poisonGuard().recordAnswerWithoutLength(features, exchange.getWorker(), false);
         }
+        if (attempt.writer.isPresent()) {
+            finish("answered", "worker=" + exchange.getWorker().id() + " status=" + attempt.status + " relayed=true");
+            attempt.writer.get().end();
+            return;
+        }
         if (attempt.status < 500) {
             sendResponse(attempt);
             return;
@@ -142,10 +189,15 @@
 
     @Override
     public void onBroken(WorkerExchange exchange, String reason) {
-        removeAttempt(exchange);
+        Attempt attempt = removeAttempt(exchange);
         possibleExecutions++;
         mayHaveRun = true;
         log("broken", exchange, "millis=" + exchange.getAgeMillis() + " reason=\"" + reason + '"');
+        if (attempt.writer.isPresent()) {
+            abortRelayed(reason);
+            return;
+        }
+        attempt.release();
         retryOrFinish(reason);
     }
 
@@ -165,14 +217,40 @@
 
     private void sendResponse(Attempt attempt) {
         finish("answered", "worker=" + attempt.exchange.getWorker().id() + " status=" + attempt.status);
-        response.send(
-                attempt.status, context.wireFormat().toCallerHeaders(attempt.headers), attempt.body.toByteArray());
+        Map<String, String> headers = context.wireFormat().toCallerHeaders(attempt.headers);
+        if (attempt.body.size() > SMALL_RESPONSE_BYTES) {
+            response.beginStream(attempt.status, headers).ifPresent(w -> {
+                attempt.body.drainTo(w::writeReplayed);
+                w.end();
+            });
+            return;
+        }
+        Optional<byte[]> body = attempt.body.join(attempt.small);
+        if (body.isPresent()) {
+            response.send(attempt.status, headers, body.get());
+        } else {
+            response.fail(Fault.unknownOutcome(
+                    FaultKind.BACKEND_FAILED,
+                    "no memory for the response",
+                    "find out whether the work was done before sending it again"));
+        }
+    }
+
+    /** Closes the caller's connection, since a response that has begun cannot be replaced by an error. */
+    private void abortRelayed(String reason) {
+        finish("failed", "aborted=true reason=\"" + reason + '"');
+        response.abort();
     }
 
     @Override
     void handleTimeout() {
+        boolean relaying = activeAttempts.stream().anyMatch(a -> a.writer.isPresent());
         activeAttempts.forEach(a -> a.exchange.cancelAsUnresponsive());
         activeAttempts.clear();
+        if (relaying) {
+            abortRelayed("the response was not complete in time");
+            return;
+        }
         if (errorResponse.isPresent()) {
             sendResponse(errorResponse.get());
             return;
@@ -209,9 +287,28 @@
     }
 
     private static final class Attempt {
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final BudgetedBuffer body = BudgetedBuffer.create();
+        private final Allocation small;
+        private final Allocation large;
         private WorkerExchange exchange;
         private int status;
         private Map<String, String> headers = Map.of();
+        private long receivedBytes;
+        private Optional<StreamWriter> writer = Optional.empty();
+
+        Attempt(ByteBudget budget) {
+            small = budget.open(ByteBudget.Use.RESPONSE);
+            large = budget.open(ByteBudget.Use.LARGE_RESPONSE);
+        }
+
+        boolean collect(byte[] bytes) {
+            boolean fits = body.size() + bytes.length <= SMALL_RESPONSE_BYTES;
+            return body.append(bytes, 0, bytes.length, fits ? small : large);
+        }
+
+        void release() {
+            small.close();
+            large.close();
+        }
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -170,6 +170,15 @@
         return firstBytesMillis == 0 ? 0 : context.clockMillis().getAsLong() - firstBytesMillis;
     }
 
+    /** Stops reading from the worker until {@link #resumeReading}. */
+    void pauseReading() {
+        httpExchange.pauseReading();
+    }
+
+    void resumeReading() {
+        httpExchange.resumeReading();
+    }
+
     /** Closes the connection, so that the worker stops. The listener is not called any more. */
     void cancel() {
         ended = true;
