--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -32,6 +32,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -44,6 +45,9 @@
     /** Time after which the close of a connection on loopback has arrived. */
     private static final long CLOSE_ARRIVAL_MILLIS = 200;
 
+    /** Parts of 1 MB of a stream that the buffers of a connection cannot hold. */
+    private static final int STREAM_PARTS = 32;
+
     private static final byte[] FIRST_BODY = "first".getBytes(StandardCharsets.UTF_8);
     private static final byte[] SECOND_BODY = "other".getBytes(StandardCharsets.UTF_8);
 
@@ -136,6 +140,56 @@
         assertTrue(takeExchange().isDisconnected());
     }
 
+    /** Guards against streams that stay open for ever, because the code that relayed them has failed. */
+    @Test
+    public void aStreamThatGoesOnIsClosedAtItsLimit() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            CountDownLatch ended = watchDisconnect(exchange);
+            exchange.beginStream(200, Map.of()).orElseThrow().write(FIRST_BODY);
+            exchange.expire(0);
+            assertTrue(ended.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            assertFalse(readBody(caller).endsWith("0\r\n\r\n"));
+        }
+    }
+
+    /** Guards against complete streams that are cut off, because their callers read them after the limit. */
+    @Test
+    public void aCompleteStreamIsDeliveredAfterItsLimit() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            StreamWriter writer = exchange.beginStream(200, Map.of()).orElseThrow();
+            byte[] part = new byte[1 << 20];
+            for (int i = 0; i < STREAM_PARTS; i++) {
+                writer.writeReplayed(part);
+            }
+            writer.end();
+            exchange.expire(0);
+            assertTrue(readBody(caller).endsWith("0\r\n\r\n"));
+        }
+    }
+
+    /** Guards against a request that is sent to a worker after its caller was told that it has not run. */
+    @Test
+    public void aRequestThatWasAnsweredAsNotRunIsNotSent() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            exchange.expire(0);
+            assertFalse(exchange.permitSending());
+            assertTrue(readBody(caller).contains("\"no\""));
+        }
+    }
+
+    @Test
+    public void aRequestThatWasSentIsNotAnsweredAsNotRun() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            assertTrue(exchange.permitSending());
+            exchange.expire(0);
+            assertTrue(readBody(caller).contains("\"unknown\""));
+        }
+    }
+
     private void accept(Request request, Response response) {
         FrontendExchange exchange = new FrontendExchange(request, response, createWireFormat(), 0, completed -> {});
         exchange.suspend();
@@ -198,6 +252,6 @@
         return (WireFormat) Proxy.newProxyInstance(
                 WireFormat.class.getClassLoader(),
                 new Class<?>[] {WireFormat.class},
-                (proxy, method, arguments) -> metadata);
+                (proxy, method, arguments) -> method.getName().equals("toStatus") ? 500 : metadata);
     }
 }
