Send no requests to a worker for the time that its refusal states

What callers saw: requests that could have waited were refused. In the test with one decode worker that refuses with Retry-After 1.5, model requests got 503 at once although they had 5 s. Plain requests were told to return after 0.7 s while 1.43 s of the time remained. The worker itself got every request.

Cause: Retry-After of a worker's 503 was not read. A refusal counted as a full worker (120 ms) or, with free memory, as one that does not decode, which excluded the worker for the request.

Change: WorkerNotices.close closes that start of the worker for this node, with or without "not run", at most 5 minutes, until a newer start. Selection skips a closed worker as unusable rather than unhealthy; the last check before the first byte withdraws requests that were already chosen, which costs no attempt, does not exclude the worker and keeps the KV cache. Role orders go to no closed worker. Model requests wait in their queue; if all workers are closed, others are refused at once with the time until the first is open plus a random second. Malformed, negative and zero times are ignored.

The role orders to closed workers have no test of their own.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerNotices.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerNotices.java
@@ -1,11 +1,13 @@
 package org.magnoliavane.balance;
 
+import java.util.Collection;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Holds what workers have announced about themselves in their answers: that they leave. An announcement applies to one start
- * of a worker, whatever the service discovery lists, and ends with a newer start.
+ * Holds what workers have announced about themselves in their answers: that they leave, or that they want no requests for some
+ * time. An announcement applies to one start of a worker, whatever the service discovery lists, and ends with a newer start.
  *
  * <p>Thread-safe.
  */
@@ -13,6 +15,10 @@
     /** Time without another announcement after which a worker that announced its leaving has ended. */
     static final long LEAVING_RETENTION_MILLIS = 3_600_000;
 
+    /** Longest time for which an answer can close a worker; limited because a faulty worker may state any time. */
+    static final long MAX_CLOSED_MILLIS = 300_000;
+
+    private final Map<String, Closed> closed = new ConcurrentHashMap<>();
     private final Map<String, Leaving> leaving = new ConcurrentHashMap<>();
 
     /**
@@ -44,15 +50,70 @@
                 && !isRestarted(announced.worker, worker);
     }
 
+    /**
+     * Closes a worker that turned a request away and wants no others for some time. The longest time applies.
+     *
+     * @param worker the worker as it was listed when the request was sent to it
+     * @param closedMillis the time that the worker stated, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     * @return the time until which the worker is closed, in milliseconds; empty if it was already closed for as long
+     */
+    public OptionalLong close(ListedWorker worker, long closedMillis, long nowMillis) {
+        closed.values().removeIf(c -> c.untilMillis <= nowMillis);
+        Closed latest = new Closed(worker, nowMillis + Math.min(closedMillis, MAX_CLOSED_MILLIS));
+        Closed applied = closed.merge(worker.id(), latest, Closed::longest);
+        return applied == latest && closedMillis > 0 ? OptionalLong.of(latest.untilMillis) : OptionalLong.empty();
+    }
+
+    /**
+     * Returns whether a worker is closed.
+     *
+     * @param worker the worker
+     * @param nowMillis the current time, in milliseconds
+     * @return true if this start of the worker wants no requests yet
+     */
+    public boolean isClosed(ListedWorker worker, long nowMillis) {
+        return getClosedMillis(worker, nowMillis) > 0;
+    }
+
+    /**
+     * Gets the time for which a worker is still closed.
+     *
+     * @param worker the worker
+     * @param nowMillis the current time, in milliseconds
+     * @return the time in milliseconds; 0 if it is open
+     */
+    public long getClosedMillis(ListedWorker worker, long nowMillis) {
+        Closed known = closed.get(worker.id());
+        return known == null || isRestarted(known.worker, worker) ? 0 : Math.max(0, known.untilMillis - nowMillis);
+    }
+
+    /**
+     * Finds the time after which the first of some workers is open, if all that do not leave are closed.
+     *
+     * @param workers the workers
+     * @param nowMillis the current time, in milliseconds
+     * @return the time in milliseconds; empty if a worker is open, or all of them leave
+     */
+    public OptionalLong findAllClosedMillis(Collection<ListedWorker> workers, long nowMillis) {
+        return workers.stream()
+                .filter(w -> !w.server().leaving() && !isLeaving(w, nowMillis))
+                .mapToLong(w -> getClosedMillis(w, nowMillis))
+                .min()
+                .stream()
+                .filter(millis -> millis > 0)
+                .findFirst();
+    }
+
     /**
      * Returns whether a worker may get requests.
      *
      * @param worker the worker
      * @param nowMillis the current time, in milliseconds
-     * @return false if it leaves
+     * @return false if it leaves or is closed
      */
     public boolean isUsable(ListedWorker worker, long nowMillis) {
-        return !isLeaving(worker, nowMillis);
+        return !isLeaving(worker, nowMillis) && !isClosed(worker, nowMillis);
     }
 
     /** Returns whether a worker has restarted since an earlier listing; workers that list no start time, by their address. */
@@ -63,5 +124,15 @@
                         && !worker.isSameIncarnation(earlier);
     }
 
+    private record Closed(ListedWorker worker, long untilMillis) {
+        static Closed longest(Closed before, Closed latest) {
+            if (isRestarted(latest.worker, before.worker)) {
+                return before;
+            }
+            boolean isLonger = latest.untilMillis > before.untilMillis || isRestarted(before.worker, latest.worker);
+            return isLonger ? latest : before;
+        }
+    }
+
     private record Leaving(ListedWorker worker, long atMillis) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -7,6 +7,7 @@
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
+import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.budget.BudgetedBuffer;
 import org.magnoliavane.budget.ByteBudget;
@@ -66,6 +67,11 @@
         return !activeAttempts.isEmpty();
     }
 
+    @Override
+    boolean isEligible(ListedWorker worker) {
+        return worker.server().role() == WorkerRole.PLAIN;
+    }
+
     private boolean trySend() {
         if (attempts >= MAX_ATTEMPTS || getRemainingMillis() <= 0 || !mayProceed()) {
             return false;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.HashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,9 @@
     /** Time after which a caller may retry if no worker is listed or reachable. */
     static final long NO_WORKER_RETRY_AFTER_MILLIS = 700;
 
+    /** Largest random time that is added until a worker is open again, so that few callers retry at the same time. */
+    private static final long RETRY_SPREAD_MILLIS = 1000;
+
     /** Time after which a caller may retry if a similar request is under trial; a trial takes about as long. */
     static final long TRIAL_RETRY_AFTER_MILLIS = 1000;
 
@@ -180,6 +184,24 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    /** Gets the time after which a caller may retry: when the first worker is open again, if all are closed. */
+    final long getRetryAfterMillis(long defaultMillis) {
+        OptionalLong closedMillis = context.loadTracker()
+                .getNotices()
+                .findAllClosedMillis(
+                        context.routingState().getWorkers(service).stream()
+                                .filter(this::isEligible)
+                                .toList(),
+                        now());
+        return closedMillis.isPresent()
+                ? closedMillis.getAsLong()
+                        + (long) (RETRY_SPREAD_MILLIS * context.random().getAsDouble())
+                : defaultMillis;
+    }
+
+    /** Returns whether the role of a worker allows it to answer the request. */
+    abstract boolean isEligible(ListedWorker worker);
+
     /** Fails the request, and states that it did not run if that is certain. */
     final void failWithoutResponse(String reason, long retryAfterMillis) {
         if (mayHaveRun) {
@@ -188,7 +210,7 @@
             return;
         }
         fail(Fault.notRun(FaultKind.UNAVAILABLE, reason, "send the request again after the stated time")
-                .withRetryAfterMillis(retryAfterMillis));
+                .withRetryAfterMillis(getRetryAfterMillis(retryAfterMillis)));
     }
 
     final void fail(Fault fault) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -218,9 +218,14 @@
         }
     }
 
+    @Override
+    boolean isEligible(ListedWorker worker) {
+        return worker.server().role() != WorkerRole.PREFILL;
+    }
+
     private boolean hasWorkers() {
         return getWorkers().stream()
-                .anyMatch(w -> w.server().role() != WorkerRole.PREFILL
+                .anyMatch(w -> isEligible(w)
                         && !w.server().leaving()
                         && !context.loadTracker().getNotices().isLeaving(w, now())
                         && !excludedWorkers.contains(w.id()));
@@ -711,7 +716,7 @@
             context.loadTracker().suspend(exchange.getWorker().id(), now() + NOT_DECODING_SUSPEND_MILLIS);
         } else if (reason.equals(WorkerExchange.REFUSED)) {
             context.loadTracker().markFull(exchange.getWorker().id(), now() + FULL_BACKOFF_MILLIS);
-        } else {
+        } else if (!isClosed(reason)) {
             excludedWorkers.add(exchange.getWorker().id());
         }
         boolean reachedWorker = !WorkerExchange.isUnsent(reason);
@@ -725,6 +730,11 @@
         }
     }
 
+    /** Returns whether the worker wants no requests yet, so that the request can wait for it. */
+    private static boolean isClosed(String reason) {
+        return reason.equals(WorkerExchange.REFUSED_FOR_SOME_TIME) || reason.equals(WorkerExchange.CLOSED);
+    }
+
     /** Waits for the retry budget instead of failing the request, since nothing has run and the prefill is done. */
     private void enqueueWithinBudget() {
         if (context.retryBudgets().tryAcquire(service)) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WireFormat.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WireFormat.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.magnoliavane.Fault;
 
@@ -48,6 +49,14 @@
      */
     boolean isLeaving(Map<String, String> headers);
 
+    /**
+     * Parses the time for which the worker of a response wants no more requests.
+     *
+     * @param headers the headers, by lower-case name
+     * @return the time in milliseconds, greater than 0; empty if the response states none
+     */
+    OptionalLong readRetryAfterMillis(Map<String, String> headers);
+
     /**
      * Selects the headers of a worker's response that are forwarded to the caller.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -5,10 +5,12 @@
 import java.lang.System.Logger.Level;
 import java.net.ConnectException;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.WorkerNotices;
 import org.magnoliavane.http.HttpExchange;
 import org.magnoliavane.http.HttpRequest;
 import org.magnoliavane.http.ResponseListener;
@@ -42,6 +44,14 @@
     /** Reason if the worker was no longer usable when the request was about to be sent. */
     static final String LEAVING = "leaving";
 
+    /** Reason if the worker did not run the request and wants no others for some time. */
+    static final String REFUSED_FOR_SOME_TIME = "refused, no requests wanted for some time";
+
+    /** Reason if the worker wanted no requests for some time when the request was about to be sent. */
+    static final String CLOSED = "closed";
+
+    private static final int SERVICE_UNAVAILABLE = 503;
+
     /** Receives the events of an exchange. */
     interface Listener {
         /** Returns whether the request may still be sent; called on any thread when the connection is established. */
@@ -71,6 +81,7 @@
     private final AtomicBoolean loadReleased = new AtomicBoolean();
     private final long startMillis;
     private HttpExchange httpExchange;
+    private volatile boolean withdrawnAsClosed;
     private boolean ended;
     private boolean headReceived;
     private int status;
@@ -132,16 +143,18 @@
 
     /** Returns whether the request may still be sent, after the time that it took to connect. */
     private boolean maySend() {
-        return context.routingState().isUsable(getWorker())
-                && context.loadTracker()
-                        .getNotices()
-                        .isUsable(getWorker(), context.clockMillis().getAsLong())
-                && listener.maySend();
+        WorkerNotices notices = context.loadTracker().getNotices();
+        long now = context.clockMillis().getAsLong();
+        if (!context.routingState().isUsable(getWorker()) || notices.isLeaving(getWorker(), now)) {
+            return false;
+        }
+        withdrawnAsClosed = notices.isClosed(getWorker(), now);
+        return !withdrawnAsClosed && listener.maySend();
     }
 
     /** Returns whether the reason of {@link Listener#onNotRun} means that no byte of the request was sent. */
     static boolean isUnsent(String reason) {
-        return reason.equals(UNREACHABLE) || reason.equals(LEAVING);
+        return reason.equals(UNREACHABLE) || reason.equals(LEAVING) || reason.equals(CLOSED);
     }
 
     ListedWorker getWorker() {
@@ -255,7 +268,7 @@
             }
             finish();
             if (cause instanceof WithdrawnException) {
-                listener.onNotRun(this, LEAVING);
+                listener.onNotRun(this, withdrawnAsClosed ? CLOSED : LEAVING);
                 return;
             }
             recordOutcome(1);
@@ -274,13 +287,20 @@
     /** Records what the worker announces about itself, also if the request no longer needs the answer. */
     private void recordNotices(int responseStatus, Map<String, String> headers) {
         WireFormat format = context.wireFormat();
-        if (!format.isLeaving(headers)
+        OptionalLong closedMillis = findClosedMillis(responseStatus, headers);
+        boolean leaving = format.isLeaving(headers);
+        if (!leaving && closedMillis.isEmpty()
                 || format.classify(callerRequest, workerRequest, responseStatus, headers)
                         == ResponseKind.WRONG_WORKER) {
             return;
         }
         long now = context.clockMillis().getAsLong();
-        if (context.loadTracker().getNotices().recordLeaving(getWorker(), now)) {
+        WorkerNotices notices = context.loadTracker().getNotices();
+        if (closedMillis.isPresent()) {
+            notices.close(getWorker(), closedMillis.getAsLong(), now)
+                    .ifPresent(until -> logClosed(responseStatus, closedMillis.getAsLong(), until - now));
+        }
+        if (leaving && notices.recordLeaving(getWorker(), now)) {
             context.metrics().counter("workers.leaving_announced").inc();
             LOG.log(
                     Level.INFO,
@@ -294,6 +314,25 @@
         }
     }
 
+    /** Finds the time for which a worker that turns the request away wants no others. */
+    private OptionalLong findClosedMillis(int responseStatus, Map<String, String> headers) {
+        return responseStatus == SERVICE_UNAVAILABLE
+                ? context.wireFormat().readRetryAfterMillis(headers)
+                : OptionalLong.empty();
+    }
+
+    private void logClosed(int responseStatus, long statedMillis, long closedMillis) {
+        context.metrics().counter("workers.closed").inc();
+        LOG.log(
+                Level.INFO,
+                "event=worker_closed worker={0} millis={1} stated_millis={2} status={3} request={4}",
+                getWorker().id(),
+                Long.toString(closedMillis),
+                Long.toString(statedMillis),
+                responseStatus,
+                callerRequest.getId());
+    }
+
     private void handleHead(int responseStatus, Map<String, String> headers) {
         if (ended) {
             return;
@@ -308,7 +347,8 @@
                 break;
             case NOT_RUN:
                 closeWithOutcome(REFUSAL_FAILURE_WEIGHT);
-                listener.onNotRun(this, REFUSED);
+                listener.onNotRun(
+                        this, findClosedMillis(responseStatus, headers).isPresent() ? REFUSED_FOR_SOME_TIME : REFUSED);
                 break;
             case WRONG_WORKER:
                 context.loadTracker()
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -141,6 +141,7 @@
         List<ListedWorker> leastLoaded = (change.get().to() == WorkerRole.DECODE ? prefill : decode)
                 .stream()
                         .filter(w -> !loadTracker.isUnhealthy(w.id(), now))
+                        .filter(w -> loadTracker.getNotices().isUsable(w, now))
                         .sorted(Comparator.comparingInt(w -> loadTracker.countTokens(w.id(), now)))
                         .limit(change.get().workers())
                         .toList();
@@ -151,7 +152,7 @@
     private List<ListedWorker> getUsableWorkers(String service, WorkerRole role) {
         return routingState.getWorkers(service).stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !pendingChanges.containsKey(w.id()))
-                .filter(w -> loadTracker.getNotices().isUsable(w, millis.getAsLong()))
+                .filter(w -> !loadTracker.getNotices().isLeaving(w, millis.getAsLong()))
                 .toList();
     }
 
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -227,6 +227,11 @@
             return false;
         }
 
+        @Override
+        public OptionalLong readRetryAfterMillis(Map<String, String> headers) {
+            return OptionalLong.empty();
+        }
+
         @Override
         public Map<String, String> toCallerHeaders(Map<String, String> headers) {
             return headers;
--- a/router/src/test/java/org/magnoliavane/router/dispatch/LeavingWorkerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/LeavingWorkerTest.java
@@ -86,6 +86,17 @@
         assertNothingReachedTheLeavingWorker();
     }
 
+    /** Guards against requests already chosen and not yet sent when the worker refused another one for some time. */
+    @Test(dataProvider = "roles")
+    public void aRequestIsNotSentToAWorkerThatClosesWhileItIsBeingConnected(WorkerRole role) throws Exception {
+        harness.onChoice = worker -> leave(worker, role, listed -> {
+            harness.loadTracker.getNotices().close(listed, 60_000, System.nanoTime() / 1_000_000);
+            return Optional.of(listed);
+        });
+        assertEquals(harness.send(role), "done");
+        assertNothingReachedTheLeavingWorker();
+    }
+
     /** Changes the listing of the first worker with a role that is chosen. */
     private void leave(ListedWorker chosen, WorkerRole role, Function<ListedWorker, Optional<ListedWorker>> change) {
         if (chosen.server().role() != role || leaving.isPresent()) {
