--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -348,6 +348,8 @@
                 "readMetadata", () -> metadata,
                 "toWorkerHeaders", Map::of,
                 "classify", () -> ResponseKind.VALID,
+                "isLeaving", () -> false,
+                "readRetryAfterMillis", OptionalLong::empty,
                 "toCallerHeaders", () -> headers);
         return (WireFormat) Proxy.newProxyInstance(
                 WireFormat.class.getClassLoader(),
