Keep part of the byte budget for small bodies of callers

Callers would have seen: while callers that send large bodies, or send them slowly, held the whole share of bodies, a request with a small body was refused with 503.

Cause: all bodies were allocated from one share, and a large body is allocated before it arrives.

Change: bodies of up to 64 KB have a share of their own; larger ones and those of unknown length have the rest.

Measured: BufferedBytesTest.smallBodiesAreServedWhileLargeOnesHoldTheMemory got 503 instead of 200 on the code before and passes now.

--- a/core/src/main/java/org/magnoliavane/budget/ByteBudget.java
+++ b/core/src/main/java/org/magnoliavane/budget/ByteBudget.java
@@ -4,7 +4,7 @@
 
 /**
  * Bounds the bytes that a process buffers. Each use has its own share, so that bodies of callers cannot take the memory
- * that responses need, and large responses cannot take that of small ones.
+ * that responses need, and large bodies and responses cannot take that of small ones.
  *
  * <p>Thread-safe.
  */
@@ -14,12 +14,14 @@
 
     /** What buffered bytes are used for. */
     public enum Use {
-        /** Bodies of callers' requests. */
-        CALLER_BODY(0.4),
+        /** Bodies of callers' requests, up to a modest size. */
+        CALLER_BODY(0.06),
+        /** Larger bodies of callers' requests, and those of unknown length. */
+        LARGE_CALLER_BODY(0.39),
         /** Responses of workers, each up to a modest size. */
         RESPONSE(0.15),
         /** What larger responses have beyond that size. */
-        LARGE_RESPONSE(0.45);
+        LARGE_RESPONSE(0.4);
 
         private final double share;
 
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -63,6 +63,9 @@
     /** Maximum time for which a request waits until the state of the node has been read again. */
     private static final long MAX_REFRESH_WAIT_MILLIS = 800;
 
+    /** Size up to which bodies have a share of the budget of their own. */
+    private static final int SMALL_BODY_BYTES = 64 * 1024;
+
     /** Retry delay for callers whose body found no room; requests that hold the room take about as long. */
     private static final long NO_ROOM_RETRY_MILLIS = 500;
 
@@ -268,7 +271,7 @@
         long maxMillis = FrontendExchange.MAX_BODY_WAIT_MILLIS;
         long timeoutMillis = exchange.getMetadata().timeoutMillis().orElse(maxMillis);
         exchange.setStage("body");
-        Allocation allocation = context.budget().open(ByteBudget.Use.CALLER_BODY);
+        Allocation allocation = context.budget().open(getUse(exchange.getRequest()));
         exchange.onComplete(allocation::close);
         BodyReader.read(
                 exchange.getRequest(),
@@ -287,6 +290,13 @@
                 failure -> handleFailures(exchange, () -> refuse(exchange, toFault(failure, limit))));
     }
 
+    private static ByteBudget.Use getUse(Request request) {
+        long length = request.getContentLengthLong();
+        return length >= 0 && length <= SMALL_BODY_BYTES
+                ? ByteBudget.Use.CALLER_BODY
+                : ByteBudget.Use.LARGE_CALLER_BODY;
+    }
+
     private static void refuse(FrontendExchange exchange, Fault fault) {
         LOG.log(
                 Level.INFO,
