Try silent workers again for a stream that has begun and lost its worker

What callers saw: a resumable stream was cut off when its worker ended while the only other worker accepted no connection for a second.

Cause: a worker that accepts no connection was excluded for the rest of the request, and a stream without an eligible worker ended at once, although it had until its event timeout. A sound worker may be silent for a second.

Change: a stream that has begun tries such workers again every 100 ms until its event timeout. A request without a response is refused at once as before, so that its caller can go to another node.

Measured: SilentWorkerTest, StreamRequestTest, LeavingWorkerTest and RepeatedWaitTest pass (49 tests, one run). The whole modules were not run on this commit.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -4,9 +4,11 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.magnoliavane.Fault;
@@ -80,6 +82,9 @@
     /** Interval at which a request that needs a retry checks the retry budget again. */
     private static final long BUDGET_RETRY_MILLIS = 100;
 
+    /** Interval at which a stream that has begun tries workers again that accepted no connection. */
+    private static final long UNREACHABLE_RETRY_MILLIS = 100;
+
     /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
     private static final double AMPLE_MEMORY_SHARE = 0.7;
 
@@ -104,6 +109,9 @@
     private final Optional<EngineProfile> engineAtArrival;
 
     private final StreamResponse stream;
+    /** Excluded workers that accepted no connection. */
+    private final Set<String> unreachableWorkers = new HashSet<>();
+
     private final List<WorkerExchange> activeDecodes = new ArrayList<>();
     private Optional<ListedWorker> plannedDecodeWorker = Optional.empty();
     private ReservationService.Reservation reservation = () -> {};
@@ -158,12 +166,23 @@
         if (!mayProceed()) {
             return;
         }
-        if (!hasWorkers()) {
+        reservation.release();
+        if (hasWorkers()) {
+            waitForCapacity();
+        } else if (mayTryUnreachableAgain()) {
+            excludedWorkers.removeAll(unreachableWorkers);
+            unreachableWorkers.clear();
+            schedule(UNREACHABLE_RETRY_MILLIS, this::enqueue);
+        } else {
             failStream("no worker is available");
-            return;
         }
-        reservation.release();
-        waitForCapacity();
+    }
+
+    /** Returns whether a stream that has begun, which can no longer be refused, has time for a worker that may be only silent. */
+    private boolean mayTryUnreachableAgain() {
+        return stream.hasStarted()
+                && !unreachableWorkers.isEmpty()
+                && now() + UNREACHABLE_RETRY_MILLIS < getLatestStartMillis();
     }
 
     private void waitForCapacity() {
@@ -718,6 +737,9 @@
             context.loadTracker().markFull(exchange.getWorker().id(), now() + FULL_BACKOFF_MILLIS);
         } else if (!isClosed(reason)) {
             excludedWorkers.add(exchange.getWorker().id());
+            if (reason.equals(WorkerExchange.UNREACHABLE)) {
+                unreachableWorkers.add(exchange.getWorker().id());
+            }
         }
         boolean reachedWorker = !WorkerExchange.isUnsent(reason);
         refusedDecodes += reachedWorker ? 1 : 0;
