Notice connections to the store that went silent within the time of contact

Cause: a read of the configuration was held open for 4 s and given up 1.5 s later, whatever the bounds were.

Change: the schedule is derived from the longer of configApplyMs and contactMs, because a change made after the silence counts from the later of the two. Of 3,000 ms: a read is held open for 2,100 and given up 300 later, retried after 150: 2,550. A node that relies on others does so up to an age of 2,250, its own first read may also use a silent connection (300), retry 150: 2,700. 300 ms remain for the second read. A read is given up 0.3 s instead of 1.5 s after its wait; after two failures the store has 1.5 s as before. Two settings are new in the template, and the review's rig fills them in.

By arithmetic, not measured: a reader makes at most 2.5 reads of workers, 0.25 of the configuration and 0.125 of the nodes a second, now 0.476 of the configuration: 8 in 100 more calls.

--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -158,6 +158,8 @@
                     Map.entry("bounds.retryWindowS", "10"),
                     Map.entry("bounds.graceS", "8"),
                     Map.entry("bounds.drainMs", Integer.toString(DRAIN_MILLIS)),
+                    Map.entry("bounds.configApplyMs", Integer.toString(CONFIG_APPLY_MILLIS)),
+                    Map.entry("bounds.contactMs", Integer.toString(CONTACT_MILLIS)),
                     Map.entry("bounds.leaseMs", Integer.toString(LEASE_MILLIS)),
                     Map.entry("heartbeatMs", Integer.toString(HEARTBEAT_MILLIS)));
             Files.writeString(settings, render(Files.readString(Path.of(readDeployFile("template"))), values));
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -69,7 +69,7 @@
     private static final Logger LOG = System.getLogger(RouterNode.class.getName());
 
     /**
-     * Time that the store holds a read of a topic with rare changes open. It is shorter than the time after which a
+     * Half of the time that the store holds a read of the nodes open. It is shorter than the time after which a
      * store that does not answer is suspected to be down.
      */
     private static final long RARE_CHANGE_WAIT_MILLIS = 4000;
@@ -176,7 +176,8 @@
         this.configurationFollower = createFollower(
                 Topic.CONFIGURATION,
                 new ConfigurationController(routingState, entries),
-                ReadSchedule.heldOpen(RARE_CHANGE_WAIT_MILLIS, 0));
+                // A change counts from the later of its own bound and the end of the disruption.
+                ReadSchedule.heldOpenWithin(Math.max(settings.configurationMillis(), settings.contactMillis())));
         this.workerFollower =
                 createFollower(Topic.WORKERS, workerController, ReadSchedule.within(settings.drainMillis()));
         TopicFollower nodeFollower = createFollower(
--- a/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -30,6 +30,8 @@
  * @param retryWindowMillis the window of the retry ratio and allowance in milliseconds
  * @param stopGraceMillis the time in milliseconds from the request to stop to the end of the process
  * @param drainMillis the time in milliseconds after which a worker listed as draining must get no new requests
+ * @param configurationMillis the time in milliseconds after its publication from which a configuration must be in force
+ * @param contactMillis the time in milliseconds after a disruption of the connections from which all bounds hold again
  * @param listingGraceMillis the time in milliseconds after an outage of the store within which an expired listing may
  *     be renewed
  * @param listingRenewalMillis the interval in milliseconds at which each worker renews its listing
@@ -52,6 +54,8 @@
         long retryWindowMillis,
         long stopGraceMillis,
         long drainMillis,
+        long configurationMillis,
+        long contactMillis,
         long listingGraceMillis,
         long listingRenewalMillis,
         long orderLeaseMillis,
@@ -105,6 +109,8 @@
                 (long) (MILLIS_PER_SECOND * retries.getDouble("window_seconds", 0.1, 3600)),
                 (long) (MILLIS_PER_SECOND * timing.getDouble("stop_grace_seconds", 0.5, 3600)),
                 timing.getLong("drain_millis", 100, 3_600_000),
+                timing.getLong("configuration_millis", 100, 3_600_000),
+                timing.getLong("contact_millis", 100, 3_600_000),
                 (long) (MILLIS_PER_SECOND * timing.getDouble("lapse_grace_seconds", 0, 3600)),
                 timing.getLong("listing_renewal_millis", 1, 3_600_000),
                 timing.getLong("order_lease_millis", 0, 3_600_000, 0),
--- a/router/src/main/java/org/magnoliavane/router/store/ReadSchedule.java
+++ b/router/src/main/java/org/magnoliavane/router/store/ReadSchedule.java
@@ -34,6 +34,15 @@
     /** Delay of the first retry, as a share of the same time. */
     private static final double RETRY_SHARE = 0.05;
 
+    /** Time for which a read of a topic with rare changes is held open, as a share of the time to notice lost connections. */
+    private static final double RARE_WAIT_SHARE = 0.7;
+
+    /** Age up to which a node relies on what others read of such a topic, as a share of the same time. */
+    private static final double RARE_OVERDUE_SHARE = 0.75;
+
+    /** Time after which a read of such a topic is given up, as a share of the same time. */
+    private static final double RARE_RESPONSE_SHARE = 0.1;
+
     /** Lower bound of the time after which a read is given up; a response over a loaded network takes tens of milliseconds. */
     private static final long MIN_RESPONSE_MILLIS = 250;
 
@@ -80,6 +89,24 @@
                 waitMillis + intervalMillis + OVERDUE_MARGIN_MILLIS);
     }
 
+    /**
+     * Creates the schedule of a topic that changes rarely, and whose changes must be known within a time after the open
+     * connections to the store have gone silent. The age up to which a node relies on others, the time after which its own
+     * first read is given up and the delay of its retry add up to nine tenths of it; a node that reads itself needs less.
+     *
+     * @param millis the time in milliseconds
+     * @return the schedule
+     */
+    public static ReadSchedule heldOpenWithin(long millis) {
+        return new ReadSchedule(
+                (long) (RARE_WAIT_SHARE * millis),
+                0,
+                Math.max(MIN_RESPONSE_MILLIS, (long) (RARE_RESPONSE_SHARE * millis)),
+                LONG_RESPONSE_MILLIS,
+                (long) (RETRY_SHARE * millis),
+                (long) (RARE_OVERDUE_SHARE * millis));
+    }
+
     /**
      * Gets the time for which the next read is held open.
      *
--- a/router/src/test/java/org/magnoliavane/router/settings/RouterSettingsTest.java
+++ b/router/src/test/java/org/magnoliavane/router/settings/RouterSettingsTest.java
@@ -14,7 +14,7 @@
             + "[listen]\ncallers = \"127.0.0.1:8149\"\nreadiness = \"127.0.0.1:8141\"\ndirectory = \"127.0.0.1:8143\"\n"
             + "peer_port = 7380\nmetrics_port = 9464\n[store]\naddress = \"127.0.0.1:8142\"\n"
             + "[retries]\nratio = 0.2\nallowance = 54\nwindow_seconds = 10\n"
-            + "[timing]\naddress_lifetime_seconds = 2\nstop_grace_seconds = 8\ndrain_millis = 2000\n"
+            + "[timing]\naddress_lifetime_seconds = 2\nstop_grace_seconds = 8\ndrain_millis = 2000\nconfiguration_millis = 2000\ncontact_millis = 3000\n"
             + "lapse_grace_seconds = 2\nlisting_renewal_millis = 1200\n";
 
     @Test
@@ -25,6 +25,8 @@
         assertEquals(settings.stopGraceMillis(), 8000);
         assertEquals(settings.retryWindowMillis(), 10_000);
         assertEquals(settings.drainMillis(), 2000);
+        assertEquals(settings.configurationMillis(), 2000);
+        assertEquals(settings.contactMillis(), 3000);
         assertEquals(settings.listingGraceMillis(), 2000);
         assertEquals(settings.listingRenewalMillis(), 1200);
     }
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -171,6 +171,47 @@
         assertEquals(node.roles.get("w7"), "role-b");
     }
 
+    @DataProvider
+    public Object[][] silencePhases() {
+        return IntStream.range(0, 100)
+                .mapToObj(i -> new Object[] {50L * (i / 2), i % 2 == 0})
+                .toArray(Object[][]::new);
+    }
+
+    /**
+     * Guards against requests to the old service of a route, because the connections to the store went silent, and the open
+     * reads of the configuration were given up later than the time of contact allows.
+     */
+    @Test(dataProvider = "silencePhases")
+    public void aRareChangeIsKnownInTimeThoughTheConnectionsToTheStoreHaveGoneSilent(long phase, boolean reader) {
+        long contactMillis = 3000;
+        heartbeats = false;
+        schedule = ReadSchedule.heldOpenWithin(contactMillis);
+        nodes.add(new Node(true));
+        nodes.add(new Node(false));
+        nodes.forEach(n -> n.follower.refresh());
+        timers.runUntil(10_000 + phase);
+        // The first read of each node after the silence uses an old connection as well.
+        store.loseRead();
+        if (!reader) {
+            nodes.get(0).cutOff();
+        }
+        store.put("w7", "role-b 0");
+        timers.runUntil(10_000 + phase + contactMillis);
+        assertEquals(nodes.get(reader ? 0 : 1).roles.get("w7"), "role-b");
+    }
+
+    /** Guards against a schedule whose parts exceed the time in which a change must be known after a silence. */
+    @Test
+    public void thePartsOfTheScheduleOfARareChangeAddUpToLessThanItsTime() {
+        for (long millis : new long[] {2000, 3000, 6000, 30_000}) {
+            ReadSchedule rare = ReadSchedule.heldOpenWithin(millis);
+            long needed = rare.overdueMillis() + rare.responseMillis() + rare.retryMillis();
+            assertTrue(needed < millis, needed + " of " + millis);
+            assertTrue(rare.waitMillis() < rare.overdueMillis());
+        }
+    }
+
     /** Guards against workers dropped for good because their entries expired in an outage that a node did not notice. */
     @Test
     public void allNodesLearnOfTheGapOfAnOutageBeforeItsRecords() {
