--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -323,6 +323,8 @@
                 10_000,
                 4000,
                 300,
+                300,
+                300,
                 1000,
                 1200,
                 200,
