Bound the overlap of a silent worker and its replacement, and look again when one is refused

What callers could have seen: a stream tried at no other worker after its first replacement was refused, an attempt spent on a request that was never sent, two workers at work on one stream without a bound. Change: - A replacement is looked for after half of the time after which the caller disconnects (1.8 s in place of 1.2 s for targets of 0.9 s), so that a sound worker's silence of a second or so mostly ends before. Once it was accepted, the silent exchange ends after 300 ms. - A refused or failed replacement is marked like any other refusal and the next one is looked for after 100 ms. - An exchange that was withdrawn before it was sent spends no attempt; one of two that broke may have run. - What a worker has sent of an error is discarded with its exchange. excludedWorkers is thread-safe. - A plain response without room is relayed whenever it is the only one, and lack of memory is no failure of its worker; a begun relay goes on at a planned stop. - LoopFailures.record never throws; the process ends also if its stop fails by an error.

--- a/node/src/main/java/org/magnoliavane/cli/NodeCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/NodeCommand.java
@@ -67,7 +67,8 @@
         } catch (Exception e) {
             System.getLogger(NodeCommand.class.getName()).log(Level.ERROR, "the node did not stop cleanly", e);
             status = ExitStatus.FAILED;
+        } finally {
+            Runtime.getRuntime().halt(status);
         }
-        Runtime.getRuntime().halt(status);
     }
 }
--- a/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/RouteCommand.java
@@ -79,7 +79,7 @@
         }
         try {
             router.complete(PlatformRouter.start(read.get()));
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             router.completeExceptionally(e);
             LOG.log(Level.ERROR, "the router cannot be started", e);
             return Report.failure(
--- a/router/src/main/java/org/magnoliavane/router/LoopFailures.java
+++ b/router/src/main/java/org/magnoliavane/router/LoopFailures.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.http.Failures;
 
 /**
  * Logs and counts the rounds of loops that fail, so that a loop goes on after any exception or error of one round.
@@ -92,20 +93,25 @@
     }
 
     /**
-     * Records a failed round.
+     * Records a failed round. Never throws.
      *
      * @param loop the name of the loop
      * @param failure the exception or error
      */
     public void record(String loop, Throwable failure) {
-        metrics.counter(getCounterName(loop)).inc();
-        StackTraceElement[] trace = failure.getStackTrace();
-        LOG.log(
-                Level.ERROR,
-                "event=round_failed loop={0} reason=\"{1}\" at=\"{2}\"",
-                loop,
-                failure,
-                trace.length == 0 ? "" : trace[0]);
+        try {
+            metrics.counter(getCounterName(loop)).inc();
+            StackTraceElement[] trace = failure.getStackTrace();
+            LOG.log(
+                    Level.ERROR,
+                    "event=round_failed loop={0} reason=\"{1}\" at=\"{2}\"",
+                    loop,
+                    failure,
+                    trace.length == 0 ? "" : trace[0]);
+        } catch (Throwable e) {
+            // An error of the virtual machine may also occur here; the loop must go on.
+            Failures.recordSurvived("loop_failure", e);
+        }
     }
 
     /**
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -155,15 +155,19 @@
         }
         while (continueAdmitting(queue)) {
             if (!failures.run(LOOP, () -> admitNext(queue))) {
-                synchronized (queue) {
-                    queue.reservationPending = false;
-                    restart(queue);
-                }
+                failures.run(LOOP, () -> restartAfterFailure(queue));
             }
         }
         failures.run(LOOP, () -> reportOnTime(queue));
     }
 
+    private void restartAfterFailure(ServiceQueue queue) {
+        synchronized (queue) {
+            queue.reservationPending = false;
+            restart(queue);
+        }
+    }
+
     private static boolean continueAdmitting(ServiceQueue queue) {
         synchronized (queue) {
             queue.admitting = queue.admissionRequested;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -134,13 +134,13 @@
     }
 
     private void handleNoRoom(Attempt attempt, byte[] bytes) {
-        boolean relayed = attempt.status < 500 && activeAttempts.size() == 1 && !isAnotherExecutionAllowed();
+        boolean relayed = attempt.status < 500 && activeAttempts.size() == 1;
         log(
                 "no_room",
                 attempt.exchange,
                 "received=" + attempt.receivedBytes + " collected=" + attempt.body.size() + " relayed=" + relayed);
         if (!relayed) {
-            attempt.exchange.breakOff("no memory for the response");
+            attempt.exchange.abandon("no memory for the response");
             return;
         }
         attempt.writer =
@@ -266,6 +266,9 @@
 
     @Override
     void handleExit() {
+        if (activeAttempts.stream().anyMatch(a -> a.writer.isPresent())) {
+            return;
+        }
         if (errorResponse.isPresent()) {
             sendResponse(errorResponse.get());
             return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -2,9 +2,9 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -44,7 +44,9 @@
     final String service;
     final CallerResponse response;
     final SerialExecutor executor = SerialExecutor.create(this::handleTaskFailure);
-    final Set<String> excludedWorkers = new HashSet<>();
+
+    /** Workers that get the request no more; also read by the threads of the admission queue. */
+    final Set<String> excludedWorkers = ConcurrentHashMap.newKeySet();
 
     /** Whether a worker may have run the request. */
     boolean mayHaveRun;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -94,8 +94,20 @@
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
 
-    /** Time without an event after which a replacement is looked for; callers disconnect after two seconds. */
-    private static final long STALL_TIMEOUT_MILLIS = 1200;
+    /**
+     * Share of the time after which the caller of a silent stream disconnects, after which a replacement is looked for. A sound
+     * worker may be silent for a second or so.
+     */
+    private static final double STALL_SHARE = 0.5;
+
+    /**
+     * Time after which a silent exchange ends although its replacement, which has not refused, has not responded either. Two
+     * workers must not work on a stream for longer.
+     */
+    private static final long MAX_OVERLAP_MILLIS = 300;
+
+    /** Time after which another replacement is looked for when one was refused. */
+    private static final long REPLACEMENT_RETRY_MILLIS = 100;
 
     /** Largest response to a prefill, which has only a handle; a faulty worker may send bytes without end. */
     private static final int MAX_PREFILL_RESPONSE_BYTES = 64 << 10;
@@ -109,6 +121,7 @@
     private final Optional<EngineProfile> engineAtArrival;
 
     private final StreamResponse stream;
+
     /** Excluded workers that accepted no connection. */
     private final Set<String> unreachableWorkers = new HashSet<>();
 
@@ -132,7 +145,7 @@
     private int possibleExecutions;
     private long lastEventMillis;
 
-    /** Time of the last event, or of the last start of a decode. */
+    /** Time of the last event, or of the start of the only decode, or of its replacement. */
     private long lastProgressMillis;
 
     private long longestPauseMillis;
@@ -372,14 +385,31 @@
             return;
         }
         replacementReservation = handle;
-        if (getPauseMillis() >= STALL_TIMEOUT_MILLIS
+        if (getPauseMillis() >= getStallMillis()
                 && maySend()
                 && context.retryBudgets().tryAcquire(service)) {
             log("replace", activeDecodes.get(0), "second=" + decodeWorker.id() + " silent_millis=" + getPauseMillis());
+            WorkerExchange silent = activeDecodes.get(0);
             startDecode(decodeWorker);
+            schedule(MAX_OVERLAP_MILLIS, () -> endOverlap(silent));
         } else {
             releaseReplacement();
+            schedule(REPLACEMENT_RETRY_MILLIS, this::lookForReplacement);
+        }
+    }
+
+    /** Ends a silent exchange beside which a replacement has been sent to a worker. */
+    private void endOverlap(WorkerExchange silent) {
+        boolean overlaps = activeDecodes.size() > 1 && activeDecodes.get(0) == silent;
+        if (!overlaps) {
+            return;
         }
+        WorkerExchange replacement = activeDecodes.get(1);
+        if (!replacement.isSent() || replacement.getAgeMillis() < MAX_OVERLAP_MILLIS) {
+            schedule(REPLACEMENT_RETRY_MILLIS, () -> endOverlap(silent));
+            return;
+        }
+        continueWith(replacement);
     }
 
     private void releaseReplacement() {
@@ -516,12 +546,14 @@
         WorkerExchange exchange = WorkerExchange.start(
                 context, request, workerRequest, generationSize.estimateMemoryTokens(), executor, this);
         activeDecodes.add(exchange);
-        lastProgressMillis = now();
+        if (activeDecodes.size() == 1) {
+            lastProgressMillis = now();
+        }
         if (handle.isPresent() && request.route().resumable() && activeDecodes.size() == 1) {
             schedule(HEDGE_DELAY_MILLIS, () -> sendHedge(exchange));
         }
         if (request.route().resumable()) {
-            schedule(STALL_TIMEOUT_MILLIS, () -> checkStall(exchange));
+            schedule(getStallMillis(), () -> checkStall(exchange));
         }
     }
 
@@ -548,20 +580,28 @@
             return;
         }
         long pauseMillis = getPauseMillis();
-        if (pauseMillis < STALL_TIMEOUT_MILLIS) {
-            schedule(STALL_TIMEOUT_MILLIS - pauseMillis, () -> checkStall(exchange));
+        if (pauseMillis < getStallMillis()) {
+            schedule(getStallMillis() - pauseMillis, () -> checkStall(exchange));
             return;
         }
-        schedule(STALL_TIMEOUT_MILLIS, () -> checkStall(exchange));
+        schedule(getStallMillis(), () -> checkStall(exchange));
+        log("stalled", exchange, "millis=" + pauseMillis);
+        lookForReplacement();
+    }
+
+    private long getStallMillis() {
+        return (long) (STALL_SHARE * request.route().getEventTimeoutMillis());
+    }
+
+    private void lookForReplacement() {
         boolean mayReplace = activeDecodes.size() == 1
                 && !waiting
                 && activePrefill.isEmpty()
                 && possibleExecutions + 1 < request.route().maxAttempts();
-        if (!mayReplace) {
+        if (!mayReplace || getPauseMillis() < getStallMillis()) {
             return;
         }
-        log("stalled", exchange, "millis=" + pauseMillis);
-        excludedWorkers.add(exchange.getWorker().id());
+        excludedWorkers.add(activeDecodes.get(0).getWorker().id());
         if (hasWorkers()) {
             waitForCapacity();
         }
@@ -579,10 +619,12 @@
                 continue;
             }
             log("taken_over", other, "by=" + exchange.getWorker().id());
-            if (other.isHeadReceived() || other.getWorkerRequest().cache().isEmpty()) {
+            if (other.isHeadReceived()
+                    || other.isSent() && other.getWorkerRequest().cache().isEmpty()) {
                 possibleExecutions++;
             }
             if (activeDecodes.indexOf(other) == 0) {
+                lastProgressMillis = now();
                 other.cancelAsUnresponsive();
             } else {
                 other.cancel();
@@ -716,6 +758,8 @@
         }
         if (activeDecodes.size() > 1) {
             removeBesideAnother(exchange);
+            recordRefusal(exchange, reason);
+            schedule(REPLACEMENT_RETRY_MILLIS, this::lookForReplacement);
             return;
         }
         activeDecodes.remove(exchange);
@@ -729,7 +773,23 @@
             // A worker with free memory refuses because the cache has expired. A full or failed worker has not fetched
             // the cache.
             prompt.invalidateHandle();
-        } else if (reason.equals(WorkerExchange.REFUSED) && hadAmpleMemory) {
+        } else {
+            recordRefusal(exchange, reason);
+        }
+        boolean reachedWorker = !WorkerExchange.isUnsent(reason);
+        refusedDecodes += reachedWorker ? 1 : 0;
+        if (refusedDecodes >= MAX_REFUSED_DECODES) {
+            failStream(reason);
+        } else if (reachedWorker) {
+            enqueueWithinBudget();
+        } else {
+            enqueue();
+        }
+    }
+
+    /** Records why a worker did not run the request, so that another one is chosen next. */
+    private void recordRefusal(WorkerExchange exchange, String reason) {
+        if (reason.equals(WorkerExchange.REFUSED) && hadAmpleMemory) {
             // A worker with free memory that refuses every request does not decode, for example during a role change.
             excludedWorkers.add(exchange.getWorker().id());
             context.loadTracker().suspend(exchange.getWorker().id(), now() + NOT_DECODING_SUSPEND_MILLIS);
@@ -741,15 +801,6 @@
                 unreachableWorkers.add(exchange.getWorker().id());
             }
         }
-        boolean reachedWorker = !WorkerExchange.isUnsent(reason);
-        refusedDecodes += reachedWorker ? 1 : 0;
-        if (refusedDecodes >= MAX_REFUSED_DECODES) {
-            failStream(reason);
-        } else if (reachedWorker) {
-            enqueueWithinBudget();
-        } else {
-            enqueue();
-        }
     }
 
     /** Returns whether the worker wants no requests yet, so that the request can wait for it. */
@@ -786,9 +837,11 @@
     /** Handles the failure of a decode, beside which another one may go on. */
     private void handleBroken(WorkerExchange exchange, String reason) {
         if (activeDecodes.size() > 1) {
+            mayHaveRun = true;
             possibleExecutions++;
             excludedWorkers.add(exchange.getWorker().id());
             removeBesideAnother(exchange);
+            schedule(REPLACEMENT_RETRY_MILLIS, this::lookForReplacement);
             return;
         }
         activeDecodes.remove(exchange);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
@@ -96,8 +96,10 @@
         return framer.hasPartialEvent();
     }
 
+    /** Discards what a worker has sent of an event or an error, because another one continues. */
     void discardPartialEvent() {
         framer.discardPartialEvent();
+        errorBody.reset();
     }
 
     Optional<String> findLastEventId() {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -82,6 +82,7 @@
     private final long startMillis;
     private HttpExchange httpExchange;
     private volatile boolean withdrawnAsClosed;
+    private volatile boolean sent;
     private boolean ended;
     private boolean headReceived;
     private int status;
@@ -149,7 +150,13 @@
             return false;
         }
         withdrawnAsClosed = notices.isClosed(getWorker(), now);
-        return !withdrawnAsClosed && listener.maySend();
+        sent = !withdrawnAsClosed && listener.maySend();
+        return sent;
+    }
+
+    /** Returns whether the request may have reached the worker. */
+    boolean isSent() {
+        return sent;
     }
 
     /** Returns whether the reason of {@link Listener#onNotRun} means that no byte of the request was sent. */
@@ -225,6 +232,12 @@
                 .recordBroken(PoisonGuard.getFeatures(callerRequest), getWorker(), isPastBeginning(), closedByWorker);
     }
 
+    /** Ends an exchange for a reason of this node, which says nothing about the worker, and notifies the listener. */
+    void abandon(String reason) {
+        cancel();
+        listener.onBroken(this, reason);
+    }
+
     /** Ends an exchange whose worker sends more than any response can have, and notifies the listener. */
     void breakOff(String reason) {
         closeWithOutcome(1);
