--- a/node/src/test/java/org/magnoliavane/cli/RouteCommandTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/RouteCommandTest.java
@@ -55,6 +55,7 @@
                         + "\n[store]\naddress = \"127.0.0.1:" + ports.get(5)
                         + "\"\n[retries]\nratio = 0.2\nallowance = 54\nwindow_seconds = 10\n"
                         + "[timing]\naddress_lifetime_seconds = 0.5\nstop_grace_seconds = 3\ndrain_millis = 2000\n"
+                        + "configuration_millis = 2000\ncontact_millis = 3000\n"
                         + "lapse_grace_seconds = 2\nlisting_renewal_millis = 1200\n");
         process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
