Use one set of the requests under way, and one factory for internal faults

Cause: the dispatcher kept a second set of the executions that PoisonGuard already keeps, with a callback to clear it; two classes built the same two faults from copies of the same texts. Two class comments described an earlier form. Change: a planned stop asks PoisonGuard; Fault.internal; the comments. Behaviour is as before.

--- a/core/src/main/java/org/magnoliavane/Fault.java
+++ b/core/src/main/java/org/magnoliavane/Fault.java
@@ -57,6 +57,21 @@
         return new Fault(kind, ExecutionStatus.UNKNOWN, message, remedy, OptionalLong.empty());
     }
 
+    /**
+     * Creates the fault of a request that the node itself failed to handle.
+     *
+     * @param mayHaveRun whether the request may have been executed
+     * @return the fault
+     */
+    public static Fault internal(boolean mayHaveRun) {
+        return new Fault(
+                FaultKind.INTERNAL,
+                mayHaveRun ? ExecutionStatus.UNKNOWN : ExecutionStatus.NO,
+                "internal error of the node",
+                "tell the operators the request id",
+                OptionalLong.empty());
+    }
+
     /**
      * Returns a copy with the time after which the caller may retry.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
@@ -1,8 +1,5 @@
 package org.magnoliavane.router.dispatch;
 
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-
 import org.magnoliavane.routing.RequestKind;
 
 /**
@@ -12,7 +9,6 @@
  */
 public final class Dispatcher {
     private final DispatchContext context;
-    private final Set<RequestExecution> active = ConcurrentHashMap.newKeySet();
 
     /**
      * Creates a dispatcher.
@@ -34,12 +30,11 @@
         RequestExecution execution = request.route().kind() == RequestKind.STREAM
                 ? new StreamExecution(context, request, service, response)
                 : new PlainExecution(context, request, service, response);
-        active.add(execution);
-        execution.start(() -> active.remove(execution));
+        execution.start();
     }
 
     /** Answers all requests that have no response yet, because the process is about to end. Streams that have started go on. */
     public void answerAll() {
-        active.forEach(RequestExecution::answerBeforeExit);
+        context.poisonGuard().forEachActive(RequestExecution::answerBeforeExit);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -19,7 +19,7 @@
  * run is retried only if it is idempotent.
  *
  * <p>Responses are collected, so that one that breaks off can be replaced by that of another worker. If there is no memory for
- * that, the response is relayed as it is received, unless another worker may still run the request.
+ * that, the response is relayed as it is received, unless it is an error or another worker runs the request as well.
  */
 final class PlainExecution extends RequestExecution {
     /** Largest number of workers to which a request is sent, including those that do not run it. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import net.openhft.hashing.LongHashFunction;
@@ -90,6 +91,11 @@
         active.remove(execution);
     }
 
+    /** Calls a task with each request that is under way. */
+    void forEachActive(Consumer<RequestExecution> task) {
+        active.forEach(task);
+    }
+
     PoisonDecision decide(RequestFeatures request) {
         return detector.decide(request, clockMillis.getAsLong());
     }
@@ -161,7 +167,7 @@
         convicted.forEach(feature -> LOG.log(
                 Level.WARNING, "event=poison_convicted feature={0} from={1}", Long.toHexString(feature), source));
         // On another thread, because the caller may hold the lock of a queue.
-        timers.execute(() -> active.forEach(RequestExecution::handleConviction));
+        timers.execute(() -> forEachActive(RequestExecution::handleConviction));
     }
 
     private void logCleared(String source) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -35,8 +35,6 @@
     /** Time after which a caller may retry if the node stops; another node may accept the request at once. */
     private static final long EXIT_RETRY_AFTER_MILLIS = 50;
 
-    private static final String INTERNAL_MESSAGE = "internal error of the node";
-    private static final String INTERNAL_REMEDY = "tell the operators the request id";
     private static final Logger LOG = System.getLogger(RequestExecution.class.getName());
 
     final DispatchContext context;
@@ -58,7 +56,6 @@
     final RequestFeatures features;
     private volatile boolean trial;
     private Future<?> deadlineTimer;
-    private Runnable onFinish = () -> {};
 
     RequestExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         this.context = context;
@@ -68,14 +65,9 @@
         this.features = PoisonGuard.getFeatures(request);
     }
 
-    /**
-     * Starts the execution of the request.
-     *
-     * @param whenFinished called when the execution has finished
-     */
-    final void start(Runnable whenFinished) {
+    /** Starts the execution of the request. */
+    final void start() {
         executor.execute(() -> {
-            onFinish = whenFinished;
             context.retryBudgets().countRequest(service);
             deadlineTimer = context.timers()
                     .schedule(
@@ -225,7 +217,6 @@
 
     final void finish(String outcome, String detail) {
         ended = true;
-        onFinish.run();
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
@@ -326,9 +317,7 @@
 
     /** Ends a request one of whose tasks ended by an exception or error, which has been logged. */
     private void handleTaskFailure(Throwable failure) {
-        Fault fault = mayHaveRun || exchanges > 0
-                ? Fault.unknownOutcome(FaultKind.INTERNAL, INTERNAL_MESSAGE, INTERNAL_REMEDY)
-                : Fault.notRun(FaultKind.INTERNAL, INTERNAL_MESSAGE, INTERNAL_REMEDY);
+        Fault fault = Fault.internal(mayHaveRun || exchanges > 0);
         try {
             if (!ended) {
                 reject(fault);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -26,7 +26,8 @@
  * run without having fetched the cache.
  *
  * <p>A silent worker may be sound, so its exchange is not ended for its silence: a resumable stream that is silent for long gets a
- * replacement as soon as another worker has capacity for it. The first of the two workers that responds continues the stream.
+ * replacement as soon as another worker has capacity for it. The first of the two workers that responds continues the stream;
+ * they overlap for a short time only.
  *
  * <p>The admission queue calls {@link #isDone} and {@link #tryAdmit} on any thread. Everything else runs on the executor of
  * the request.
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -40,8 +40,6 @@
     private static final System.Logger LOG = System.getLogger(FrontendExchange.class.getName());
     private static final Map<String, String> JSON_HEADERS = Map.of("Content-Type", "application/json");
     private static final double MILLIS_PER_SECOND = 1000.0;
-    private static final String INTERNAL_MESSAGE = "internal error of the node";
-    private static final String INTERNAL_REMEDY = "tell the operators the request id";
 
     /** Retry delay for callers of a request that expired before it was sent to a worker. */
     private static final long EXPIRED_RETRY_MILLIS = 700;
@@ -267,11 +265,7 @@
 
     /** Answers a request that ended by an internal failure, unless a response was started. */
     void failInternally() {
-        Sending before = sending.getAndSet(Sending.WITHDRAWN);
-        fail(
-                before == Sending.NOT_STARTED
-                        ? Fault.notRun(FaultKind.INTERNAL, INTERNAL_MESSAGE, INTERNAL_REMEDY)
-                        : Fault.unknownOutcome(FaultKind.INTERNAL, INTERNAL_MESSAGE, INTERNAL_REMEDY));
+        fail(Fault.internal(sending.getAndSet(Sending.WITHDRAWN) != Sending.NOT_STARTED));
     }
 
     @Override
