--- a/node/src/test/java/org/magnoliavane/cli/RouteCommandTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/RouteCommandTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import org.magnoliavane.platform.HeaderCodec;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -167,7 +168,7 @@
     private String call(String id) throws IOException {
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), ports.get(0))) {
             socket.getOutputStream()
-                    .write(("POST /x HTTP/1.1\r\nHost: h\r\nMagnoliavane-Attempt-Id: " + id
+                    .write(("POST /x HTTP/1.1\r\nHost: h\r\n" + HeaderCodec.ATTEMPT_ID + ": " + id
                                     + "\r\nContent-Length: 4\r\n\r\nbody")
                             .getBytes(StandardCharsets.UTF_8));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
