Continue a stream only with its own next event

Callers saw: the text of an error in their stream, missing or repeated events, or a stream that ended as complete after some of its events. Cause: any status under 300 counted as a continuation, its events were not compared with those that the caller had, and any delimited end counted as the end of the stream. Change: a continuation has status 200 and the media type of the stream; its first event has the id after the last one (a later one only if the stream itself skips numbers), all have ids that increase; an end without an event proves nothing, but for the rest of a stream that its caller resumes. What is no continuation counts as a failed exchange, so that a third worker or a silent first one can go on. A replacement takes over with its first event instead of its head. A stream whose last event has no id is not resumed. EventFramer returns events in place of bytes; its tests check the same bytes and ids.

--- a/http/src/main/java/org/magnoliavane/http/EventFramer.java
+++ b/http/src/main/java/org/magnoliavane/http/EventFramer.java
@@ -2,11 +2,12 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
- * Splits a byte stream of server-sent events at event boundaries without changing a byte, and tracks the id of the last
- * complete event.
+ * Splits a byte stream of server-sent events at event boundaries without changing a byte.
  *
  * <p>Not thread-safe.
  */
@@ -16,16 +17,23 @@
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private Optional<String> partialEventId = Optional.empty();
-    private Optional<String> lastId = Optional.empty();
+
+    /**
+     * A complete event.
+     *
+     * @param bytes the bytes of the event as they were received, including the empty line at its end
+     * @param id the id; empty if the event has none
+     */
+    public record Event(byte[] bytes, Optional<String> id) {}
 
     /**
      * Appends the next bytes of the stream.
      *
      * @param bytes the bytes
-     * @return the bytes of all events that are now complete; empty if there are none
+     * @return the events that are now complete, in order; empty if there are none
      */
-    public byte[] feed(byte[] bytes) {
-        ByteArrayOutputStream complete = new ByteArrayOutputStream();
+    public List<Event> feed(byte[] bytes) {
+        List<Event> complete = new ArrayList<>();
         for (byte b : bytes) {
             partialEvent.write(b);
             if (b != '\n') {
@@ -33,11 +41,12 @@
                 continue;
             }
             if (processLine()) {
-                complete.writeBytes(partialEvent.toByteArray());
+                complete.add(new Event(partialEvent.toByteArray(), partialEventId));
                 partialEvent.reset();
+                partialEventId = Optional.empty();
             }
         }
-        return complete.toByteArray();
+        return complete;
     }
 
     /**
@@ -58,33 +67,13 @@
         return partialEvent.size();
     }
 
-    /** Discards the buffered bytes of an event that will not be completed. */
-    public void discardPartialEvent() {
-        partialEvent.reset();
-        line.reset();
-        partialEventId = Optional.empty();
-    }
-
-    /**
-     * Finds the id of the last complete event that has one.
-     *
-     * @return the id, or empty if no complete event had one
-     */
-    public Optional<String> findLastId() {
-        return lastId;
-    }
-
+    /** Returns whether the line that has just ended is the empty line at the end of an event. */
     private boolean processLine() {
         String text = line.toString(StandardCharsets.UTF_8).stripTrailing();
         line.reset();
-        if (text.isEmpty()) {
-            lastId = partialEventId.or(() -> lastId);
-            partialEventId = Optional.empty();
-            return true;
-        }
         if (text.startsWith(ID_FIELD)) {
             partialEventId = Optional.of(text.substring(ID_FIELD.length()).strip());
         }
-        return false;
+        return text.isEmpty();
     }
 }
--- a/http/src/test/java/org/magnoliavane/http/EventFramerTest.java
+++ b/http/src/test/java/org/magnoliavane/http/EventFramerTest.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
 
 import org.testng.annotations.BeforeMethod;
@@ -23,8 +24,10 @@
         assertEquals(feed("id: 1\ndata: a"), "");
         assertTrue(framer.hasPartialEvent());
         assertEquals(feed("b\n"), "");
-        assertEquals(feed("\nid: 2\n"), "id: 1\ndata: ab\n\n");
-        assertEquals(framer.findLastId(), Optional.of("1"));
+        List<EventFramer.Event> events = framer.feed("\nid: 2\n".getBytes(StandardCharsets.UTF_8));
+        assertEquals(toText(events), "id: 1\ndata: ab\n\n");
+        assertEquals(events.get(0).id(), Optional.of("1"));
+        assertEquals(framer.getPartialBytes(), 6);
     }
 
     @Test
@@ -40,20 +43,28 @@
 
     @Test
     public void theIdOfAPartialEventIsIgnored() {
-        feed("id: 1\ndata: a\n\nid: 2\ndata: b\n");
-        assertEquals(framer.findLastId(), Optional.of("1"));
-        framer.discardPartialEvent();
-        assertEquals(feed("id: 3\n\n"), "id: 3\n\n");
-        assertEquals(framer.findLastId(), Optional.of("3"));
+        assertEquals(ids("id: 1\ndata: a\n\nid: 2\ndata: b\n"), List.of(Optional.of("1")));
+        assertEquals(ids("\nid: 3\n\n"), List.of(Optional.of("2"), Optional.of("3")));
     }
 
     @Test
-    public void anEventWithoutIdKeepsTheLastId() {
-        feed("id: 1\ndata: a\n\ndata: b\n\n");
-        assertEquals(framer.findLastId(), Optional.of("1"));
+    public void anEventWithoutIdHasNotThatOfTheEventBefore() {
+        assertEquals(ids("id: 1\ndata: a\n\ndata: b\n\n"), List.of(Optional.of("1"), Optional.empty()));
+    }
+
+    private List<Optional<String>> ids(String text) {
+        return framer.feed(text.getBytes(StandardCharsets.UTF_8)).stream()
+                .map(EventFramer.Event::id)
+                .toList();
     }
 
     private String feed(String text) {
-        return new String(framer.feed(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+        return toText(framer.feed(text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static String toText(List<EventFramer.Event> events) {
+        StringBuilder text = new StringBuilder();
+        events.forEach(e -> text.append(new String(e.bytes(), StandardCharsets.UTF_8)));
+        return text.toString();
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -123,6 +124,12 @@
 
     private final StreamResponse stream;
 
+    /** The last event that the caller has. */
+    private final StreamPosition position;
+
+    /** What the workers of exchanges that have a head have written of the stream. */
+    private final Map<WorkerExchange, StreamPart> parts = new HashMap<>();
+
     /** Excluded workers that accepted no connection. */
     private final Set<String> unreachableWorkers = new HashSet<>();
 
@@ -155,6 +162,8 @@
     StreamExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         super(context, request, service, response);
         this.stream = new StreamResponse(response, context.wireFormat());
+        this.position = StreamPosition.after(
+                request.metadata().lastEventId().filter(id -> request.route().resumable()));
         this.engineAtArrival = findCurrentEngine();
         this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
@@ -598,6 +607,7 @@
         boolean mayReplace = activeDecodes.size() == 1
                 && !waiting
                 && activePrefill.isEmpty()
+                && canContinueElsewhere()
                 && possibleExecutions + 1 < request.route().maxAttempts();
         if (!mayReplace || getPauseMillis() < getStallMillis()) {
             return;
@@ -612,6 +622,11 @@
         return now() - lastProgressMillis;
     }
 
+    /** Returns whether another worker could tell where the stream goes on. */
+    private boolean canContinueElsewhere() {
+        return !stream.hasStarted() || position.isKnown();
+    }
+
     /** Ends the other exchanges of the stream once one of them continues it. */
     private void continueWith(WorkerExchange exchange) {
         waiting = false;
@@ -637,9 +652,8 @@
     /** Removes an exchange while another one goes on, which keeps its own reservation. */
     private void removeBesideAnother(WorkerExchange exchange) {
         boolean isFirst = activeDecodes.indexOf(exchange) == 0;
-        activeDecodes.remove(exchange);
+        removeDecode(exchange);
         if (isFirst) {
-            stream.discardPartialEvent();
             reservation.release();
             reservation = replacementReservation;
             replacementReservation = () -> {};
@@ -648,8 +662,13 @@
         }
     }
 
+    private void removeDecode(WorkerExchange exchange) {
+        activeDecodes.remove(exchange);
+        parts.remove(exchange);
+    }
+
     private Optional<String> findLastEventId() {
-        return stream.findLastEventId().or(() -> request.metadata().lastEventId());
+        return position.findLastId().or(() -> request.metadata().lastEventId());
     }
 
     @Override
@@ -663,19 +682,26 @@
             return;
         }
         mayHaveRun = true;
-        if (activeDecodes.size() > 1 && responseStatus != 200) {
-            log("replacement_error", exchange, "status=" + responseStatus);
+        boolean started = stream.hasStarted();
+        boolean usable = started
+                ? stream.isContinuation(responseStatus, responseHeaders)
+                : activeDecodes.size() == 1 || responseStatus == 200;
+        if (!usable) {
+            log(
+                    activeDecodes.size() > 1 ? "replacement_error" : "resume_error",
+                    exchange,
+                    "status=" + responseStatus + " type=" + responseHeaders.getOrDefault("content-type", "none"));
             exchange.cancel();
-            handleBroken(exchange, "status " + responseStatus);
+            handleBroken(exchange, "the stream could not be continued: status " + responseStatus);
             return;
         }
-        continueWith(exchange);
+        boolean continues = request.route().resumable()
+                && exchange.getWorkerRequest().lastEventId().isPresent();
+        parts.put(exchange, new StreamPart(position, continues));
         prompt.invalidateHandle();
-        if (!stream.handleHead(responseStatus, responseHeaders)) {
-            log("resume_error", exchange, "status=" + responseStatus);
-            exchange.cancel();
-            activeDecodes.remove(exchange);
-            handleDecodeFailure(exchange, "the stream could not be resumed: status " + responseStatus);
+        if (!started) {
+            continueWith(exchange);
+            stream.setHead(responseStatus, responseHeaders);
         }
     }
 
@@ -688,15 +714,31 @@
             }
             return;
         }
-        // A worker that goes on needs no replacement.
-        continueWith(exchange);
-        boolean started = stream.hasStarted();
-        if (!stream.relayBytes(bytes)) {
-            if (stream.getBufferedBytes() > MAX_EVENT_BYTES) {
-                exchange.breakOff("an event is larger than " + MAX_EVENT_BYTES + " bytes");
-            }
-            return;
+        StreamPart part = parts.get(exchange);
+        byte[] events = new byte[0];
+        if (stream.isError()) {
+            stream.collectError(bytes);
+        } else {
+            events = part.feed(bytes);
         }
+        // A worker that goes on needs no replacement. The replacement has to prove by an event that it continues the
+        // stream.
+        if (events.length > 0 || activeDecodes.indexOf(exchange) == 0) {
+            continueWith(exchange);
+        }
+        if (events.length > 0) {
+            relayEvents(exchange, events);
+        }
+        if (part.isFaulty()) {
+            exchange.breakOff("an event does not continue the stream");
+        } else if (part.getPartialBytes() + stream.getErrorBytes() > MAX_EVENT_BYTES) {
+            exchange.breakOff("an event is larger than " + MAX_EVENT_BYTES + " bytes");
+        }
+    }
+
+    private void relayEvents(WorkerExchange exchange, byte[] events) {
+        boolean started = stream.hasStarted();
+        stream.relayEvents(events);
         if (started) {
             longestPauseMillis = Math.max(longestPauseMillis, now() - lastEventMillis);
         }
@@ -719,11 +761,10 @@
             return;
         }
         if (!stream.isError() && isBrokenOff(exchange)) {
-            exchange.recordBroken(true);
-            handleBroken(exchange, "the stream ended within an event");
+            handleEarlyEnd(exchange);
             return;
         }
-        activeDecodes.remove(exchange);
+        removeDecode(exchange);
         if (stream.isError() && !mayForward(stream.getStatus())) {
             failWithoutResponse(describeUnprovenRefusal(stream.getStatus()), NO_WORKER_RETRY_AFTER_MILLIS);
             return;
@@ -737,9 +778,27 @@
         stream.complete();
     }
 
-    /** Returns whether a stream that seems to have ended was broken off: within an event, or before its first byte. */
+    /**
+     * Returns whether a stream that seems to have ended was broken off: within an event, or before its first one. Only the rest
+     * of a stream that its caller resumes may be empty.
+     */
     private boolean isBrokenOff(WorkerExchange exchange) {
-        return stream.hasPartialEvent() || !exchange.isDelimited() && !exchange.hasBody();
+        StreamPart part = parts.get(exchange);
+        if (part.hasPartialEvent() || part.hasEvents()) {
+            return part.hasPartialEvent();
+        }
+        boolean resumedByCaller = !stream.hasStarted() && position.isKnown();
+        return !resumedByCaller || stream.getStatus() != 200 || !exchange.isDelimited();
+    }
+
+    private void handleEarlyEnd(WorkerExchange exchange) {
+        boolean withinEvent = parts.get(exchange).hasPartialEvent();
+        if (withinEvent || !exchange.isDelimited()) {
+            exchange.recordBroken(true);
+        }
+        String reason = "the stream ended " + (withinEvent ? "within an event" : "without an event");
+        log("ended_early", exchange, "reason=\"" + reason + '"');
+        handleBroken(exchange, reason);
     }
 
     private void recordAnswer(WorkerExchange exchange) {
@@ -767,7 +826,7 @@
             schedule(REPLACEMENT_RETRY_MILLIS, this::lookForReplacement);
             return;
         }
-        activeDecodes.remove(exchange);
+        removeDecode(exchange);
         if (mayHaveRun && !request.route().resumable()) {
             failStream(reason);
             return;
@@ -849,7 +908,7 @@
             schedule(REPLACEMENT_RETRY_MILLIS, this::lookForReplacement);
             return;
         }
-        activeDecodes.remove(exchange);
+        removeDecode(exchange);
         handleDecodeFailure(exchange, reason);
     }
 
@@ -858,8 +917,8 @@
         mayHaveRun = true;
         possibleExecutions++;
         excludedWorkers.add(exchange.getWorker().id());
-        stream.discardPartialEvent();
         boolean mayRetry = request.route().resumable()
+                && canContinueElsewhere()
                 && possibleExecutions < request.route().maxAttempts();
         if (mayRetry && context.retryBudgets().tryAcquire(service)) {
             enqueue();
@@ -913,6 +972,7 @@
         activePrefill = Optional.empty();
         activeDecodes.forEach(WorkerExchange::cancel);
         activeDecodes.clear();
+        parts.clear();
         removePlannedLoad();
         reservation.release();
         releaseReplacement();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
@@ -1,24 +1,24 @@
 package org.magnoliavane.router.dispatch;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
-import org.magnoliavane.http.EventFramer;
 import org.magnoliavane.http.server.StreamWriter;
 
 /**
- * Relays the responses of successive workers to the caller as one response. Only complete events are forwarded. Status and
- * headers are those of the first worker; nothing is sent before the first event.
+ * Relays the events of successive workers to the caller as one response. Status and headers are those of the first worker;
+ * nothing is sent before the first event.
  *
  * <p>Not thread-safe.
  */
 final class StreamResponse {
+    private static final int OK = 200;
     private static final int FIRST_ERROR_STATUS = 300;
 
     private final CallerResponse callerResponse;
     private final WireFormat wireFormat;
-    private final EventFramer framer = new EventFramer();
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<StreamWriter> writer = Optional.empty();
     private Map<String, String> headers = Map.of();
@@ -29,39 +29,33 @@
         this.wireFormat = wireFormat;
     }
 
-    /**
-     * Handles the status and the headers of a worker's response.
-     *
-     * @return false if the response is an error and cannot continue the stream of another worker
-     */
-    boolean handleHead(int workerStatus, Map<String, String> workerHeaders) {
-        if (hasStarted()) {
-            return workerStatus < FIRST_ERROR_STATUS;
-        }
+    /** Sets the status and the headers of a response that has not started. */
+    void setHead(int workerStatus, Map<String, String> workerHeaders) {
         status = workerStatus;
         headers = workerHeaders;
-        return true;
+        errorBody.reset();
     }
 
-    /**
-     * Handles the next bytes of a worker's response.
-     *
-     * @return true if the bytes complete an event
-     */
-    boolean relayBytes(byte[] bytes) {
-        if (isError()) {
-            errorBody.writeBytes(bytes);
-            return false;
-        }
-        byte[] events = framer.feed(bytes);
-        if (events.length == 0) {
-            return false;
-        }
+    /** Returns whether a worker's response can continue the stream, which has started: it is a stream of the same type. */
+    boolean isContinuation(int workerStatus, Map<String, String> workerHeaders) {
+        return workerStatus == OK && getMediaType(workerHeaders).equals(getMediaType(headers));
+    }
+
+    private static String getMediaType(Map<String, String> headers) {
+        return headers.getOrDefault("content-type", "").split(";", 2)[0].trim().toLowerCase(Locale.ROOT);
+    }
+
+    /** Sends complete events to the caller. */
+    void relayEvents(byte[] events) {
         if (writer.isEmpty()) {
             writer = callerResponse.beginStream(status, wireFormat.toCallerHeaders(headers));
         }
         writer.ifPresent(w -> w.write(events));
-        return true;
+    }
+
+    /** Collects the body of an error response. */
+    void collectError(byte[] bytes) {
+        errorBody.writeBytes(bytes);
     }
 
     /** Completes the response. */
@@ -87,22 +81,8 @@
         return status;
     }
 
-    /** Gets the number of bytes that are buffered, of an incomplete event or of an error response. */
-    int getBufferedBytes() {
-        return framer.getPartialBytes() + errorBody.size();
-    }
-
-    boolean hasPartialEvent() {
-        return framer.hasPartialEvent();
-    }
-
-    /** Discards what a worker has sent of an event or an error, because another one continues. */
-    void discardPartialEvent() {
-        framer.discardPartialEvent();
-        errorBody.reset();
-    }
-
-    Optional<String> findLastEventId() {
-        return framer.findLastId();
+    /** Gets the number of bytes that are buffered of an error response. */
+    int getErrorBytes() {
+        return errorBody.size();
     }
 }
