Close streams that nobody ends, and complete ones that nobody reads

Callers saw: a stream that stayed open until its limit after the code that was to end it had failed; and responses for which there was no memory, because complete ones that their callers never read held it without a bound in time. They share the exchange and its test. Change: a failed task of an execution closes a stream that has begun and was not ended. The guard closes a complete stream once its caller has read nothing of it for the idle timeout of the configuration (15 s if that is not known). Evidence: with the two calls taken out, 2 of the 10 cases of FrontendExchangeTest fail; with them 10 of 10 pass, and all 449 tests of module router.

--- a/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
@@ -31,9 +31,11 @@
     private final AtomicBoolean failed = new AtomicBoolean();
     private Optional<Runnable> drainTask = Optional.empty();
     private boolean awaitingWritable;
-    private volatile boolean endRequested;
+    private volatile boolean ending;
+    private boolean endRequested;
     private boolean ended;
     private volatile long lastWriteNanos = System.nanoTime();
+    private volatile long lastProgressNanos = System.nanoTime();
 
     /**
      * Creates a writer.
@@ -106,6 +108,7 @@
 
     /** Ends the stream after all buffered bytes have been written. */
     public void end() {
+        ending = true;
         serial.execute(() -> {
             endRequested = true;
             writePending();
@@ -118,7 +121,7 @@
      * @return whether {@link #end} was called
      */
     public boolean isEnding() {
-        return endRequested;
+        return ending;
     }
 
     /** Ends the stream immediately and discards the buffered bytes. */
@@ -135,6 +138,15 @@
         return (System.nanoTime() - lastWriteNanos) / 1_000_000;
     }
 
+    /**
+     * Gets the time since the connection last accepted bytes, or since the creation of the writer.
+     *
+     * @return the time in milliseconds
+     */
+    public long getStalledMillis() {
+        return (System.nanoTime() - lastProgressNanos) / 1_000_000;
+    }
+
     private void enqueue(byte[] bytes) {
         if (ended || endRequested) {
             return;
@@ -154,6 +166,7 @@
                 out.write(next);
                 out.flush();
                 bufferedBytes.addAndGet(-next.length);
+                lastProgressNanos = System.nanoTime();
             }
         } catch (IOException e) {
             fail();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
@@ -41,6 +41,9 @@
     /** Closes the connection, so that the caller detects that a streamed response is incomplete. */
     void abort();
 
+    /** Closes the connection if a streamed response has begun and nobody has ended it. */
+    void abortUnfinishedStream();
+
     /**
      * Sets the task that runs when the caller closes the connection before its response is complete, and when the request
      * has passed its limit without a response.
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -337,6 +337,7 @@
         } finally {
             // The failure may have come between the end of the execution and its response.
             response.fail(fault);
+            response.abortUnfinishedStream();
         }
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -50,6 +50,9 @@
     /** Maximum time for receiving a body, also when the caller states a longer timeout. */
     static final long MAX_BODY_WAIT_MILLIS = 30_000;
 
+    /** Time for which a caller may read nothing of a complete response if the configuration is not known. */
+    private static final long DEFAULT_IDLE_MILLIS = 15_000;
+
     /**
      * Maximum number of bytes of a stream that the caller has not read yet. The connection of a slower caller is
      * closed.
@@ -78,6 +81,7 @@
     private volatile String stage = "arrival";
 
     private volatile long limitMillis;
+    private volatile long idleLimitMillis = DEFAULT_IDLE_MILLIS;
     private final AtomicReference<Sending> sending = new AtomicReference<>(Sending.NOT_STARTED);
     private final AtomicBoolean expired = new AtomicBoolean();
 
@@ -161,6 +165,7 @@
         routingTable = table;
         route = found;
         limitMillis = getDeadlineMillis();
+        idleLimitMillis = table.getLimits().idleTimeoutMillis();
     }
 
     /** Sets the part of the router that handles the request from now on. */
@@ -207,11 +212,13 @@
 
     /**
      * Ends a request that has passed its limit: answers it if no response was started, closes the connection of a stream that
-     * goes on, and ends what still runs for it. A complete stream that the caller has not read yet goes on. Called again
-     * as long as the request is not complete.
+     * goes on, and ends what still runs for it. A complete stream that the caller has not read yet goes on, unless the caller
+     * has stopped reading. Called again as long as the request is not complete.
      */
     void expire(long nowMillis) {
-        if (stream.filter(StreamWriter::isEnding).isPresent()) {
+        Optional<StreamWriter> complete = stream.filter(StreamWriter::isEnding);
+        if (complete.isPresent()) {
+            closeUnlessRead(complete.get());
             return;
         }
         Sending before = sending.getAndSet(Sending.WITHDRAWN);
@@ -239,6 +246,18 @@
         }
     }
 
+    private void closeUnlessRead(StreamWriter complete) {
+        if (complete.getStalledMillis() <= idleLimitMillis) {
+            return;
+        }
+        LOG.log(
+                Level.INFO,
+                "event=unread request={0} stalled_millis={1}",
+                metadata.attemptId(),
+                Long.toString(complete.getStalledMillis()));
+        handleDisconnect();
+    }
+
     private Fault toExpiryFault(Sending before) {
         return before == Sending.NOT_STARTED
                 ? Fault.notRun(
@@ -334,6 +353,13 @@
         connection.terminateSilently();
     }
 
+    @Override
+    public void abortUnfinishedStream() {
+        if (!completed.get() && stream.filter(w -> !w.isEnding()).isPresent()) {
+            abort();
+        }
+    }
+
     @Override
     public void onDisconnect(Runnable task) {
         onDisconnect.set(task);
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -257,6 +257,11 @@
     private static final class CollectedResponse implements CallerResponse {
         private final CompletableFuture<String> body = new CompletableFuture<>();
 
+        @Override
+        public void abortUnfinishedStream() {
+            // Streams are complete at once.
+        }
+
         @Override
         public void send(int status, Map<String, String> headers, byte[] bytes) {
             body.complete(new String(bytes));
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -27,6 +27,12 @@
 import org.magnoliavane.http.server.StreamWriter;
 import org.magnoliavane.router.dispatch.RequestMetadata;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.routing.CallerLimits;
+import org.magnoliavane.routing.RequestKind;
+import org.magnoliavane.routing.Route;
+import org.magnoliavane.routing.RoutingTable;
+import org.magnoliavane.routing.ServiceProfile;
+import org.magnoliavane.routing.WeightedService;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -48,6 +54,10 @@
     /** Parts of 1 MB of a stream that the buffers of a connection cannot hold. */
     private static final int STREAM_PARTS = 32;
 
+    private static final long IDLE_MILLIS = 300;
+    private static final Route ROUTE = new Route(
+            "r", "h", "/", RequestKind.STREAM, 700, 300, 300, 1, List.of(new WeightedService("s", 1)), 1, false);
+
     private static final byte[] FIRST_BODY = "first".getBytes(StandardCharsets.UTF_8);
     private static final byte[] SECOND_BODY = "other".getBytes(StandardCharsets.UTF_8);
 
@@ -169,6 +179,51 @@
         }
     }
 
+    /** Guards against memory that is held for good by complete responses whose callers do not read them. */
+    @Test
+    public void aCompleteStreamWhoseCallerHasStoppedReadingIsClosed() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            exchange.setRoute(createTable(), ROUTE);
+            CountDownLatch ended = watchDisconnect(exchange);
+            StreamWriter writer = exchange.beginStream(200, Map.of()).orElseThrow();
+            byte[] part = new byte[1 << 20];
+            for (int i = 0; i < STREAM_PARTS; i++) {
+                writer.writeReplayed(part);
+            }
+            writer.end();
+            exchange.expire(0);
+            assertFalse(ended.await(IDLE_MILLIS / 2, TimeUnit.MILLISECONDS), "closed before the time has passed");
+            Thread.sleep(IDLE_MILLIS);
+            exchange.expire(0);
+            assertTrue(ended.await(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            assertFalse(caller.isClosed());
+        }
+    }
+
+    /** Guards against a stream that stays open until its limit, because the code that was to end it has failed. */
+    @Test
+    public void aStreamThatNobodyEndsIsClosedWhenItsExecutionFails() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            exchange.beginStream(200, Map.of()).orElseThrow().write(FIRST_BODY);
+            exchange.abortUnfinishedStream();
+            assertFalse(readBody(caller).endsWith("0\r\n\r\n"));
+        }
+    }
+
+    @Test
+    public void aCompleteStreamIsNotClosedWhenItsExecutionFails() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            StreamWriter writer = exchange.beginStream(200, Map.of()).orElseThrow();
+            writer.write(FIRST_BODY);
+            writer.end();
+            exchange.abortUnfinishedStream();
+            assertTrue(readBody(caller).endsWith("0\r\n\r\n"));
+        }
+    }
+
     /** Guards against a request that is sent to a worker after its caller was told that it has not run. */
     @Test
     public void aRequestThatWasAnsweredAsNotRunIsNotSent() throws Exception {
@@ -190,6 +245,14 @@
         }
     }
 
+    private static RoutingTable createTable() {
+        return RoutingTable.create(
+                1,
+                List.of(ROUTE),
+                List.of(new ServiceProfile("s", 100, Optional.empty())),
+                new CallerLimits(16_384, 100_000, 3000, IDLE_MILLIS));
+    }
+
     private void accept(Request request, Response response) {
         FrontendExchange exchange = new FrontendExchange(request, response, createWireFormat(), 0, completed -> {});
         exchange.suspend();
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -351,6 +351,7 @@
                 "toWorkerHeaders", Map::of,
                 "classify", () -> ResponseKind.VALID,
                 "isLeaving", () -> false,
+                "statesNotRun", () -> false,
                 "readRetryAfterMillis", OptionalLong::empty,
                 "toCallerHeaders", () -> headers);
         return (WireFormat) Proxy.newProxyInstance(
