Mend what the independent review of the fixes found

The review, by a reader who had not seen the work, found by reading: - a faulty event of a silent worker ended its sound replacement first; the silent worker now counts only if its bytes follow; - before the first event a replacement still took over with its head; each part keeps its head, and the first event decides; - an earlier refusal with Retry-After closed its worker for all requests; notices to pause now need a response that names the request; - comments and empty lines, which keep streams open, counted as events without id; - the empty rest of a stream that its caller resumes was accepted of any media type, and 204 counted as evidence of a crash; - a connection that cannot be used before the request was sent made its worker count as unreachable at all nodes; - a stream that has begun was cut at once when the retry budget was empty; it waits for it as refused decodes do; - a plain request was hedged while its response was being relayed, after which nobody ended the response (no test: takes a lack of memory); a failed task now closes such a response.

--- a/http/src/main/java/org/magnoliavane/http/EventFramer.java
+++ b/http/src/main/java/org/magnoliavane/http/EventFramer.java
@@ -17,14 +17,16 @@
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
     private Optional<String> partialEventId = Optional.empty();
+    private boolean onlyComments = true;
 
     /**
      * A complete event.
      *
      * @param bytes the bytes of the event as they were received, including the empty line at its end
      * @param id the id; empty if the event has none
+     * @param comment whether the event has only comments or nothing, such as those that keep a connection open
      */
-    public record Event(byte[] bytes, Optional<String> id) {}
+    public record Event(byte[] bytes, Optional<String> id, boolean comment) {}
 
     /**
      * Appends the next bytes of the stream.
@@ -41,9 +43,10 @@
                 continue;
             }
             if (processLine()) {
-                complete.add(new Event(partialEvent.toByteArray(), partialEventId));
+                complete.add(new Event(partialEvent.toByteArray(), partialEventId, onlyComments));
                 partialEvent.reset();
                 partialEventId = Optional.empty();
+                onlyComments = true;
             }
         }
         return complete;
@@ -74,6 +77,7 @@
         if (text.startsWith(ID_FIELD)) {
             partialEventId = Optional.of(text.substring(ID_FIELD.length()).strip());
         }
+        onlyComments &= text.isEmpty() || text.startsWith(":");
         return text.isEmpty();
     }
 }
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -233,7 +233,7 @@
             }
             if (!connection.isOpen()) {
                 exchange.failUnlessSendingStarted(
-                        new ConnectException("the connection was closed before the request was sent"));
+                        new WithdrawnException("the connection was closed before the request was sent"));
             }
             if (!exchange.tryStartSending()) {
                 connection.closeSilently();
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -1,7 +1,6 @@
 package org.magnoliavane.http;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -125,7 +124,7 @@
     void receive(HttpContent content) {
         lastReadNanos = System.nanoTime();
         // Bytes that arrive before the request is sent cannot be its response.
-        failUnlessSendingStarted(new ConnectException("the server sent a response before the request"));
+        failUnlessSendingStarted(new WithdrawnException("the server sent a response before the request"));
         if (ended.get()) {
             return;
         }
--- a/http/src/test/java/org/magnoliavane/http/EventFramerTest.java
+++ b/http/src/test/java/org/magnoliavane/http/EventFramerTest.java
@@ -52,6 +52,13 @@
         assertEquals(ids("id: 1\ndata: a\n\ndata: b\n\n"), List.of(Optional.of("1"), Optional.empty()));
     }
 
+    @Test
+    public void commentsAndEmptyLinesAreNoEventsOfTheStream() {
+        List<EventFramer.Event> events =
+                framer.feed(": ping\n\n\nid: 1\ndata: a\n\n: b\ndata: c\n\n".getBytes(StandardCharsets.UTF_8));
+        assertEquals(events.stream().map(EventFramer.Event::comment).toList(), List.of(true, true, false, false));
+    }
+
     private List<Optional<String>> ids(String text) {
         return framer.feed(text.getBytes(StandardCharsets.UTF_8)).stream()
                 .map(EventFramer.Event::id)
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -103,11 +103,25 @@
     }
 
     private void sendHedge() {
-        if (activeAttempts.size() == 1 && isAnotherExecutionAllowed()) {
+        if (activeAttempts.size() == 1 && !isRelaying() && isAnotherExecutionAllowed()) {
             trySend();
         }
     }
 
+    /** Returns whether a part of a response has been sent to the caller, which no other one can replace. */
+    private boolean isRelaying() {
+        return activeAttempts.stream().anyMatch(a -> a.writer.isPresent());
+    }
+
+    @Override
+    void reject(Fault fault) {
+        if (isRelaying()) {
+            abortRelayed(fault.message());
+        } else {
+            super.reject(fault);
+        }
+    }
+
     private boolean isAnotherExecutionAllowed() {
         int executions = possibleExecutions + activeAttempts.size();
         return executions == 0 || retryable && executions < request.route().maxAttempts();
@@ -254,7 +268,7 @@
 
     @Override
     void handleTimeout() {
-        boolean relaying = activeAttempts.stream().anyMatch(a -> a.writer.isPresent());
+        boolean relaying = isRelaying();
         activeAttempts.forEach(a -> a.exchange.cancelAsUnresponsive());
         activeAttempts.clear();
         if (relaying) {
@@ -270,7 +284,7 @@
 
     @Override
     void handleExit() {
-        if (activeAttempts.stream().anyMatch(a -> a.writer.isPresent())) {
+        if (isRelaying()) {
             return;
         }
         if (errorResponse.isPresent()) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -691,17 +691,16 @@
                     activeDecodes.size() > 1 ? "replacement_error" : "resume_error",
                     exchange,
                     "status=" + responseStatus + " type=" + responseHeaders.getOrDefault("content-type", "none"));
-            exchange.cancel();
-            handleBroken(exchange, "the stream could not be continued: status " + responseStatus);
+            exchange.breakOff("the stream could not be continued: status " + responseStatus);
             return;
         }
         boolean continues = request.route().resumable()
                 && exchange.getWorkerRequest().lastEventId().isPresent();
-        parts.put(exchange, new StreamPart(position, continues));
+        StreamPart part = new StreamPart(responseStatus, responseHeaders, position, continues);
+        parts.put(exchange, part);
         prompt.invalidateHandle();
-        if (!started) {
-            continueWith(exchange);
-            stream.setHead(responseStatus, responseHeaders);
+        if (activeDecodes.size() == 1) {
+            stream.setHead(part);
         }
     }
 
@@ -716,17 +715,18 @@
         }
         StreamPart part = parts.get(exchange);
         byte[] events = new byte[0];
-        if (stream.isError()) {
+        if (part.isError()) {
             stream.collectError(bytes);
         } else {
             events = part.feed(bytes);
         }
         // A worker that goes on needs no replacement. The replacement has to prove by an event that it continues the
         // stream.
-        if (events.length > 0 || activeDecodes.indexOf(exchange) == 0) {
+        if (events.length > 0 || activeDecodes.indexOf(exchange) == 0 && !part.isFaulty()) {
             continueWith(exchange);
         }
         if (events.length > 0) {
+            stream.setHead(part);
             relayEvents(exchange, events);
         }
         if (part.isFaulty()) {
@@ -760,16 +760,20 @@
             handlePrefillEnd(exchange);
             return;
         }
-        if (!stream.isError() && isBrokenOff(exchange)) {
-            handleEarlyEnd(exchange);
+        StreamPart part = parts.get(exchange);
+        if (!part.isError() && isBrokenOff(exchange, part)) {
+            handleEarlyEnd(exchange, part);
             return;
         }
         removeDecode(exchange);
-        if (stream.isError() && !mayForward(stream.getStatus())) {
-            failWithoutResponse(describeUnprovenRefusal(stream.getStatus()), NO_WORKER_RETRY_AFTER_MILLIS);
+        if (!mayForward(part.getStatus())) {
+            failWithoutResponse(describeUnprovenRefusal(part.getStatus()), NO_WORKER_RETRY_AFTER_MILLIS);
             return;
         }
-        recordAnswer(exchange);
+        stream.setHead(part);
+        if (!part.isError()) {
+            recordAnswer(exchange);
+        }
         finish(
                 "answered",
                 "worker=" + exchange.getWorker().id() + " status=" + stream.getStatus() + " decode_millis="
@@ -782,18 +786,17 @@
      * Returns whether a stream that seems to have ended was broken off: within an event, or before its first one. Only the rest
      * of a stream that its caller resumes may be empty.
      */
-    private boolean isBrokenOff(WorkerExchange exchange) {
-        StreamPart part = parts.get(exchange);
+    private boolean isBrokenOff(WorkerExchange exchange, StreamPart part) {
         if (part.hasPartialEvent() || part.hasEvents()) {
             return part.hasPartialEvent();
         }
         boolean resumedByCaller = !stream.hasStarted() && position.isKnown();
-        return !resumedByCaller || stream.getStatus() != 200 || !exchange.isDelimited();
+        return !resumedByCaller || !StreamResponse.mayBeEmptyRest(part) || !exchange.isDelimited();
     }
 
-    private void handleEarlyEnd(WorkerExchange exchange) {
-        boolean withinEvent = parts.get(exchange).hasPartialEvent();
-        if (withinEvent || !exchange.isDelimited()) {
+    private void handleEarlyEnd(WorkerExchange exchange, StreamPart part) {
+        boolean withinEvent = part.hasPartialEvent();
+        if (withinEvent || part.getStatus() == 200 && !exchange.isDelimited()) {
             exchange.recordBroken(true);
         }
         String reason = "the stream ended " + (withinEvent ? "within an event" : "without an event");
@@ -802,9 +805,6 @@
     }
 
     private void recordAnswer(WorkerExchange exchange) {
-        if (stream.isError()) {
-            return;
-        }
         if (exchange.isDelimited()) {
             context.poisonGuard().recordAnswer(features);
         } else {
@@ -920,6 +920,10 @@
         boolean mayRetry = request.route().resumable()
                 && canContinueElsewhere()
                 && possibleExecutions < request.route().maxAttempts();
+        if (mayRetry && stream.hasStarted()) {
+            enqueueWithinBudget();
+            return;
+        }
         if (mayRetry && context.retryBudgets().tryAcquire(service)) {
             enqueue();
             return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamPart.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamPart.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.router.dispatch;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Map;
 
 import org.magnoliavane.http.EventFramer;
 
@@ -10,7 +11,11 @@
  * <p>Not thread-safe.
  */
 final class StreamPart {
+    private static final int FIRST_ERROR_STATUS = 300;
+
     private final EventFramer framer = new EventFramer();
+    private final int status;
+    private final Map<String, String> headers;
     private final StreamPosition position;
     private final boolean continues;
     private boolean hasEvents;
@@ -19,10 +24,14 @@
     /**
      * Creates a part.
      *
+     * @param status the status of the worker's response
+     * @param headers its headers
      * @param position the position of the stream, shared by all its parts
      * @param continues whether the worker was asked to continue after an earlier event
      */
-    StreamPart(StreamPosition position, boolean continues) {
+    StreamPart(int status, Map<String, String> headers, StreamPosition position, boolean continues) {
+        this.status = status;
+        this.headers = headers;
         this.position = position;
         this.continues = continues;
     }
@@ -35,6 +44,11 @@
     byte[] feed(byte[] bytes) {
         ByteArrayOutputStream following = new ByteArrayOutputStream();
         for (EventFramer.Event event : framer.feed(bytes)) {
+            if (event.comment()) {
+                // Before its first event, a worker that continues a stream has not proved that it does.
+                following.writeBytes(hasEvents || !continues ? event.bytes() : new byte[0]);
+                continue;
+            }
             boolean follows =
                     continues ? position.tryContinue(event.id(), !hasEvents) : position.tryAdvance(event.id());
             if (!follows) {
@@ -47,6 +61,19 @@
         return following.toByteArray();
     }
 
+    int getStatus() {
+        return status;
+    }
+
+    Map<String, String> getHeaders() {
+        return headers;
+    }
+
+    /** Returns whether the worker responded with an error instead of a stream. */
+    boolean isError() {
+        return status >= FIRST_ERROR_STATUS;
+    }
+
     /** Returns whether an event did not follow the last one. Nothing more of the worker may be relayed then. */
     boolean isFaulty() {
         return faulty;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
@@ -15,30 +15,36 @@
  */
 final class StreamResponse {
     private static final int OK = 200;
-    private static final int FIRST_ERROR_STATUS = 300;
+    private static final String EVENT_STREAM = "text/event-stream";
 
     private final CallerResponse callerResponse;
     private final WireFormat wireFormat;
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private Optional<StreamWriter> writer = Optional.empty();
-    private Map<String, String> headers = Map.of();
-    private int status;
+    private Optional<StreamPart> head = Optional.empty();
 
     StreamResponse(CallerResponse callerResponse, WireFormat wireFormat) {
         this.callerResponse = callerResponse;
         this.wireFormat = wireFormat;
     }
 
-    /** Sets the status and the headers of a response that has not started. */
-    void setHead(int workerStatus, Map<String, String> workerHeaders) {
-        status = workerStatus;
-        headers = workerHeaders;
+    /** Sets the worker whose status and headers the response gets, unless it has started. */
+    void setHead(StreamPart part) {
+        if (hasStarted() || head.filter(h -> h == part).isPresent()) {
+            return;
+        }
+        head = Optional.of(part);
         errorBody.reset();
     }
 
+    /** Returns whether a response without an event can be the rest of a stream that has ended. */
+    static boolean mayBeEmptyRest(StreamPart part) {
+        return part.getStatus() == OK && getMediaType(part.getHeaders()).equals(EVENT_STREAM);
+    }
+
     /** Returns whether a worker's response can continue the stream, which has started: it is a stream of the same type. */
     boolean isContinuation(int workerStatus, Map<String, String> workerHeaders) {
-        return workerStatus == OK && getMediaType(workerHeaders).equals(getMediaType(headers));
+        return workerStatus == OK && getMediaType(workerHeaders).equals(getMediaType(getHeaders()));
     }
 
     private static String getMediaType(Map<String, String> headers) {
@@ -48,7 +54,7 @@
     /** Sends complete events to the caller. */
     void relayEvents(byte[] events) {
         if (writer.isEmpty()) {
-            writer = callerResponse.beginStream(status, wireFormat.toCallerHeaders(headers));
+            writer = callerResponse.beginStream(getStatus(), wireFormat.toCallerHeaders(getHeaders()));
         }
         writer.ifPresent(w -> w.write(events));
     }
@@ -63,7 +69,7 @@
         if (writer.isPresent()) {
             writer.get().end();
         } else {
-            callerResponse.send(status, wireFormat.toCallerHeaders(headers), errorBody.toByteArray());
+            callerResponse.send(getStatus(), wireFormat.toCallerHeaders(getHeaders()), errorBody.toByteArray());
         }
     }
 
@@ -72,13 +78,12 @@
         return writer.isPresent();
     }
 
-    /** Returns whether the worker responded with an error instead of a stream. */
-    boolean isError() {
-        return status >= FIRST_ERROR_STATUS;
+    int getStatus() {
+        return head.map(StreamPart::getStatus).orElse(0);
     }
 
-    int getStatus() {
-        return status;
+    private Map<String, String> getHeaders() {
+        return head.map(StreamPart::getHeaders).orElse(Map.of());
     }
 
     /** Gets the number of bytes that are buffered of an error response. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -44,6 +44,9 @@
     /** Reason if the worker was no longer usable when the request was about to be sent. */
     static final String LEAVING = "leaving";
 
+    /** Reason if the connection could not be used although the worker accepted it. */
+    static final String UNUSABLE = "connection unusable";
+
     /** Reason if the worker did not run the request and wants no others for some time. */
     static final String REFUSED_FOR_SOME_TIME = "refused, no requests wanted for some time";
 
@@ -83,6 +86,7 @@
     private final long startMillis;
     private HttpExchange httpExchange;
     private volatile boolean withdrawnAsClosed;
+    private volatile boolean withdrawn;
     private volatile boolean sent;
     private boolean ended;
     private boolean headReceived;
@@ -145,6 +149,11 @@
 
     /** Returns whether the request may still be sent, after the time that it took to connect. */
     private boolean maySend() {
+        withdrawn = !isSendingPermitted();
+        return !withdrawn;
+    }
+
+    private boolean isSendingPermitted() {
         WorkerNotices notices = context.loadTracker().getNotices();
         long now = context.clockMillis().getAsLong();
         if (!context.routingState().isUsable(getWorker()) || notices.isLeaving(getWorker(), now)) {
@@ -162,7 +171,7 @@
 
     /** Returns whether the reason of {@link Listener#onNotRun} means that no byte of the request was sent. */
     static boolean isUnsent(String reason) {
-        return reason.equals(UNREACHABLE) || reason.equals(LEAVING) || reason.equals(CLOSED);
+        return reason.equals(UNREACHABLE) || reason.equals(LEAVING) || reason.equals(CLOSED) || reason.equals(UNUSABLE);
     }
 
     ListedWorker getWorker() {
@@ -282,7 +291,8 @@
             }
             finish();
             if (cause instanceof WithdrawnException) {
-                listener.onNotRun(this, withdrawnAsClosed ? CLOSED : LEAVING);
+                String reason = withdrawnAsClosed ? CLOSED : LEAVING;
+                listener.onNotRun(this, withdrawn ? reason : UNUSABLE);
                 return;
             }
             recordOutcome(1);
@@ -301,12 +311,16 @@
     /** Records what the worker announces about itself, also if the request no longer needs the answer. */
     private void recordNotices(int responseStatus, Map<String, String> headers) {
         WireFormat format = context.wireFormat();
-        OptionalLong closedMillis = findClosedMillis(responseStatus, headers);
+        OptionalLong stated = findClosedMillis(responseStatus, headers);
         boolean leaving = format.isLeaving(headers);
         // Another worker at the address speaks of itself.
-        if (responseStatus == MISDIRECTED_REQUEST || !leaving && closedMillis.isEmpty()) {
+        if (responseStatus == MISDIRECTED_REQUEST || !leaving && stated.isEmpty()) {
             return;
         }
+        // An earlier refusal says nothing of the present; a worker that has announced its leaving leaves.
+        boolean earlier =
+                format.classify(callerRequest, workerRequest, responseStatus, headers) == ResponseKind.UNVERIFIED;
+        OptionalLong closedMillis = earlier ? OptionalLong.empty() : stated;
         long now = context.clockMillis().getAsLong();
         WorkerNotices notices = context.loadTracker().getNotices();
         if (closedMillis.isPresent()) {
