Stop reading before the last answers are written

Cause: a node read requests until its process had ended. What it read after event=stop was refused, but the refusal was no longer written. Class: input is taken after the output has ended. Change: after the listening, the reading ends (ReadGate, before the filter that reads). Requests that wait for a thread at that moment are still read; when the threads have handled them, every connection without a complete request is closed without a read, so that its caller can send the request elsewhere. Then the answers are written, and only then the process ends; its end may be slow, because no connection waits for it. GracefulShutdown derives the time of the new step from the grace period; event=reading_stopped says how many connections were closed. A request whose body is half read is closed too.

--- a/http/src/main/java/org/magnoliavane/http/server/SingleRequestFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/SingleRequestFilter.java
@@ -72,6 +72,11 @@
         return true;
     }
 
+    /** Returns whether the request of a connection has been read completely. */
+    static boolean hasRequest(Connection<?> connection) {
+        return DISCARDED_BYTES.get(connection) != null;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext context) {
         AtomicLong discarded = DISCARDED_BYTES.get(context.getConnection());
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -321,12 +321,13 @@
         awaitUntil(schedule.answerByMillis(), () -> frontend.countActive() == 0);
         dispatcher.answerAll();
         // Ends the listening last, because it resets connections that have not been accepted.
-        awaitUntil(schedule.exitMillis() - LAST_REQUESTS_MILLIS, () -> !frontend.hasUnwrittenResponses());
+        awaitUntil(schedule.stopReadingMillis() - LAST_REQUESTS_MILLIS, () -> !frontend.hasUnwrittenResponses());
         frontend.stopListening();
-        long lastRequestsUntil = millis.getAsLong() + LAST_REQUESTS_MILLIS;
-        awaitUntil(
-                schedule.exitMillis(),
-                () -> millis.getAsLong() >= lastRequestsUntil && !frontend.hasUnwrittenResponses());
+        awaitUntil(Math.min(schedule.stopReadingMillis(), millis.getAsLong() + LAST_REQUESTS_MILLIS), () -> false);
+        // A request that is read from now on might be left without an answer; one that is not read is sent elsewhere.
+        int unread = frontend.stopReading(Math.max(0, schedule.exitMillis() - millis.getAsLong()));
+        LOG.log(Level.INFO, "event=reading_stopped node={0} closed_unread={1}", self.name(), unread);
+        awaitUntil(schedule.exitMillis(), () -> !frontend.hasUnwrittenResponses());
         LOG.log(Level.INFO, "event=stop node={0} active={1}", self.name(), frontend.countActive());
         frontend.close();
         peerChannel.close();
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -30,6 +30,7 @@
 import org.magnoliavane.http.Failures;
 import org.magnoliavane.http.server.BodyReader;
 import org.magnoliavane.http.server.NoUpgradeFilter;
+import org.magnoliavane.http.server.ReadGate;
 import org.magnoliavane.http.server.SingleRequestFilter;
 import org.magnoliavane.json.Json;
 import org.magnoliavane.router.settings.RouterSettings;
@@ -77,6 +78,8 @@
     private final AtomicInteger unclosed = new AtomicInteger();
 
     private final HttpServer server = new HttpServer();
+    private final NetworkListener listener;
+    private final ReadGate gate;
     private final Consumer<FrontendExchange> chain;
     private final RequestGuard guard;
 
@@ -87,6 +90,10 @@
         this.chain = FrontendFilter.chain(
                 List.of(this::readBody, this::awaitRefresh, this::resolveRoute, this::refuseDuringShutdown),
                 this::dispatch);
+        // The listener loses requests that arrive before it has a handler. It opens the address of the metrics, and the
+        // addresses of callers follow.
+        this.listener = new NetworkListener("callers", settings.callers().host(), settings.metricsPort());
+        this.gate = ReadGate.addTo(listener, WORKER_THREADS);
     }
 
     /**
@@ -108,10 +115,6 @@
     }
 
     private void start() throws IOException {
-        // The listener loses requests that arrive before it has a handler. It opens the address of the metrics, and the
-        // addresses of callers follow.
-        NetworkListener listener =
-                new NetworkListener("callers", settings.callers().host(), settings.metricsPort());
         listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
         listener.setMaxRequestHeaders(MAX_HEADERS);
         listener.getKeepAlive().setMaxRequestsCount(-1);
@@ -162,6 +165,16 @@
         server.getListeners().forEach(l -> l.getTransport().unbindAll());
     }
 
+    /**
+     * Ends the reading of requests. Those that have been read are still answered; all other connections are closed.
+     *
+     * @param timeoutMillis the maximum wait for requests that are being read, in milliseconds
+     * @return the number of connections that were closed although their request was not read, or none was sent
+     */
+    public int stopReading(long timeoutMillis) {
+        return gate.shut(timeoutMillis);
+    }
+
     @Override
     public void close() {
         server.shutdownNow();
--- a/router/src/main/java/org/magnoliavane/router/front/GracefulShutdown.java
+++ b/router/src/main/java/org/magnoliavane/router/front/GracefulShutdown.java
@@ -21,9 +21,16 @@
     /** Longest time before the exit by which requests without a response are answered. */
     private static final long MAX_RESPONSE_MARGIN_MILLIS = 300;
 
+    /**
+     * Longest time before the exit at which the node stops reading, to write the last responses. Half of the time that other
+     * requests have: those that are read last are refused at once.
+     */
+    private static final long MAX_READING_MARGIN_MILLIS = 150;
+
     private static final int STREAM_ACCEPT_DIVISOR = 3;
     private static final int EXIT_MARGIN_DIVISOR = 12;
     private static final int RESPONSE_MARGIN_DIVISOR = 24;
+    private static final int READING_MARGIN_DIVISOR = 48;
 
     private final AtomicReference<Schedule> schedule = new AtomicReference<>();
     private final AtomicBoolean accepts = new AtomicBoolean(true);
@@ -33,9 +40,10 @@
      *
      * @param streamsUntilMillis the time until which streams are accepted
      * @param answerByMillis the time at which requests without a response are answered
+     * @param stopReadingMillis the time from which nothing is read
      * @param exitMillis the time at which the process exits
      */
-    public record Schedule(long streamsUntilMillis, long answerByMillis, long exitMillis) {
+    public record Schedule(long streamsUntilMillis, long answerByMillis, long stopReadingMillis, long exitMillis) {
         /**
          * Derives the times from a grace period.
          *
@@ -49,6 +57,7 @@
             return new Schedule(
                     startMillis + Math.min(MAX_STREAM_ACCEPT_MILLIS, graceMillis / STREAM_ACCEPT_DIVISOR),
                     exitMillis - Math.min(MAX_RESPONSE_MARGIN_MILLIS, graceMillis / RESPONSE_MARGIN_DIVISOR),
+                    exitMillis - Math.min(MAX_READING_MARGIN_MILLIS, graceMillis / READING_MARGIN_DIVISOR),
                     exitMillis);
         }
     }
--- a/router/src/test/java/org/magnoliavane/router/front/GracefulShutdownTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/GracefulShutdownTest.java
@@ -70,7 +70,8 @@
             assertTrue(times.streamsUntilMillis() > START && times.streamsUntilMillis() <= START + 3000, text);
             assertTrue(times.streamsUntilMillis() < times.answerByMillis(), text);
             assertTrue(times.answerByMillis() >= lastSixth, text);
-            assertTrue(times.answerByMillis() < times.exitMillis(), text);
+            assertTrue(times.answerByMillis() < times.stopReadingMillis(), text);
+            assertTrue(times.stopReadingMillis() < times.exitMillis(), text);
             assertTrue(times.exitMillis() < START + grace, text);
         }
         assertEquals(GracefulShutdown.Schedule.within(START, GRACE).exitMillis(), 17_400);
