Take only the status of its own attempt as proof in node

Callers saw: a stream that ended with "superseded", though no other connection existed; and status 403 with ran: no when they resumed a stream of theirs that was running. The attempt was not cancelled either, so that its memory stayed reserved. Cause: any JSON with status 200 in response to GET /v1/decodes/{attempt} was read as the status of the attempt, also an error or the status of another one. An absent owner counted as another owner, an absent caller as another caller. Change: a status counts if it names the attempt, an owner that is a node run, a caller and a position (design.md, 3.3); else the request for it has failed: the run goes on at another worker, a resume is answered with ran: unknown, the attempt is cancelled.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/EngineClient.java
@@ -79,7 +79,7 @@
     CompletableFuture<Optional<DecodeAttemptStatus>> fetchStatus(BackendServer worker, String attempt) {
         HttpRequest request =
                 createRequest(worker, "GET", "/v1/decodes/" + attempt).withTimeoutMillis(STATUS_TIMEOUT_MILLIS);
-        return httpClient.send(request).thenCompose(EngineClient::parseStatus);
+        return httpClient.send(request).thenCompose(response -> parseStatus(response, attempt));
     }
 
     /** Cancels an attempt. */
@@ -98,16 +98,21 @@
         return HttpRequest.of(method, worker.host(), worker.port(), path);
     }
 
-    private static CompletableFuture<Optional<DecodeAttemptStatus>> parseStatus(HttpResponse response) {
+    /** Only a status that names the attempt counts, so that the response to another request says nothing about it. */
+    private static CompletableFuture<Optional<DecodeAttemptStatus>> parseStatus(HttpResponse response, String attempt) {
         if (response.status() == 404) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        Optional<JsonNode> body = Json.tryRead(response.getText());
-        if (response.status() != 200 || body.isEmpty()) {
+        JsonNode json = Json.tryRead(response.getText()).orElse(Json.object());
+        boolean valid = response.status() == 200
+                && json.path("attempt").asText().equals(attempt)
+                && NodeRun.parse(json.path("owner").asText()).isPresent()
+                && json.path("caller").isTextual()
+                && json.path("position").isInt();
+        if (!valid) {
             return CompletableFuture.failedFuture(new IOException("the engine responded with status "
-                    + response.status() + " to a request for the status of an attempt"));
+                    + response.status() + " to a request for the status of an attempt, without its status"));
         }
-        JsonNode json = body.get();
         return CompletableFuture.completedFuture(Optional.of(new DecodeAttemptStatus(
                 json.path("owner").asText(),
                 json.path("caller").asText(),
--- a/node/src/test/java/org/magnoliavane/node/http/FakeEngine.java
+++ b/node/src/test/java/org/magnoliavane/node/http/FakeEngine.java
@@ -14,6 +14,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import org.magnoliavane.BackendServer;
 import org.magnoliavane.WorkerRole;
@@ -36,11 +37,35 @@
     volatile int stallAfterTokens = -1;
     /** Closes a connection after this many tokens, once. */
     volatile int closeAfterTokens = -1;
+    /** Responds to requests of these kinds in place of the protocol. */
+    final Map<RequestKind, HttpHandler> faults = new ConcurrentHashMap<>();
 
     private final WorkerRole role;
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
 
+    /** Kinds of requests. */
+    enum RequestKind {
+        PREFILL,
+        DECODE,
+        CANCEL,
+        STATUS,
+        RESUME;
+
+        private static RequestKind ofPath(String path) {
+            if (path.equals("/v1/prefills")) {
+                return PREFILL;
+            }
+            if (path.equals("/v1/decodes")) {
+                return DECODE;
+            }
+            if (path.startsWith("/v1/attempts/")) {
+                return CANCEL;
+            }
+            return path.endsWith("/events") ? RESUME : STATUS;
+        }
+    }
+
     FakeEngine(String id, WorkerRole role) throws IOException {
         this.id = id;
         this.role = role;
@@ -65,15 +90,18 @@
     private void handle(HttpExchange exchange) throws IOException {
         String path = exchange.getRequestURI().getPath();
         JsonNode body = Json.read(exchange.getRequestBody().readAllBytes());
+        RequestKind kind = RequestKind.ofPath(path);
+        HttpHandler fault = faults.get(kind);
         try {
-            if (path.equals("/v1/prefills")) {
-                prefill(exchange, body);
-            } else if (path.equals("/v1/decodes")) {
-                decode(exchange, body);
-            } else if (path.startsWith("/v1/attempts/")) {
-                cancel(exchange, path.substring("/v1/attempts/".length()));
-            } else {
-                sendStateOrResume(exchange, path.split("/"));
+            if (fault != null) {
+                fault.handle(exchange);
+                return;
+            }
+            switch (kind) {
+                case PREFILL -> prefill(exchange, body);
+                case DECODE -> decode(exchange, body);
+                case CANCEL -> cancel(exchange, path.substring("/v1/attempts/".length()));
+                default -> sendStateOrResume(exchange, path.split("/"));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -116,6 +144,7 @@
                     exchange,
                     200,
                     Json.object()
+                            .put("attempt", parts[3])
                             .put("owner", attempt.owner)
                             .put("caller", attempt.caller)
                             .put("position", attempt.position));
--- /dev/null
+++ b/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
@@ -0,0 +1,122 @@
+package org.magnoliavane.node.http;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import org.magnoliavane.WorkerRole;
+import org.magnoliavane.json.Json;
+import org.magnoliavane.node.http.FakeEngine.RequestKind;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.magnoliavane.node.http.TestNode.await;
+import static org.magnoliavane.node.http.TestNode.createBody;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/** Tests what counts as the state of an attempt, and as the rest and the end of an answer, when an engine responds wrongly. */
+public class FaultyEngineTest {
+    private static final int TOKENS = 9;
+    private static final int BREAK_AFTER = 4;
+    private static final String[] DEADLINE = {"Magnoliavane-Deadline-Millis", "3000"};
+
+    private FakeEngine prefill;
+    private FakeEngine decode;
+    private FakeEngine otherDecode;
+    private TestNode node;
+
+    @BeforeMethod
+    public void start() throws Exception {
+        prefill = new FakeEngine("p1", WorkerRole.PREFILL);
+        decode = new FakeEngine("d1", WorkerRole.DECODE);
+        otherDecode = new FakeEngine("d2", WorkerRole.DECODE);
+        node = new TestNode("entry-1");
+        node.servers.addAll(
+                List.of(prefill.toBackendServer(), decode.toBackendServer(), otherDecode.toBackendServer()));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() throws Exception {
+        node.close();
+        prefill.close();
+        decode.close();
+        otherDecode.close();
+    }
+
+    @DataProvider
+    public Object[][] faultyStates() {
+        String foreign = "{\"attempt\":\"" + "0".repeat(32) + "-1\",\"owner\":\"entry-7.5f\",\"caller\":\"ben#1\","
+                + "\"position\":3}";
+        return new Object[][] {
+            {"an error with status 200", respond(200, "{\"error\":{\"kind\":\"oops\"}}")},
+            {"an empty object", respond(200, "{}")},
+            {"the state of another attempt", respond(200, foreign)},
+            {"status 204", respond(204, "")},
+        };
+    }
+
+    /** Guards against callers that are sent to a newer connection that does not exist, and memory that is never freed. */
+    @Test(dataProvider = "faultyStates")
+    public void aFaultyStateIsNoTakeover(String name, HttpHandler fault) throws Exception {
+        decode.closeAfterTokens = BREAK_AFTER;
+        decode.faults.put(RequestKind.STATUS, fault);
+        assertWhole(name, node.chat(createBody(TOKENS, true), DEADLINE).body());
+        await(() -> decode.cancelled.size() == 1, 1000, name + ": the attempt was not cancelled");
+    }
+
+    /** Guards against callers that are told that a request did not run whose stream is running. */
+    @Test(dataProvider = "faultyStates")
+    public void aFaultyStateDoesNotProveThatARequestDidNotRun(String name, HttpHandler fault) throws Exception {
+        decode.stepMillis = 20;
+        CompletableFuture<HttpResponse<String>> first = TestNode.HTTP.sendAsync(
+                node.createRequest("POST", "/v1/chat/completions", createBody(20, true), DEADLINE),
+                HttpResponse.BodyHandlers.ofString());
+        await(() -> !decode.attempts.isEmpty(), 2000, "no decode");
+        decode.faults.put(RequestKind.STATUS, fault);
+        String id = "d1/" + node.placed.get(0).attempt() + "/0";
+        HttpResponse<String> resumed = node.chat(createBody(20, true), "Last-Event-ID", id);
+        JsonNode error = Json.tryRead(resumed.body()).orElseThrow().path("error");
+        assertEquals(error.path("ran").asText(), "unknown", name + ": " + resumed.body());
+        assertTrue(first.get(5, TimeUnit.SECONDS).body().endsWith("data: [DONE]\n\n"));
+    }
+
+    private void assertWhole(String name, String answer) {
+        String text = answer.lines()
+                .filter(line -> line.startsWith("data: {"))
+                .map(line -> Json.tryRead(line.substring(6)).orElseThrow())
+                .map(chunk -> chunk.at("/choices/0/delta/content").asText())
+                .collect(Collectors.joining());
+        assertEquals(text, toText(), name + ": " + answer);
+        assertTrue(answer.endsWith("data: [DONE]\n\n"), name + ": " + answer);
+        assertFalse(answer.contains("oops"), name + ": " + answer);
+        assertEquals(node.placed.size(), 2, name);
+    }
+
+    private static String toText() {
+        return IntStream.rangeClosed(1, TOKENS).mapToObj(i -> " w" + i).collect(Collectors.joining());
+    }
+
+    private static HttpHandler respond(int status, String body) {
+        return exchange -> respond(exchange, status, body);
+    }
+
+    private static void respond(HttpExchange exchange, int status, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+        if (bytes.length > 0) {
+            exchange.getResponseBody().write(bytes);
+        }
+    }
+}
