Require the fields of tokens and of the end of an answer

Callers saw: an empty answer that looked complete, with [DONE] and a price of 0, or a whole answer without its text. Cause: the end of an answer counted when its number of tokens was that of the tokens received; a missing number counted as 0, so that an end with an error in it completed an answer without tokens. A token without text counted as one with an empty text. Change: an end has a reason and both token counts, a token has a position and a text (design.md, 3.3); else the worker has failed and the request gets a new placement.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -206,6 +206,10 @@
     }
 
     private void handleToken(JsonNode data) {
+        if (!data.path("position").isInt() || !data.path("text").isTextual()) {
+            fail(Failure.WORKER, "received a token without position or text after token " + position);
+            return;
+        }
         int tokenPosition = data.path("position").asInt();
         if (tokenPosition <= position) {
             return;
@@ -219,6 +223,13 @@
     }
 
     private void handleDone(JsonNode data) {
+        boolean valid = data.path("finish_reason").isTextual()
+                && data.path("prompt_tokens").isInt()
+                && data.path("completion_tokens").isInt();
+        if (!valid) {
+            fail(Failure.WORKER, "received an end without reason or token counts after token " + position);
+            return;
+        }
         int completion = data.path("completion_tokens").asInt();
         if (completion != position) {
             fail(Failure.WORKER, "the answer ended after " + position + " of " + completion + " tokens");
@@ -226,9 +237,7 @@
         }
         close();
         listener.onDone(
-                data.path("finish_reason").asText("stop"),
-                data.path("prompt_tokens").asInt(),
-                completion);
+                data.path("finish_reason").asText(), data.path("prompt_tokens").asInt(), completion);
     }
 
     private static Failure toFailure(Throwable failure) {
--- a/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
@@ -31,6 +31,9 @@
     private static final int TOKENS = 9;
     private static final int BREAK_AFTER = 4;
     private static final String[] DEADLINE = {"Magnoliavane-Deadline-Millis", "3000"};
+    private static final String DONE =
+            "event: done\ndata: {\"finish_reason\":\"stop\",\"prompt_tokens\":7,\"completion_tokens\":" + TOKENS
+                    + "}\n\n";
 
     private FakeEngine prefill;
     private FakeEngine decode;
@@ -55,6 +58,25 @@
         otherDecode.close();
     }
 
+    @DataProvider
+    public Object[][] faultyAnswers() {
+        return new Object[][] {
+            {"an error with status 200", respond(200, "{\"error\":{\"kind\":\"oops\"}}\n\n")},
+            {"an empty body", respond(200, "")},
+            {"an end without numbers", respond(200, "event: done\ndata: oops\n\n")},
+            {"an end with an error", respond(200, "event: done\ndata: {\"error\":{\"kind\":\"oops\"}}\n\n")},
+            {"no end", respond(200, toEvents(1, TOKENS, " w"))},
+            {"a token without text", respond(200, toEvents(1, TOKENS, " w").replace("text", "oops") + DONE)},
+        };
+    }
+
+    /** Guards against an empty or shortened answer that looks complete. */
+    @Test(dataProvider = "faultyAnswers")
+    public void aFaultyAnswerIsReplacedByAnotherAttempt(String name, HttpHandler fault) throws Exception {
+        decode.faults.put(RequestKind.DECODE, fault);
+        assertWhole(name, node.chat(createBody(TOKENS, true), DEADLINE).body());
+    }
+
     @DataProvider
     public Object[][] faultyStates() {
         String foreign = "{\"attempt\":\"" + "0".repeat(32) + "-1\",\"owner\":\"entry-7.5f\",\"caller\":\"ben#1\","
@@ -108,6 +130,13 @@
         return IntStream.rangeClosed(1, TOKENS).mapToObj(i -> " w" + i).collect(Collectors.joining());
     }
 
+    private static String toEvents(int from, int to, String prefix) {
+        return IntStream.rangeClosed(from, to)
+                .mapToObj(i -> "id: " + i + "\nevent: token\ndata: {\"position\":" + i + ",\"text\":\"" + prefix + i
+                        + "\"}\n\n")
+                .collect(Collectors.joining());
+    }
+
     private static HttpHandler respond(int status, String body) {
         return exchange -> respond(exchange, status, body);
     }
