Compare repeated tokens with those received before

Callers saw: the tokens of another answer after the first ones of theirs, ended by [DONE]. Cause: a token at or before the position of the stream was dropped without a look at its text. An engine that answers a resume with the stream of another attempt from its beginning was noticed by nothing. Change: a repeated token is skipped only if its text is the one received at this position; else the worker has failed and the request gets a new placement, whose tokens are compared as before. After a resume by the caller nothing is known of the tokens before, so that none may be repeated. Not covered: another answer that begins exactly after the position; events do not name their attempt.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -40,6 +42,10 @@
     private final BackendServer worker;
     private final String attempt;
     private final Listener listener;
+    /** The tokens received, from the one after the start position. */
+    private final List<String> texts = new ArrayList<>();
+
+    private int startPosition;
     private int position;
     private Connection connection;
     private ScheduledFuture<?> idleCheck;
@@ -111,6 +117,7 @@
 
     /** Opens the stream of an existing attempt after a position. */
     void resumeAt(int from) {
+        startPosition = from;
         position = from;
         open(received -> engineClient.resume(worker, attempt, from, received));
     }
@@ -211,7 +218,8 @@
             return;
         }
         int tokenPosition = data.path("position").asInt();
-        if (tokenPosition <= position) {
+        String text = data.path("text").asText();
+        if (isRepeated(tokenPosition, text)) {
             return;
         }
         if (tokenPosition != position + 1) {
@@ -219,7 +227,14 @@
             return;
         }
         position = tokenPosition;
-        listener.onToken(tokenPosition, data.path("text").asText());
+        texts.add(text);
+        listener.onToken(tokenPosition, text);
+    }
+
+    /** Returns whether a token is one that was received before. Another text at its position is that of another answer. */
+    private boolean isRepeated(int tokenPosition, String text) {
+        int index = tokenPosition - 1 - startPosition;
+        return index >= 0 && index < texts.size() && texts.get(index).equals(text);
     }
 
     private void handleDone(JsonNode data) {
--- a/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
@@ -58,6 +58,57 @@
         otherDecode.close();
     }
 
+    @DataProvider
+    public Object[][] faultyContinuations() {
+        return new Object[][] {
+            {"an empty body", respond(200, "")},
+            {"status 204", respond(204, "")},
+            {"status 404", respond(404, "{\"error\":{\"kind\":\"oops\"}}")},
+            {"status 500", respond(500, "oops")},
+            {"an error event", respond(200, "event: error\ndata: {\"kind\":\"oops\"}\n\n")},
+            {"a later token", respond(200, toEvents(BREAK_AFTER + 2, TOKENS, " w") + DONE)},
+            {"the end only", respond(200, DONE)},
+            {"an end without numbers", respond(200, "event: done\ndata: oops\n\n")},
+            {"another answer from its beginning", respond(200, toEvents(1, TOKENS, " oops") + DONE)},
+            {"another answer from the token before", respond(200, toEvents(BREAK_AFTER, TOKENS, " oops") + DONE)},
+            {
+                "a token without text",
+                respond(200, toEvents(BREAK_AFTER + 1, TOKENS, " w").replace("text", "oops") + DONE)
+            },
+        };
+    }
+
+    /** Guards against answers that mix two streams or lack tokens. */
+    @Test(dataProvider = "faultyContinuations")
+    public void aFaultyContinuationIsReplacedByAnotherAttempt(String name, HttpHandler fault) throws Exception {
+        decode.closeAfterTokens = BREAK_AFTER;
+        decode.faults.put(RequestKind.RESUME, fault);
+        assertWhole(name, node.chat(createBody(TOKENS, true), DEADLINE).body());
+    }
+
+    /** Guards against the tokens of another answer in a stream that its caller resumes. */
+    @Test
+    public void aResumedStreamGetsNoTokensOfAnotherAnswer() throws Exception {
+        decode.stepMillis = 20;
+        CompletableFuture<HttpResponse<String>> first = startStream();
+        decode.faults.put(RequestKind.RESUME, respond(200, toEvents(1, 20, " oops") + DONE));
+        String id = "d1/" + node.placed.get(0).attempt() + "/1";
+        String rest = node.chat(createBody(20, true), "Last-Event-ID", id).body();
+        assertFalse(rest.contains("oops") || rest.contains("[DONE]"), rest);
+        assertEquals(readError(rest).path("ran").asText(), "unknown", rest);
+        first.get(5, TimeUnit.SECONDS);
+    }
+
+    /** Guards against a sound worker that counts as failed because it repeats the tokens before the position. */
+    @Test
+    public void repeatedTokensOfTheSameAnswerAreSkipped() throws Exception {
+        decode.closeAfterTokens = BREAK_AFTER;
+        decode.faults.put(RequestKind.RESUME, respond(200, toEvents(1, TOKENS, " w") + DONE));
+        String answer = node.chat(createBody(TOKENS, true), DEADLINE).body();
+        assertEquals(joinText(answer), toText());
+        assertEquals(node.placed.size(), 1);
+    }
+
     @DataProvider
     public Object[][] faultyAnswers() {
         return new Object[][] {
@@ -102,28 +153,39 @@
     @Test(dataProvider = "faultyStates")
     public void aFaultyStateDoesNotProveThatARequestDidNotRun(String name, HttpHandler fault) throws Exception {
         decode.stepMillis = 20;
-        CompletableFuture<HttpResponse<String>> first = TestNode.HTTP.sendAsync(
-                node.createRequest("POST", "/v1/chat/completions", createBody(20, true), DEADLINE),
-                HttpResponse.BodyHandlers.ofString());
-        await(() -> !decode.attempts.isEmpty(), 2000, "no decode");
+        CompletableFuture<HttpResponse<String>> first = startStream();
         decode.faults.put(RequestKind.STATUS, fault);
         String id = "d1/" + node.placed.get(0).attempt() + "/0";
         HttpResponse<String> resumed = node.chat(createBody(20, true), "Last-Event-ID", id);
-        JsonNode error = Json.tryRead(resumed.body()).orElseThrow().path("error");
-        assertEquals(error.path("ran").asText(), "unknown", name + ": " + resumed.body());
+        assertEquals(readError(resumed.body()).path("ran").asText(), "unknown", name + ": " + resumed.body());
         assertTrue(first.get(5, TimeUnit.SECONDS).body().endsWith("data: [DONE]\n\n"));
     }
 
     private void assertWhole(String name, String answer) {
-        String text = answer.lines()
+        assertEquals(joinText(answer), toText(), name + ": " + answer);
+        assertTrue(answer.endsWith("data: [DONE]\n\n"), name + ": " + answer);
+        assertFalse(answer.contains("oops"), name + ": " + answer);
+        assertEquals(node.placed.size(), 2, name);
+    }
+
+    private CompletableFuture<HttpResponse<String>> startStream() throws Exception {
+        CompletableFuture<HttpResponse<String>> response = TestNode.HTTP.sendAsync(
+                node.createRequest("POST", "/v1/chat/completions", createBody(20, true), DEADLINE),
+                HttpResponse.BodyHandlers.ofString());
+        await(() -> decode.attempts.values().stream().anyMatch(a -> a.position > 1), 2000, "no tokens");
+        return response;
+    }
+
+    private static JsonNode readError(String body) {
+        return Json.tryRead(body).orElseThrow().path("error");
+    }
+
+    private static String joinText(String answer) {
+        return answer.lines()
                 .filter(line -> line.startsWith("data: {"))
                 .map(line -> Json.tryRead(line.substring(6)).orElseThrow())
                 .map(chunk -> chunk.at("/choices/0/delta/content").asText())
                 .collect(Collectors.joining());
-        assertEquals(text, toText(), name + ": " + answer);
-        assertTrue(answer.endsWith("data: [DONE]\n\n"), name + ": " + answer);
-        assertFalse(answer.contains("oops"), name + ": " + answer);
-        assertEquals(node.placed.size(), 2, name);
     }
 
     private static String toText() {
