Give up an engine whose new connections bring no token

Callers saw: a stream that stood still with comments until its deadline, or for ever without one, while the node opened one connection after the other to the engine without a pause. Cause: a new connection counted as good as soon as it had brought a byte with status 200. One that answered with JSON, a comment or tokens of before, and ended, was replaced again and again. Change: the second new connection in sequence that is lost without a new token makes the worker count as failed, so that the request gets a new placement. A stalled stream may lose one connection as before.

--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -25,7 +25,8 @@
 
 /**
  * Reads the event stream of one decode attempt. A connection that fails or becomes unresponsive is replaced by a new
- * one that resumes at the same position. The worker counts as failed only when the new connection fails as well.
+ * one that resumes at the same position. The worker counts as failed only when the new connection fails as well, or when
+ * several new ones in sequence are lost without a token.
  *
  * <p>Not thread-safe; all methods and all listener calls run on the serial executor of the request.
  */
@@ -34,6 +35,13 @@
     static final long IDLE_TIMEOUT_MILLIS = 1500;
 
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 250;
+
+    /**
+     * Number of new connections in sequence that were lost without a token after which the worker counts as failed. A
+     * stalled stream has no token for some time, and may lose one connection meanwhile.
+     */
+    private static final int MAX_FRUITLESS_REPLACEMENTS = 2;
+
     private static final int MAX_ERROR_BODY_BYTES = 4096;
 
     private final EngineClient engineClient;
@@ -47,6 +55,7 @@
 
     private int startPosition;
     private int position;
+    private int fruitlessReplacements;
     private Connection connection;
     private ScheduledFuture<?> idleCheck;
     private boolean closed;
@@ -159,7 +168,7 @@
         lost.lost = true;
         if (cause instanceof ConnectException && !lost.replacement) {
             fail(Failure.NOT_SENT, cause.getMessage());
-        } else if (lost.replacement && !lost.receivedData) {
+        } else if (lost.replacement && (!lost.receivedData || ++fruitlessReplacements >= MAX_FRUITLESS_REPLACEMENTS)) {
             fail(toFailure(cause), cause.getMessage());
         } else {
             engineClient
@@ -227,6 +236,7 @@
             return;
         }
         position = tokenPosition;
+        fruitlessReplacements = 0;
         texts.add(text);
         listener.onToken(tokenPosition, text);
     }
--- a/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/FaultyEngineTest.java
@@ -61,6 +61,10 @@
     @DataProvider
     public Object[][] faultyContinuations() {
         return new Object[][] {
+            {"an error with status 200", respond(200, "{\"error\":{\"kind\":\"oops\"}}\n\n")},
+            {"a comment and the end", respond(200, ": waiting\n\n")},
+            {"an event of an unknown kind", respond(200, "event: oops\ndata: {}\n\n")},
+            {"the tokens of before only", respond(200, toEvents(1, BREAK_AFTER, " w"))},
             {"an empty body", respond(200, "")},
             {"status 204", respond(204, "")},
             {"status 404", respond(404, "{\"error\":{\"kind\":\"oops\"}}")},
@@ -78,7 +82,7 @@
         };
     }
 
-    /** Guards against answers that mix two streams or lack tokens. */
+    /** Guards against answers that mix two streams or lack tokens, and against callers that wait for a faulty engine. */
     @Test(dataProvider = "faultyContinuations")
     public void aFaultyContinuationIsReplacedByAnotherAttempt(String name, HttpHandler fault) throws Exception {
         decode.closeAfterTokens = BREAK_AFTER;
@@ -86,6 +90,18 @@
         assertWhole(name, node.chat(createBody(TOKENS, true), DEADLINE).body());
     }
 
+    /** Guards against a sound worker that counts as failed because a new connection is lost while its stream stalls. */
+    @Test
+    public void oneLostReplacementWithoutATokenIsReplacedAgain() throws Exception {
+        decode.closeAfterTokens = BREAK_AFTER;
+        decode.faults.put(RequestKind.RESUME, exchange -> {
+            decode.faults.remove(RequestKind.RESUME);
+            respond(exchange, 200, ": waiting\n\n");
+        });
+        assertEquals(joinText(node.chat(createBody(TOKENS, true), DEADLINE).body()), toText());
+        assertEquals(node.placed.size(), 1);
+    }
+
     /** Guards against the tokens of another answer in a stream that its caller resumes. */
     @Test
     public void aResumedStreamGetsNoTokensOfAnotherAnswer() throws Exception {
