Test that a refusal by a plain service is no proof in node

Guards against a booking that runs at a second server, or is reported as not run, because a server answered 421, 425, 429 or 503 after it ran it. HttpPlainDispatcher looks at no status: what a server answered is passed on unchanged and kept as the result of the key; only a connection on which nothing was sent leads to another server or to ran: no.

--- a/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
@@ -25,6 +25,7 @@
 import org.magnoliavane.json.Json;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -80,6 +81,24 @@
         assertEquals(first.requestCount.get() + second.requestCount.get(), 1);
     }
 
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {{421}, {425}, {429}, {503}};
+    }
+
+    /** Guards against a booking that runs twice, or is reported as not run, because a server refuses it after it ran it. */
+    @Test(dataProvider = "refusals")
+    public void aRefusalOfAServerDoesNotProveThatABookingDidNotRun(int status) throws Exception {
+        FakeServer first = addServer("b1", "a");
+        FakeServer second = addServer("b2", "a");
+        first.status = status;
+        second.status = status;
+        HttpResponse<String> response = node.send("POST", "/bookings", "{}", "Idempotency-Key", "k");
+        assertEquals(response.statusCode(), status);
+        assertTrue(response.body().endsWith(" POST /bookings k {}"), response.body());
+        assertEquals(first.requestCount.get() + second.requestCount.get(), 1);
+    }
+
     @Test
     public void aBookingThatTimesOutIsReportedAsUnknown() throws Exception {
         FakeServer server = addServer("b1", "a");
@@ -212,6 +231,7 @@
         volatile boolean dropResponses;
         volatile int delayMillis;
         volatile int padding;
+        volatile int status = 201;
 
         private final String id;
         private final HttpServer server;
@@ -244,7 +264,7 @@
             sleep();
             if (!dropResponses) {
                 byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-                exchange.sendResponseHeaders(201, bytes.length);
+                exchange.sendResponseHeaders(status, bytes.length);
                 exchange.getResponseBody().write(bytes);
             }
             exchange.close();
