--- a/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
+++ b/node/src/main/java/org/magnoliavane/node/dispatch/DecodeStream.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executor;
@@ -23,7 +25,8 @@
 
 /**
  * Reads the event stream of one decode attempt. A connection that fails or becomes unresponsive is replaced by a new
- * one that resumes at the same position. The worker counts as failed only when the new connection fails as well.
+ * one that resumes at the same position. The worker counts as failed only when the new connection fails as well, or when
+ * several new ones in sequence are lost without a token.
  *
  * <p>Not thread-safe; all methods and all listener calls run on the serial executor of the request.
  */
@@ -32,6 +35,13 @@
     static final long IDLE_TIMEOUT_MILLIS = 1500;
 
     private static final long IDLE_CHECK_INTERVAL_MILLIS = 250;
+
+    /**
+     * Number of new connections in sequence that were lost without a token after which the worker counts as failed. A
+     * stalled stream has no token for some time, and may lose one connection meanwhile.
+     */
+    private static final int MAX_FRUITLESS_REPLACEMENTS = 2;
+
     private static final int MAX_ERROR_BODY_BYTES = 4096;
 
     private final EngineClient engineClient;
@@ -40,7 +50,12 @@
     private final BackendServer worker;
     private final String attempt;
     private final Listener listener;
+    /** The tokens received, from the one after the start position. */
+    private final List<String> texts = new ArrayList<>();
+
+    private int startPosition;
     private int position;
+    private int fruitlessReplacements;
     private Connection connection;
     private ScheduledFuture<?> idleCheck;
     private boolean closed;
@@ -111,6 +126,7 @@
 
     /** Opens the stream of an existing attempt after a position. */
     void resumeAt(int from) {
+        startPosition = from;
         position = from;
         open(received -> engineClient.resume(worker, attempt, from, received));
     }
@@ -152,7 +168,7 @@
         lost.lost = true;
         if (cause instanceof ConnectException && !lost.replacement) {
             fail(Failure.NOT_SENT, cause.getMessage());
-        } else if (lost.replacement && !lost.receivedData) {
+        } else if (lost.replacement && (!lost.receivedData || ++fruitlessReplacements >= MAX_FRUITLESS_REPLACEMENTS)) {
             fail(toFailure(cause), cause.getMessage());
         } else {
             engineClient
@@ -206,8 +222,13 @@
     }
 
     private void handleToken(JsonNode data) {
+        if (!data.path("position").isInt() || !data.path("text").isTextual()) {
+            fail(Failure.WORKER, "received a token without position or text after token " + position);
+            return;
+        }
         int tokenPosition = data.path("position").asInt();
-        if (tokenPosition <= position) {
+        String text = data.path("text").asText();
+        if (isRepeated(tokenPosition, text)) {
             return;
         }
         if (tokenPosition != position + 1) {
@@ -215,10 +236,25 @@
             return;
         }
         position = tokenPosition;
-        listener.onToken(tokenPosition, data.path("text").asText());
+        fruitlessReplacements = 0;
+        texts.add(text);
+        listener.onToken(tokenPosition, text);
+    }
+
+    /** Returns whether a token is one that was received before. Another text at its position is that of another answer. */
+    private boolean isRepeated(int tokenPosition, String text) {
+        int index = tokenPosition - 1 - startPosition;
+        return index >= 0 && index < texts.size() && texts.get(index).equals(text);
     }
 
     private void handleDone(JsonNode data) {
+        boolean valid = data.path("finish_reason").isTextual()
+                && data.path("prompt_tokens").isInt()
+                && data.path("completion_tokens").isInt();
+        if (!valid) {
+            fail(Failure.WORKER, "received an end without reason or token counts after token " + position);
+            return;
+        }
         int completion = data.path("completion_tokens").asInt();
         if (completion != position) {
             fail(Failure.WORKER, "the answer ended after " + position + " of " + completion + " tokens");
@@ -226,9 +262,7 @@
         }
         close();
         listener.onDone(
-                data.path("finish_reason").asText("stop"),
-                data.path("prompt_tokens").asInt(),
-                completion);
+                data.path("finish_reason").asText(), data.path("prompt_tokens").asInt(), completion);
     }
 
     private static Failure toFailure(Throwable failure) {
