--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -19,7 +19,6 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.Protocol;
@@ -52,7 +51,7 @@
                 .setTcpNoDelay(true)
                 .setProcessor(FilterChainBuilder.stateless()
                         .add(new ResetDetectingFilter(this::handleConnectionEnd))
-                        .add(new HttpClientFilter())
+                        .add(new InterimResponseFilter())
                         .add(new ExchangeFilter())
                         .build())
                 .build();
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -20,6 +20,12 @@
  * <p>Thread-safe.
  */
 public final class HttpExchange implements AutoCloseable {
+    private static final int FIRST_INTERIM_STATUS = 100;
+    private static final int SWITCHING_PROTOCOLS = 101;
+
+    /** Largest number of interim responses; a faulty server may send them without end. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private final ResponseListener listener;
     private final SerialExecutor serial = SerialExecutor.create(this::handleListenerFailure);
     private final AtomicBoolean ended = new AtomicBoolean();
@@ -27,6 +33,7 @@
     private final AtomicBoolean failureNotified = new AtomicBoolean();
     private volatile boolean headReceived;
     private volatile boolean selfDelimited = true;
+    private int interimResponses;
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
@@ -131,6 +138,10 @@
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
         int status = head.getStatus();
+        if (InterimResponseFilter.isInterim(status)) {
+            skipInterimResponse(status);
+            return;
+        }
         Map<String, String> headers = headReceived ? Map.of() : toHeaderMap(head);
         Buffer buffer = content.getContent();
         byte[] bytes = new byte[buffer.remaining()];
@@ -140,6 +151,16 @@
         serial.execute(() -> deliver(status, headers, bytes, last));
     }
 
+    /** Skips a response that announces the final one; no other with such a status can be the answer to a request. */
+    private void skipInterimResponse(int status) {
+        interimResponses++;
+        if (status < FIRST_INTERIM_STATUS
+                || status == SWITCHING_PROTOCOLS
+                || interimResponses > MAX_INTERIM_RESPONSES) {
+            fail(new IOException("interim response " + interimResponses + " with status " + status));
+        }
+    }
+
     /**
      * Handles the end of the connection. An orderly close completes a response that has neither a content length nor
      * chunked encoding. In all other cases the exchange fails unless it has already ended.
