--- a/http/src/main/java/org/magnoliavane/http/InterimResponseFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/InterimResponseFilter.java
@@ -36,9 +36,7 @@
             response.setRequest(requests.get(context.getConnection()));
         }
         if (response.getStatus() == CONTINUE) {
-            // For status 100, HttpClientFilter skips the next two bytes unread, also if they have not arrived or begin
-            // a
-            // header.
+            // For status 100, HttpClientFilter skips two bytes, which may be those of a header or not have arrived.
             response.setStatus(PROCESSING);
         }
     }
