Let a seed determine a play of the simulation of crashing parts

Traced: the simulation iterated over sets and maps of objects without a hash of their own, so that the order of the requests under way at a crash differed from process to process.

--- a/core/src/test/java/org/magnoliavane/poison/PoisonSimulation.java
+++ b/core/src/test/java/org/magnoliavane/poison/PoisonSimulation.java
@@ -3,7 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -359,7 +360,7 @@
 
     private final class Worker {
         private final int index;
-        private final Set<Request> running = new HashSet<>();
+        private final Set<Request> running = new LinkedHashSet<>();
         private boolean up = true;
         private long incarnation;
 
@@ -372,7 +373,7 @@
             long crash = index * 1_000_000L + incarnation;
             incarnation++;
             up = false;
-            Map<Node, List<Request>> byNode = new HashMap<>();
+            Map<Node, List<Request>> byNode = new LinkedHashMap<>();
             running.forEach(
                     r -> byNode.computeIfAbsent(r.node, n -> new ArrayList<>()).add(r));
             running.clear();
