--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -731,7 +731,7 @@
         }
         if (part.isFaulty()) {
             exchange.breakOff("an event does not continue the stream");
-        } else if (part.getPartialBytes() + stream.getErrorBytes() > MAX_EVENT_BYTES) {
+        } else if (part.getBufferedBytes() + stream.getErrorBytes() > MAX_EVENT_BYTES) {
             exchange.breakOff("an event is larger than " + MAX_EVENT_BYTES + " bytes");
         }
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamPart.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamPart.java
@@ -18,6 +18,10 @@
     private final Map<String, String> headers;
     private final StreamPosition position;
     private final boolean continues;
+
+    /** Comments before the first event, which do not begin a stream and do not prove that they continue one. */
+    private final ByteArrayOutputStream heldComments = new ByteArrayOutputStream();
+
     private boolean hasEvents;
     private boolean faulty;
 
@@ -45,8 +49,7 @@
         ByteArrayOutputStream following = new ByteArrayOutputStream();
         for (EventFramer.Event event : framer.feed(bytes)) {
             if (event.comment()) {
-                // Before its first event, a worker that continues a stream has not proved that it does.
-                following.writeBytes(hasEvents || !continues ? event.bytes() : new byte[0]);
+                (hasEvents ? following : heldComments).writeBytes(event.bytes());
                 continue;
             }
             boolean follows =
@@ -55,6 +58,9 @@
                 faulty = true;
                 break;
             }
+            if (!hasEvents && !continues) {
+                following.writeBytes(heldComments.toByteArray());
+            }
             hasEvents = true;
             following.writeBytes(event.bytes());
         }
@@ -88,8 +94,8 @@
         return framer.hasPartialEvent();
     }
 
-    /** Gets the number of bytes that are buffered of an incomplete event. */
-    int getPartialBytes() {
-        return framer.getPartialBytes();
+    /** Gets the number of bytes that are buffered of an incomplete event and of comments before the first one. */
+    int getBufferedBytes() {
+        return framer.getPartialBytes() + (hasEvents ? 0 : heldComments.size());
     }
 }
