Create the failure of an early response only if there is one, and remove an unused query

HttpExchange.receive created an exception with its stack trace for every received part of every response, although it was used only before the request was sent. WorkerExchange.hasBody has had no caller since parts of streams tell whether they have events.

--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -131,7 +131,9 @@
     void receive(HttpContent content) {
         lastReadNanos = System.nanoTime();
         // Bytes that arrive before the request is sent cannot be its response.
-        failUnlessSendingStarted(new WithdrawnException("the server sent a response before the request"));
+        if (!sendingDecided.get()) {
+            failUnlessSendingStarted(new WithdrawnException("the server sent a response before the request"));
+        }
         if (ended.get()) {
             return;
         }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -195,10 +195,6 @@
         return delimited;
     }
 
-    boolean hasBody() {
-        return firstBytesMillis != 0;
-    }
-
     /** Returns whether the worker has sent its answer for longer than a request takes to crash a worker that begins with it. */
     boolean isPastBeginning() {
         return getBodyMillis() >= PoisonDetector.BEGINNING_MILLIS;
