--- a/core/src/main/java/org/magnoliavane/routing/Route.java
+++ b/core/src/main/java/org/magnoliavane/routing/Route.java
@@ -18,6 +18,7 @@
  * @param services the services, at least one
  * @param maxAttempts the maximum number of workers to which one request may be sent
  * @param resumable true when a stream may be continued at another worker
+ * @param anonymous true when requests need no API key
  */
 public record Route(
         String name,
@@ -30,7 +31,8 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean resumable) {
+        boolean resumable,
+        boolean anonymous) {
 
     /** The minimum event timeout; like the two factors below, it is defined by the protocol of callers. */
     private static final long MIN_EVENT_TIMEOUT_MILLIS = 2000;
--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -8,9 +8,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
- * Holds the routes, services and limits of one version of the operators' configuration.
+ * Holds the routes, services, organisations and limits of one version of the operators' configuration.
  *
  * <p>Immutable and thread-safe.
  */
@@ -19,16 +20,34 @@
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, ServiceProfile> services;
     private final CallerLimits limits;
+    private final Map<String, Organisation> organisationsByKey;
+    private final boolean hasOrganisations;
+
+    /** The priorities of the organisations and of the routes, each in ascending order, without duplicates. */
+    private final List<Integer> organisationPriorities;
+
+    private final List<Integer> routePriorities;
 
     private RoutingTable(
             long version,
             Map<String, List<Route>> routesByHost,
             Map<String, ServiceProfile> services,
-            CallerLimits limits) {
+            CallerLimits limits,
+            Collection<Organisation> organisations) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.services = services;
         this.limits = limits;
+        this.hasOrganisations = !organisations.isEmpty();
+        this.organisationsByKey = new HashMap<>();
+        organisations.forEach(o -> o.keyDigests().forEach(digest -> organisationsByKey.put(digest, o)));
+        this.organisationPriorities = toLevels(organisations.stream().map(Organisation::priority));
+        this.routePriorities =
+                toLevels(routesByHost.values().stream().flatMap(List::stream).map(Route::priority));
+    }
+
+    private static List<Integer> toLevels(Stream<Integer> priorities) {
+        return priorities.distinct().sorted().toList();
     }
 
     /**
@@ -42,6 +61,25 @@
      */
     public static RoutingTable create(
             long version, Collection<Route> routes, Collection<ServiceProfile> services, CallerLimits limits) {
+        return create(version, routes, services, limits, List.of());
+    }
+
+    /**
+     * Creates a table with organisations.
+     *
+     * @param version the version of the configuration, greater than 0
+     * @param routes the routes
+     * @param services the services
+     * @param limits the limits for callers
+     * @param organisations the organisations; if there are any, requests need an API key; no key is in two of them
+     * @return the table
+     */
+    public static RoutingTable create(
+            long version,
+            Collection<Route> routes,
+            Collection<ServiceProfile> services,
+            CallerLimits limits,
+            Collection<Organisation> organisations) {
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
             byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
@@ -51,7 +89,7 @@
         byHost.values().forEach(list -> list.sort(longestFirst));
         Map<String, ServiceProfile> byName = new HashMap<>();
         services.forEach(s -> byName.put(s.name(), s));
-        return new RoutingTable(version, byHost, byName, limits);
+        return new RoutingTable(version, byHost, byName, limits, organisations);
     }
 
     /**
@@ -91,6 +129,50 @@
         return services.values();
     }
 
+    /**
+     * Returns whether requests need an API key, except on anonymous routes.
+     *
+     * @return true if the configuration has organisations
+     */
+    public boolean hasOrganisations() {
+        return hasOrganisations;
+    }
+
+    /**
+     * Finds the organisation that holds an API key.
+     *
+     * @param keyDigest the digest of the key, as {@link ApiKeyDigest} computes it
+     * @return the organisation; empty when no organisation has the key
+     */
+    public Optional<Organisation> findOrganisation(String keyDigest) {
+        return Optional.ofNullable(organisationsByKey.get(keyDigest));
+    }
+
+    /**
+     * Gets the urgency of a request: its rank by the priority of its organisation and, among equal ones, of its route.
+     *
+     * @param organisation the organisation; empty for an anonymous request, which has the lowest priority of all organisations
+     * @param route a route of this table
+     * @return the urgency; 0 is the most urgent
+     */
+    public int getUrgency(Optional<Organisation> organisation, Route route) {
+        int lowest = Math.max(0, organisationPriorities.size() - 1);
+        int organisationLevel = organisation
+                .map(o -> organisationPriorities.indexOf(o.priority()))
+                .filter(level -> level >= 0)
+                .orElse(lowest);
+        return organisationLevel * routePriorities.size() + Math.max(0, routePriorities.indexOf(route.priority()));
+    }
+
+    /**
+     * Counts the urgencies that requests can have.
+     *
+     * @return the number, at least 1; each urgency is below it
+     */
+    public int countUrgencies() {
+        return Math.max(1, organisationPriorities.size()) * Math.max(1, routePriorities.size());
+    }
+
     /**
      * Finds the route with the longest path prefix that matches.
      *
--- a/core/src/test/java/org/magnoliavane/routing/RoutingTableTest.java
+++ b/core/src/test/java/org/magnoliavane/routing/RoutingTableTest.java
@@ -46,6 +46,7 @@
                 2,
                 List.of(new WeightedService("old", 90), new WeightedService("new", 10)),
                 2,
+                false,
                 false);
         assertEquals(route.pickService(0), "old");
         assertEquals(route.pickService(0.899), "old");
@@ -66,6 +67,7 @@
                 2,
                 List.of(new WeightedService("off", 0), new WeightedService("on", 10)),
                 2,
+                false,
                 false);
         assertEquals(route.pickService(0), "on");
     }
@@ -98,6 +100,7 @@
                         1,
                         List.of(new WeightedService("s", 1)),
                         1,
+                        false,
                         false)
                 .getEventTimeoutMillis();
     }
@@ -123,10 +126,12 @@
                 2,
                 List.of(new WeightedService("s", 1)),
                 2,
+                false,
                 false);
     }
 
     private static Route routeOf(RequestKind kind, boolean resumable) {
-        return new Route("r", "h", "/", kind, 800, 300, 0, 2, List.of(new WeightedService("s", 1)), 2, resumable);
+        return new Route(
+                "r", "h", "/", kind, 800, 300, 0, 2, List.of(new WeightedService("s", 1)), 2, resumable, false);
     }
 }
--- a/node/src/main/java/org/magnoliavane/node/http/AuthenticationFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/AuthenticationFilter.java
@@ -1,9 +1,5 @@
 package org.magnoliavane.node.http;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -14,6 +10,7 @@
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.config.Caller;
 import org.magnoliavane.config.Configuration;
+import org.magnoliavane.routing.ApiKeyDigest;
 
 /** Authenticates the caller by its bearer key. */
 final class AuthenticationFilter implements RequestFilter {
@@ -40,7 +37,7 @@
         if (!header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
             return Optional.empty();
         }
-        String hash = computeSha256(header.substring(SCHEME.length()).trim());
+        String hash = ApiKeyDigest.compute(header.substring(SCHEME.length()).trim());
         return Optional.ofNullable(getIndex(configuration).byKeyHash().get(hash));
     }
 
@@ -56,15 +53,6 @@
         return built;
     }
 
-    static String computeSha256(String key) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("the Java platform does not provide SHA-256", e);
-        }
-    }
-
     /**
      * Holds the callers of one configuration by the hash of their key.
      *
--- a/node/src/test/java/org/magnoliavane/node/http/TestNode.java
+++ b/node/src/test/java/org/magnoliavane/node/http/TestNode.java
@@ -47,6 +47,7 @@
 import org.magnoliavane.pool.AttemptPhase;
 import org.magnoliavane.pool.AttemptProgress;
 import org.magnoliavane.pool.PlacementRequest;
+import org.magnoliavane.routing.ApiKeyDigest;
 
 import static org.testng.Assert.assertTrue;
 
@@ -224,6 +225,6 @@
 
     private static Caller createCaller(String name, String key) {
         Set<String> services = name.equals("ben") ? Set.of("briefings") : Set.of();
-        return new Caller(name, "partner-" + name, AuthenticationFilter.computeSha256(key), services);
+        return new Caller(name, "partner-" + name, ApiKeyDigest.compute(key), services);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CallerRequest.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CallerRequest.java
@@ -1,7 +1,9 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.Map;
+import java.util.Optional;
 
+import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 
 /**
@@ -19,6 +21,8 @@
  * @param arrivalMillis the arrival time, in milliseconds of the monotonic clock
  * @param deadlineMillis the time at which the caller stops waiting or the timeout of the route ends, whichever is earlier, in
  *     milliseconds of the monotonic clock
+ * @param organisation the organisation of the caller; empty if the request is anonymous
+ * @param urgency the rank of the request in the order of admission; 0 is the most urgent
  */
 public record CallerRequest(
         String method,
@@ -29,7 +33,9 @@
         Route route,
         long configurationVersion,
         long arrivalMillis,
-        long deadlineMillis) {
+        long deadlineMillis,
+        Optional<Organisation> organisation,
+        int urgency) {
 
     /**
      * Gets the id that identifies the request in logs.
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -27,6 +27,7 @@
 import org.magnoliavane.router.dispatch.CallerResponse;
 import org.magnoliavane.router.dispatch.RequestMetadata;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 import org.magnoliavane.routing.RoutingTable;
 
@@ -74,6 +75,7 @@
     private final CloseListener<Closeable, ?> closeListener = (closeable, type) -> handleDisconnect();
     private volatile RoutingTable routingTable;
     private volatile Route route;
+    private volatile Optional<Organisation> organisation = Optional.empty();
     private volatile byte[] body = new byte[0];
     private volatile Optional<StreamWriter> stream = Optional.empty();
 
@@ -168,6 +170,15 @@
         idleLimitMillis = table.getLimits().idleTimeoutMillis();
     }
 
+    void setOrganisation(Organisation found) {
+        organisation = Optional.of(found);
+    }
+
+    /** Gets the organisation of the caller; empty if the request is anonymous. */
+    Optional<Organisation> getOrganisation() {
+        return organisation;
+    }
+
     /** Sets the part of the router that handles the request from now on. */
     void setStage(String reached) {
         stage = reached;
@@ -207,7 +218,9 @@
                 route,
                 routingTable.getVersion(),
                 arrivalMillis,
-                getDeadlineMillis());
+                getDeadlineMillis(),
+                organisation,
+                routingTable.getUrgency(organisation, route));
     }
 
     /**
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -91,8 +91,8 @@
     /** Sends a request whose last worker has a role, and returns the body or the reason of a failure. */
     String send(WorkerRole role) throws Exception {
         RequestKind kind = role == WorkerRole.PLAIN ? RequestKind.NON_IDEMPOTENT : RequestKind.STREAM;
-        Route route =
-                new Route("r", "h", "/", kind, 3000, 900, 300, 1, List.of(new WeightedService(SERVICE, 1)), 1, false);
+        Route route = new Route(
+                "r", "h", "/", kind, 3000, 900, 300, 1, List.of(new WeightedService(SERVICE, 1)), 1, false, false);
         routingState.install(RoutingTable.create(
                 1,
                 List.of(route),
@@ -145,7 +145,9 @@
                         route,
                         1,
                         now,
-                        now + 3000),
+                        now + 3000,
+                        Optional.empty(),
+                        0),
                 response);
         return response.body.get(5, TimeUnit.SECONDS);
     }
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -56,7 +56,7 @@
 
     private static final long IDLE_MILLIS = 300;
     private static final Route ROUTE = new Route(
-            "r", "h", "/", RequestKind.STREAM, 700, 300, 300, 1, List.of(new WeightedService("s", 1)), 1, false);
+            "r", "h", "/", RequestKind.STREAM, 700, 300, 300, 1, List.of(new WeightedService("s", 1)), 1, false, false);
 
     private static final byte[] FIRST_BODY = "first".getBytes(StandardCharsets.UTF_8);
     private static final byte[] SECOND_BODY = "other".getBytes(StandardCharsets.UTF_8);
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -253,6 +253,7 @@
                         1,
                         List.of(new WeightedService(SERVICE, 1)),
                         1,
+                        false,
                         false)),
                 List.of(new ServiceProfile(SERVICE, 100, Optional.empty())),
                 new CallerLimits(16_384, 100_000, 3000, 15_000)));
