Move surplus prefill workers of a large pool to decode before bursts

Change: a pool of 24 workers or more moves prefill workers that a burst of 2.5 and the failure of one would leave idle once decode utilization is 0.45, at most half of them at a time. Result: RoleBalancerTest, 14 passed; no change back for any steady load of a pool of 63.

--- a/core/src/main/java/org/magnoliavane/balance/RoleBalancer.java
+++ b/core/src/main/java/org/magnoliavane/balance/RoleBalancer.java
@@ -37,6 +37,27 @@
     /** One in this many workers changes its role at a time, because a worker does no work during the change. */
     private static final int WORKERS_PER_CHANGE = 12;
 
+    /**
+     * Number of workers from which a pool moves surplus prefill workers early. In a smaller one, a single worker is a large
+     * part of a role, and the gain in utilization decides alone.
+     */
+    private static final int LARGE_POOL_WORKERS = 24;
+
+    /** Multiple of the average prefill load that the remaining prefill workers must still bear; bursts are up to 2.3 times. */
+    private static final double PREFILL_BURST_FACTOR = 2.5;
+
+    /** Prefill workers that are kept beyond that, so that one may fail. */
+    private static final int SPARE_PREFILL_WORKERS = 1;
+
+    /**
+     * Decode utilization from which surplus prefill workers move to decode: a burst of 2.3 times the load would fill the decode
+     * memory, and a change takes longer than a burst.
+     */
+    private static final double MIN_DECODE_UTILIZATION_FOR_SURPLUS = 0.45;
+
+    /** Largest share of the prefill workers that moves at a time. */
+    private static final double MAX_SURPLUS_SHARE = 0.5;
+
     /** Time for which a missing worker still counts; a crashed worker has often restarted within it. */
     private static final long RESTART_GRACE_MILLIS = 6000;
 
@@ -81,6 +102,25 @@
                 recentCounts.stream().mapToInt(WorkerCounts::prefill).max().orElse(prefillNow);
         int decodeWorkers =
                 recentCounts.stream().mapToInt(WorkerCounts::decode).max().orElse(decodeNow);
+        int surplus = countSurplusPrefillWorkers(prefillNow, decodeWorkers);
+        Optional<Change> change = decideByGain(prefillWorkers, decodeWorkers, prefillNow, decodeNow);
+        boolean movesMore = change.isEmpty()
+                || change.get().to() == WorkerRole.DECODE && change.get().workers() < surplus;
+        return surplus > 0 && movesMore ? Optional.of(new Change(WorkerRole.DECODE, surplus)) : change;
+    }
+
+    /** Counts the prefill workers of a large pool that prefill does not need in a burst either, while decode memory is in use. */
+    private int countSurplusPrefillWorkers(int prefillWorkers, int decodeWorkers) {
+        boolean isLarge = prefillWorkers + decodeWorkers >= LARGE_POOL_WORKERS;
+        if (!isLarge || busyDecodeWorkers < MIN_DECODE_UTILIZATION_FOR_SURPLUS * decodeWorkers) {
+            return 0;
+        }
+        int needed = SPARE_PREFILL_WORKERS + (int) Math.ceil(PREFILL_BURST_FACTOR * busyPrefillWorkers);
+        int surplus = prefillWorkers - Math.max(MIN_WORKERS_PER_ROLE, needed);
+        return Math.max(0, Math.min(surplus, (int) (MAX_SURPLUS_SHARE * prefillWorkers)));
+    }
+
+    private Optional<Change> decideByGain(int prefillWorkers, int decodeWorkers, int prefillNow, int decodeNow) {
         double currentUtilization = computeUtilization(prefillWorkers, decodeWorkers);
         if (currentUtilization < MIN_UTILIZATION) {
             return Optional.empty();
--- a/core/src/test/java/org/magnoliavane/balance/RoleBalancerTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/RoleBalancerTest.java
@@ -72,6 +72,45 @@
         assertEquals(change.workers(), 63 / 12);
     }
 
+    /** The load of 50 streams a second: prefill is idle, and a burst of 2.3 would fill the decode memory within a second. */
+    @Test
+    public void aLargePoolMovesIdlePrefillWorkersBeforeABurst() {
+        RoleBalancer.Change change =
+                createWithSteadyLoad(5, 21).decide(22, 41, NOW).orElseThrow();
+        assertEquals(change, new RoleBalancer.Change(WorkerRole.DECODE, 8));
+    }
+
+    @Test
+    public void aLargePoolKeepsPrefillWorkersForABurstAndAFailure() {
+        assertEquals(createWithSteadyLoad(5, 30).decide(14, 49, NOW), Optional.empty());
+    }
+
+    @Test
+    public void aLargePoolWithFreeDecodeMemoryChangesNoRoles() {
+        assertEquals(createWithSteadyLoad(5, 16).decide(22, 41, NOW), Optional.empty());
+    }
+
+    /** Guards against changes back and forth when surplus workers move. */
+    @Test
+    public void aSteadyLoadOfALargePoolIsNeverFollowedByAChangeBack() {
+        for (double prefill = 0; prefill < 22; prefill += 0.5) {
+            for (double decode = 0; decode <= 41; decode += 0.5) {
+                RoleBalancer balancer = createWithSteadyLoad(prefill, decode);
+                int toDecode =
+                        balancer.decide(22, 41, NOW).map(this::countToDecode).orElse(0);
+                balancer.clearWorkerCounts();
+                int second = balancer.decide(22 - toDecode, 41 + toDecode, NOW)
+                        .map(this::countToDecode)
+                        .orElse(0);
+                assertTrue(toDecode * second >= 0, "prefill " + prefill + " decode " + decode);
+            }
+        }
+    }
+
+    private int countToDecode(RoleBalancer.Change change) {
+        return change.to() == WorkerRole.DECODE ? change.workers() : -change.workers();
+    }
+
     /** Guards against oscillation: each change must lower the higher utilization, or roles would change back and forth. */
     @Test
     public void aSteadyLoadIsNeverFollowedByAChangeBack() {
