Require API keys where the configuration has organisations, and tell workers the organisation

Cause: API keys reached the workers with each request, and revoked keys were served on. A 401 or 404 needs a configuration that was confirmed within the last second, read anew otherwise.

--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -27,6 +27,7 @@
 import org.magnoliavane.router.dispatch.CallerResponse;
 import org.magnoliavane.router.dispatch.RequestMetadata;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.routing.ApiKeyDigest;
 import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 import org.magnoliavane.routing.RoutingTable;
@@ -60,6 +61,9 @@
      */
     private static final int STREAM_BUFFER_BYTES = 1 << 20;
 
+    private static final String AUTHORIZATION = "authorization";
+    private static final String BEARER = "bearer ";
+
     private final Request request;
     private final Response response;
     private final Connection<?> connection;
@@ -75,6 +79,7 @@
     private final CloseListener<Closeable, ?> closeListener = (closeable, type) -> handleDisconnect();
     private volatile RoutingTable routingTable;
     private volatile Route route;
+    private volatile Optional<String> keyDigest = Optional.empty();
     private volatile Optional<Organisation> organisation = Optional.empty();
     private volatile byte[] body = new byte[0];
     private volatile Optional<StreamWriter> stream = Optional.empty();
@@ -174,6 +179,20 @@
         organisation = Optional.of(found);
     }
 
+    /**
+     * Takes the API key of the request from its headers, so that no worker gets it.
+     *
+     * @return the digest of the key; empty if the request has none
+     */
+    Optional<String> takeApiKeyDigest() {
+        String authorization = headers.remove(AUTHORIZATION);
+        if (authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            keyDigest = Optional.of(ApiKeyDigest.compute(
+                    authorization.substring(BEARER.length()).trim()));
+        }
+        return keyDigest;
+    }
+
     /** Gets the organisation of the caller; empty if the request is anonymous. */
     Optional<Organisation> getOrganisation() {
         return organisation;
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -34,6 +34,7 @@
 import org.magnoliavane.http.server.SingleRequestFilter;
 import org.magnoliavane.json.Json;
 import org.magnoliavane.router.settings.RouterSettings;
+import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 import org.magnoliavane.routing.RoutingTable;
 
@@ -88,7 +89,12 @@
         this.settings = context.settings();
         this.guard = RequestGuard.start(context.millis());
         this.chain = FrontendFilter.chain(
-                List.of(this::readBody, this::awaitRefresh, this::resolveRoute, this::refuseDuringShutdown),
+                List.of(
+                        this::readBody,
+                        this::awaitRefresh,
+                        this::resolveRoute,
+                        this::authenticate,
+                        this::refuseDuringShutdown),
                 this::dispatch);
         // The listener loses requests that arrive before it has a handler. It opens the address of the metrics, and the
         // addresses of callers follow.
@@ -210,6 +216,17 @@
             return;
         }
         // The route may have been added since the configuration was read.
+        refreshConfiguration(exchange, current -> {
+            if (setRouteIfFound(exchange)) {
+                next.accept(exchange);
+            } else {
+                refuse(exchange, createNoRouteFault(current));
+            }
+        });
+    }
+
+    /** Reads the configuration if it may be outdated, and continues with whether it is current. */
+    private void refreshConfiguration(FrontendExchange exchange, Consumer<Boolean> next) {
         exchange.setStage("configuration");
         context.refresher()
                 .refreshConfiguration()
@@ -217,14 +234,49 @@
                     if (failure != null) {
                         Failures.recordSurvived("configuration", failure);
                     }
-                    if (setRouteIfFound(exchange)) {
-                        next.accept(exchange);
-                    } else {
-                        refuse(exchange, createNoRouteFault(failure == null && current));
-                    }
+                    next.accept(failure == null && current);
                 }));
     }
 
+    /** Finds the organisation of a request by its API key, if the configuration has organisations. */
+    private void authenticate(FrontendExchange exchange, Consumer<FrontendExchange> next) {
+        if (setOrganisationIfFound(exchange)) {
+            next.accept(exchange);
+            return;
+        }
+        // The key may have been added since the configuration was read.
+        refreshConfiguration(exchange, current -> {
+            if (!setRouteIfFound(exchange)) {
+                refuse(exchange, createNoRouteFault(current));
+            } else if (setOrganisationIfFound(exchange)) {
+                next.accept(exchange);
+            } else {
+                context.metrics().counter("requests.unauthenticated").inc();
+                refuse(exchange, createNoKeyFault(current));
+            }
+        });
+    }
+
+    /** Sets the organisation that holds the API key, and returns whether the request needs none or it was found. */
+    private static boolean setOrganisationIfFound(FrontendExchange exchange) {
+        RoutingTable table = exchange.getRoutingTable();
+        if (!table.hasOrganisations()) {
+            return true;
+        }
+        Optional<Organisation> organisation = exchange.takeApiKeyDigest().flatMap(table::findOrganisation);
+        organisation.ifPresent(exchange::setOrganisation);
+        return organisation.isPresent() || exchange.getRoute().anonymous();
+    }
+
+    private static Fault createNoKeyFault(boolean configurationCurrent) {
+        return configurationCurrent
+                ? Fault.notRun(
+                        FaultKind.UNAUTHENTICATED,
+                        "the API key is absent or unknown",
+                        "send the header Authorization: Bearer with a key of the configuration")
+                : createUnavailable("the API key is not known, and the store is unreachable");
+    }
+
     private void dispatch(FrontendExchange exchange) {
         if (exchange.isDisconnected()) {
             LOG.log(
--- a/router/src/main/java/org/magnoliavane/router/front/StateRefresher.java
+++ b/router/src/main/java/org/magnoliavane/router/front/StateRefresher.java
@@ -14,7 +14,7 @@
     CompletionStage<Void> whenRefreshed();
 
     /**
-     * Reads the configuration from the store.
+     * Reads the configuration from the store unless it was confirmed lately.
      *
      * @return a stage that completes with true when the configuration is current, or with false when the store did not
      *     answer in time
