Compress large records in the updates between nodes

Change: records of 1,000 bytes or more are deflated; a stated size is bounded before memory is allocated.

--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 
-import com.google.protobuf.ByteString;
 import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.protocol.generated.StoreUpdate;
 import org.magnoliavane.protocol.generated.TopicChanges;
@@ -33,7 +32,7 @@
     /** Interval at which readers send their positions, so that the others know that they still read. */
     private static final long POSITION_INTERVAL_MILLIS = 500;
 
-    /** Largest size of the records in a datagram. Nodes that need larger records read the store. */
+    /** Largest size of the compressed records in a datagram. Nodes that need larger records read the store. */
     private static final int MAX_RECORD_BYTES = 8000;
 
     private final NodeListing self;
@@ -131,8 +130,10 @@
     }
 
     static TopicChanges toMessage(TopicUpdate update) {
-        int bytes = update.records().stream()
-                .mapToInt(r -> r.key().length() + r.value().length)
+        List<TopicRecord> records =
+                update.records().stream().map(RecordCompression::toMessage).toList();
+        int bytes = records.stream()
+                .mapToInt(r -> r.getKey().length() + r.getValue().size())
                 .sum();
         boolean complete = bytes <= MAX_RECORD_BYTES;
         TopicChanges.Builder message = TopicChanges.newBuilder()
@@ -141,11 +142,7 @@
                 .setTo(update.to())
                 .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()));
         if (complete) {
-            update.records()
-                    .forEach(r -> message.addRecords(TopicRecord.newBuilder()
-                            .setKey(r.key())
-                            .setValue(ByteString.copyFrom(r.value()))
-                            .setOffset(r.offset())));
+            message.addAllRecords(records);
         }
         return message.build();
     }
@@ -166,7 +163,7 @@
             case UNRECOGNIZED -> throw new IllegalArgumentException("unknown topic");
         };
         List<KeyedRecord> records = message.getRecordsList().stream()
-                .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
+                .map(RecordCompression::fromMessage)
                 .toList();
         return new TopicUpdate(topic, message.getFrom(), message.getTo(), records, message.getAgeMillis());
     }
