Test organisations and API keys, and close gaps in how they are read

Cause: the code for organisations had no tests.

Organisations without keys take no rank. The log line of a configuration has organisations=N, the number that hold a key. requests.unauthenticated counts 401 only, requests.key_unconfirmed the 503 of a node whose configuration may be outdated. hash-key uses ApiKeyDigest.

--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -22,6 +22,7 @@
     private final CallerLimits limits;
     private final Map<String, Organisation> organisationsByKey;
     private final boolean hasOrganisations;
+    private final int organisationCount;
 
     /** The priorities of the organisations and of the routes, each in ascending order, without duplicates. */
     private final List<Integer> organisationPriorities;
@@ -39,9 +40,13 @@
         this.services = services;
         this.limits = limits;
         this.hasOrganisations = !organisations.isEmpty();
+        // Invalid organisations have no keys, and no request can belong to them.
+        List<Organisation> usable =
+                organisations.stream().filter(o -> !o.keyDigests().isEmpty()).toList();
+        this.organisationCount = usable.size();
         this.organisationsByKey = new HashMap<>();
-        organisations.forEach(o -> o.keyDigests().forEach(digest -> organisationsByKey.put(digest, o)));
-        this.organisationPriorities = toLevels(organisations.stream().map(Organisation::priority));
+        usable.forEach(o -> o.keyDigests().forEach(digest -> organisationsByKey.put(digest, o)));
+        this.organisationPriorities = toLevels(usable.stream().map(Organisation::priority));
         this.routePriorities =
                 toLevels(routesByHost.values().stream().flatMap(List::stream).map(Route::priority));
     }
@@ -138,6 +143,15 @@
         return hasOrganisations;
     }
 
+    /**
+     * Counts the organisations that hold at least one API key.
+     *
+     * @return the number
+     */
+    public int countOrganisations() {
+        return organisationCount;
+    }
+
     /**
      * Finds the organisation that holds an API key.
      *
--- a/core/src/test/java/org/magnoliavane/routing/RoutingTableTest.java
+++ b/core/src/test/java/org/magnoliavane/routing/RoutingTableTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import org.testng.annotations.Test;
 
@@ -88,6 +89,56 @@
         assertEquals(getEventTimeoutMillis(900, 500), 4000);
     }
 
+    /** Guards against a route of low priority of a paying organisation that waits behind all requests of a lesser one. */
+    @Test
+    public void theUrgencyIsTheRankOfTheOrganisationAndThenOfTheRoute() {
+        Route stream = routeOf("stream", "/s/", 0);
+        Route other = routeOf("other", "/o/", 7);
+        Organisation first = organisationOf("first", 1);
+        Organisation equal = organisationOf("equal", 1);
+        Organisation last = organisationOf("last", 4);
+        RoutingTable table =
+                RoutingTable.create(1, List.of(other, stream), List.of(), LIMITS, List.of(last, first, equal));
+        assertEquals(table.countUrgencies(), 4);
+        assertEquals(table.countOrganisations(), 3);
+        assertEquals(table.getUrgency(Optional.of(first), stream), 0);
+        assertEquals(table.getUrgency(Optional.of(equal), stream), 0);
+        assertEquals(table.getUrgency(Optional.of(first), other), 1);
+        assertEquals(table.getUrgency(Optional.of(last), stream), 2);
+        assertEquals(table.getUrgency(Optional.of(last), other), 3);
+        assertEquals(table.getUrgency(Optional.empty(), stream), 2);
+    }
+
+    /** Guards against routes that are open to all because the only organisation is invalid, and against ranks that it takes. */
+    @Test
+    public void anOrganisationWithoutKeysDemandsKeysButTakesNoRank() {
+        Organisation invalid = new Organisation("invalid", Set.of(), 0, Optional.empty());
+        Route route = routeOf("r", "/a/");
+        RoutingTable alone = RoutingTable.create(1, List.of(route), List.of(), LIMITS, List.of(invalid));
+        assertTrue(alone.hasOrganisations());
+        assertEquals(alone.countOrganisations(), 0);
+        assertEquals(alone.getUrgency(Optional.empty(), route), 0);
+        RoutingTable both =
+                RoutingTable.create(1, List.of(route), List.of(), LIMITS, List.of(invalid, organisationOf("valid", 3)));
+        assertEquals(both.countUrgencies(), 1);
+        assertEquals(both.findOrganisation("key of valid").orElseThrow().name(), "valid");
+    }
+
+    @Test
+    public void aTableWithoutOrganisationsRanksByRouteAlone() {
+        RoutingTable table = tableOf(routeOf("a", "/a/", 5), routeOf("b", "/b/", 2));
+        assertFalse(table.hasOrganisations());
+        assertEquals(table.countUrgencies(), 2);
+        assertEquals(
+                table.getUrgency(
+                        Optional.empty(), table.findRoute("h.example", "/a/").orElseThrow()),
+                1);
+    }
+
+    private static Organisation organisationOf(String name, int priority) {
+        return new Organisation(name, Set.of("key of " + name), priority, Optional.empty());
+    }
+
     private static long getEventTimeoutMillis(long targetMillis, long gapMillis) {
         return new Route(
                         "r",
@@ -115,6 +166,10 @@
     }
 
     private static Route routeOf(String name, String prefix) {
+        return routeOf(name, prefix, 2);
+    }
+
+    private static Route routeOf(String name, String prefix, int priority) {
         return new Route(
                 name,
                 "h.example",
@@ -123,7 +178,7 @@
                 800,
                 300,
                 0,
-                2,
+                priority,
                 List.of(new WeightedService("s", 1)),
                 2,
                 false,
--- a/node/src/main/java/org/magnoliavane/cli/HashKeyCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/HashKeyCommand.java
@@ -4,12 +4,10 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import org.magnoliavane.routing.ApiKeyDigest;
 
 /** Prints the hash of a bearer key. */
 @Parameters(commandDescription = "Print the SHA-256 of a bearer key for key_sha256")
@@ -24,7 +22,7 @@
 
     @Override
     Report run() throws CommandException {
-        String hash = hash(key.equals("-") ? readLine() : key);
+        String hash = ApiKeyDigest.compute(key.equals("-") ? readLine() : key);
         return Report.of(ExitStatus.OK, hash).without("message").with("key_sha256", hash);
     }
 
@@ -41,13 +39,4 @@
         throw new CommandException(Report.failure(
                 ExitStatus.USAGE, "the standard input contains no key", "Write the key on its first line."));
     }
-
-    private static String hash(String text) {
-        try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-            return HexFormat.of().formatHex(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
-        }
-    }
 }
--- a/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
+++ b/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
@@ -43,9 +43,10 @@
             if (table.isPresent() && routingState.install(table.get())) {
                 LOG.log(
                         Level.INFO,
-                        "event=configuration version={0} offset={1}",
+                        "event=configuration version={0} offset={1} organisations={2}",
                         Long.toString(table.get().getVersion()),
-                        Long.toString(change.offset()));
+                        Long.toString(change.offset()),
+                        Integer.toString(table.get().countOrganisations()));
             }
         } catch (IOException e) {
             LOG.log(
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -251,7 +251,9 @@
             } else if (setOrganisationIfFound(exchange)) {
                 next.accept(exchange);
             } else {
-                context.metrics().counter("requests.unauthenticated").inc();
+                context.metrics()
+                        .counter(current ? "requests.unauthenticated" : "requests.key_unconfirmed")
+                        .inc();
                 refuse(exchange, createNoKeyFault(current));
             }
         });
