Complete a response that ends with its connection only after the whole request

Cause: a worker that answers an upload with 200 without a length and resets the connection during the upload had its part of the body passed on as a complete response. The failed write of the request consumes the error of the reset, and the next read sees an orderly close. A half-close before the reset had the same effect. A status above 599 was forwarded.

Change: an orderly close completes such a response only if the request was written completely; if the close is noticed first, the outcome of the write decides. A status above 599 is a failure like one below 100.

Open: Grizzly reads the status 2000 as 200.

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -239,9 +239,19 @@
                 return;
             }
             connection.write(toContent(request), new EmptyCompletionHandler<Object>() {
+                @Override
+                public void completed(Object written) {
+                    exchange.handleRequestWritten();
+                }
+
                 @Override
                 public void failed(Throwable cause) {
-                    exchange.failAfterReceived(new IOException("failed to write the request", cause));
+                    exchange.handleWriteFailure(new IOException("failed to write the request", cause));
+                }
+
+                @Override
+                public void cancelled() {
+                    exchange.handleWriteFailure(new IOException("writing the request was cancelled"));
                 }
             });
             if (!connection.isOpen()) {
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -22,6 +22,9 @@
     private static final int FIRST_INTERIM_STATUS = 100;
     private static final int SWITCHING_PROTOCOLS = 101;
 
+    /** The largest status of HTTP; a larger one is malformed and says nothing about the request. */
+    private static final int LAST_STATUS = 599;
+
     /** Largest number of interim responses; a faulty server may send them without end. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
@@ -33,6 +36,13 @@
     private volatile boolean headReceived;
     private volatile boolean selfDelimited = true;
     private int interimResponses;
+
+    /** Whether the request was written completely; used in {@link #serial} only, like the next field. */
+    private boolean requestWritten;
+
+    /** Whether an orderly close has ended a response that has no other end. */
+    private boolean closedOrderly;
+
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
@@ -139,6 +149,10 @@
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
         int status = head.getStatus();
+        if (status > LAST_STATUS) {
+            fail(new IOException("response with status " + status));
+            return;
+        }
         if (InterimResponseFilter.isInterim(status)) {
             skipInterimResponse(status);
             return;
@@ -164,25 +178,56 @@
 
     /**
      * Handles the end of the connection. An orderly close completes a response that has neither a content length nor
-     * chunked encoding. In all other cases the exchange fails unless it has already ended.
+     * chunked encoding, if the request was written completely: a server that closes the connection earlier resets it, and the
+     * next read sees an orderly close if the failed write has consumed the error of the reset. In all other cases the exchange
+     * fails unless it has already ended.
      *
      * @param orderly false if the connection was reset
      */
     void handleConnectionEnd(boolean orderly) {
         serial.execute(() -> {
-            if (orderly && headReceived && !selfDelimited && ended.compareAndSet(false, true)) {
-                release();
-                listener.onEnd();
+            closedOrderly = orderly && headReceived && !selfDelimited;
+            if (closedOrderly && requestWritten) {
+                completeByClose();
             }
         });
         failAfterReceived(new IOException("connection closed by the server"));
     }
 
-    /** Fails the exchange unless what was received before is its complete response. */
-    void failAfterReceived(IOException cause) {
+    /** Handles the end of writing the request, which may be noticed after the end of its connection. */
+    void handleRequestWritten() {
+        serial.execute(() -> {
+            requestWritten = true;
+            if (closedOrderly) {
+                completeByClose();
+            }
+        });
+    }
+
+    /** Handles a request that was not written completely. */
+    void handleWriteFailure(IOException cause) {
         serial.execute(() -> fail(cause));
     }
 
+    private void completeByClose() {
+        if (ended.compareAndSet(false, true)) {
+            release();
+            listener.onEnd();
+        }
+    }
+
+    /**
+     * Fails the exchange unless what was received before is its complete response, or may be: the outcome of writing the request
+     * decides whether a response that ends with its connection is complete.
+     */
+    void failAfterReceived(IOException cause) {
+        serial.execute(() -> {
+            if (!closedOrderly) {
+                fail(cause);
+            }
+        });
+    }
+
     void fail(IOException cause) {
         if (ended.compareAndSet(false, true)) {
             try {
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -34,6 +35,8 @@
     /** More than the buffers of a connection hold. */
     private static final int UNREAD_BYTES = 30_000_000;
 
+    private static final int EARLY_ROUNDS = 60;
+
     private HttpServer server;
     private HttpClient client;
     private int port;
@@ -108,6 +111,54 @@
         }
     }
 
+    @DataProvider
+    public Object[][] earlyEnds() {
+        return new Object[][] {{"reset"}, {"close"}, {"half-close"}};
+    }
+
+    /**
+     * Guards against a part of a response that is taken for the whole: the server sends 200 without a length and ends the
+     * connection while the request is still being written. A failed write can consume the error of the reset, and the next
+     * read then reports an orderly close.
+     */
+    @Test(dataProvider = "earlyEnds")
+    public void aResponseWithoutLengthThatEndsDuringTheUploadIsNotComplete(String end) throws Exception {
+        List<String> complete = new ArrayList<>();
+        try (ServerSocket early = new ServerSocket()) {
+            early.setReceiveBufferSize(4096);
+            early.bind(new InetSocketAddress(HOST, 0));
+            byte[] body = new byte[UNREAD_BYTES];
+            for (int round = 0; round < EARLY_ROUNDS; round++) {
+                CompletableFuture<HttpResponse> response = client.send(
+                        HttpRequest.of("POST", HOST, early.getLocalPort(), "/").withBody("text/plain", body));
+                try (Socket socket = early.accept()) {
+                    socket.getInputStream().read(new byte[1000]);
+                    socket.getOutputStream()
+                            .write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart".getBytes(StandardCharsets.UTF_8));
+                    Thread.sleep(round % 5);
+                    end(socket, end);
+                }
+                try {
+                    complete.add(new String(response.get(5, TimeUnit.SECONDS).body(), StandardCharsets.UTF_8));
+                } catch (ExecutionException expected) {
+                    assertTrue(expected.getCause() instanceof IOException, expected.toString());
+                }
+            }
+        }
+        assertEquals(complete, List.of(), complete.size() + " of " + EARLY_ROUNDS + " taken for complete");
+    }
+
+    private static void end(Socket socket, String end) throws IOException, InterruptedException {
+        if (end.equals("half-close")) {
+            socket.shutdownOutput();
+            Thread.sleep(20);
+        }
+        if (!end.equals("close")) {
+            socket.setSoLinger(true, 0);
+        }
+        socket.close();
+    }
+
     private static void awaitQuietly(CountDownLatch latch) {
         try {
             latch.await(5, TimeUnit.SECONDS);
