--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -83,12 +83,6 @@
     /** The same after the start, when the node can serve no request without the state. */
     private static final long START_REFRESH_TIMEOUT_MILLIS = 3000;
 
-    /**
-     * Age up to which the configuration counts as current, so that requests for unknown paths and with unknown keys cost no
-     * read of the store. It is a third of the time within which a configuration must be in force.
-     */
-    private static final long MAX_CURRENT_AGE_MILLIS = 1000;
-
     /** Interval of the check for pauses of the process. */
     private static final long TICK_MILLIS = 100;
 
@@ -291,8 +285,8 @@
     }
 
     @Override
-    public CompletionStage<Boolean> refreshConfiguration() {
-        if (configurationFollower.getAgeMillis() <= MAX_CURRENT_AGE_MILLIS) {
+    public CompletionStage<Boolean> refreshConfiguration(long maxAgeMillis) {
+        if (configurationFollower.getAgeMillis() < maxAgeMillis) {
             return CompletableFuture.completedFuture(true);
         }
         return configurationFollower
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -65,6 +65,12 @@
     /** Maximum time for which a request waits until the state of the node has been read again. */
     private static final long MAX_REFRESH_WAIT_MILLIS = 800;
 
+    /**
+     * Age up to which a configuration counts as current for requests with unknown keys, so that forged keys cost no reads of the
+     * store. It is a third of the time within which a configuration must be in force.
+     */
+    private static final long MAX_CONFIRMED_AGE_MILLIS = 1000;
+
     /** Size up to which bodies have a share of the budget of their own. */
     private static final int SMALL_BODY_BYTES = 64 * 1024;
 
@@ -216,7 +222,7 @@
             return;
         }
         // The route may have been added since the configuration was read.
-        refreshConfiguration(exchange, current -> {
+        refreshConfiguration(exchange, 0, current -> {
             if (setRouteIfFound(exchange)) {
                 next.accept(exchange);
             } else {
@@ -226,10 +232,10 @@
     }
 
     /** Reads the configuration if it may be outdated, and continues with whether it is current. */
-    private void refreshConfiguration(FrontendExchange exchange, Consumer<Boolean> next) {
+    private void refreshConfiguration(FrontendExchange exchange, long maxAgeMillis, Consumer<Boolean> next) {
         exchange.setStage("configuration");
         context.refresher()
-                .refreshConfiguration()
+                .refreshConfiguration(maxAgeMillis)
                 .whenComplete((current, failure) -> handleFailures(exchange, () -> {
                     if (failure != null) {
                         Failures.recordSurvived("configuration", failure);
@@ -245,7 +251,7 @@
             return;
         }
         // The key may have been added since the configuration was read.
-        refreshConfiguration(exchange, current -> {
+        refreshConfiguration(exchange, MAX_CONFIRMED_AGE_MILLIS, current -> {
             if (!setRouteIfFound(exchange)) {
                 refuse(exchange, createNoRouteFault(current));
             } else if (setOrganisationIfFound(exchange)) {
--- a/router/src/main/java/org/magnoliavane/router/front/StateRefresher.java
+++ b/router/src/main/java/org/magnoliavane/router/front/StateRefresher.java
@@ -16,8 +16,9 @@
     /**
      * Reads the configuration from the store unless it was confirmed lately.
      *
+     * @param maxAgeMillis the age in milliseconds up to which a confirmed configuration is not read again; 0 to read it always
      * @return a stage that completes with true when the configuration is current, or with false when the store did not
      *     answer in time
      */
-    CompletionStage<Boolean> refreshConfiguration();
+    CompletionStage<Boolean> refreshConfiguration(long maxAgeMillis);
 }
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -371,7 +371,7 @@
         }
 
         @Override
-        public CompletionStage<Boolean> refreshConfiguration() {
+        public CompletionStage<Boolean> refreshConfiguration(long maxAgeMillis) {
             return reach("refreshConfiguration", CompletableFuture.completedFuture(true));
         }
     }
