Count what streams hold toward the byte budget

Cause: incomplete events, error responses and what the caller of a stream has not read were limited to 1 MB per stream, but not together. 150 streams with an event of 0.9 MB without end left a router with a heap of 112 MB without an answer to requests of another service for 12 s.

Change: StreamExecution allocates what it buffers beyond 4 KB from the share of responses. Without room, the stream ends if its caller is the one that does not read, and otherwise the exchange with the worker ends as broken. Pausing the worker instead is no choice for streams: the silence would count as a failure of the worker, and workers abort what stays unread.

--- a/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
@@ -86,6 +86,15 @@
         return bufferedBytes.get() > HIGH_WATER_BYTES;
     }
 
+    /**
+     * Gets the number of bytes that the connection has not accepted yet.
+     *
+     * @return the number of buffered bytes
+     */
+    public long getBufferedBytes() {
+        return bufferedBytes.get();
+    }
+
     /**
      * Sets the task that runs once the caller has caught up or the stream has ended.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -16,6 +16,8 @@
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.ReservationTable;
+import org.magnoliavane.budget.ByteBudget;
+import org.magnoliavane.budget.ByteBudget.Allocation;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -117,8 +119,19 @@
     /** Largest event or error response of a worker. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** Bytes of a stream that are not counted: events of usual size must not fail because others fill the budget. */
+    private static final int UNCOUNTED_BYTES = 4096;
+
+    /** Memory that a byte of an incomplete event takes: it is kept as part of its line as well, and buffers grow by doubling. */
+    private static final int PARTIAL_EVENT_FACTOR = 3;
+
     private final GenerationSize generationSize;
 
+    /** The budget of what this request buffers of responses: incomplete events, errors, and what the caller has not read. */
+    private final Allocation buffers;
+
+    private long countedBytes;
+
     /** The engine of the service when the request arrived; a later configuration may no longer contain the service. */
     private final Optional<EngineProfile> engineAtArrival;
 
@@ -167,6 +180,8 @@
         this.engineAtArrival = findCurrentEngine();
         this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
+        this.buffers = context.budget().open(ByteBudget.Use.RESPONSE);
+        response.onComplete(buffers::close);
     }
 
     @Override
@@ -706,6 +721,43 @@
 
     @Override
     public void onBytes(WorkerExchange exchange, byte[] bytes) {
+        handleBytes(exchange, bytes);
+        if (!ended && !tryCountBuffers()) {
+            handleNoRoom(exchange);
+        }
+    }
+
+    /** Allocates what is buffered at present, and returns false if there is no room for it. */
+    private boolean tryCountBuffers() {
+        long partial =
+                parts.values().stream().mapToLong(StreamPart::getBufferedBytes).sum();
+        long bytes = PARTIAL_EVENT_FACTOR * partial
+                + stream.getErrorBytes()
+                + stream.getUnreadBytes()
+                + prefillBody.size()
+                - UNCOUNTED_BYTES;
+        long more = Math.max(0, bytes) - countedBytes;
+        if (more > 0 && !buffers.tryGrow(more)) {
+            return false;
+        }
+        buffers.shrink(-more);
+        countedBytes += more;
+        return true;
+    }
+
+    /** Ends the stream of a caller that reads slowly; otherwise ends the exchange, whose worker has sent what is buffered. */
+    private void handleNoRoom(WorkerExchange exchange) {
+        long unread = stream.getUnreadBytes();
+        log("no_room", exchange, "unread=" + unread + " counted=" + countedBytes + " relayed=" + stream.hasStarted());
+        if (unread > UNCOUNTED_BYTES) {
+            failStream("no memory for what the caller has not read");
+        } else if (activeDecodes.contains(exchange)
+                || activePrefill.filter(p -> p == exchange).isPresent()) {
+            exchange.abandon("no memory for the response");
+        }
+    }
+
+    private void handleBytes(WorkerExchange exchange, byte[] bytes) {
         if (isPrefill(exchange)) {
             prefillBody.writeBytes(bytes);
             if (prefillBody.size() > MAX_PREFILL_RESPONSE_BYTES) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamResponse.java
@@ -86,6 +86,11 @@
         return head.map(StreamPart::getHeaders).orElse(Map.of());
     }
 
+    /** Gets the number of bytes that the caller has not read yet. */
+    long getUnreadBytes() {
+        return writer.map(StreamWriter::getBufferedBytes).orElse(0L);
+    }
+
     /** Gets the number of bytes that are buffered of an error response. */
     int getErrorBytes() {
         return errorBody.size();
