Keep serving the known state when the store comes back from an older copy

Cause: the store may be rolled back to a copy that is some seconds old. Offsets then move back and are assigned again, so that a node took new records for old ones, and old entries replaced newer state.

Change: every response of the store carries its epoch (Store-Era). Workers and nodes that had left or drain stay out until they write again, missing ones are kept, the configuration never reverts, and each node writes its lost listing again. Fencing tokens contain the epoch; a claim that spans a rollback is given up. Updates and reports between nodes carry the epoch.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerRegistry.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerRegistry.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Holds the workers that service discovery lists, and decides when a worker that is no longer listed is removed. The entry
@@ -13,13 +16,22 @@
  * running. A removal shortly after an outage therefore takes effect only if the entry does not reappear within a grace
  * period.
  *
+ * <p>After a rollback of the store, old entries return and newer ones are missing. Removals are deferred for the grace period
+ * as well, and an entry that contradicts what is known is held: it counts only once the worker has written it again.
+ *
  * <p>Not thread-safe.
  */
 public final class WorkerRegistry {
+    /** Number of workers that have left and are remembered; many times the departures between a copy and the rollback to it. */
+    private static final int MAX_DEPARTED = 1000;
+
     private final long outageGraceMillis;
     private final Map<String, ListedWorker> workers = new HashMap<>();
     private final Map<String, Long> removalDueMillis = new HashMap<>();
+    private final Map<String, ListedWorker> departed = new LinkedHashMap<>();
+    private final Set<String> held = new HashSet<>();
     private long outageEndMillis = Long.MIN_VALUE / 2;
+    private long rollbackMillis = Long.MIN_VALUE / 2;
 
     /**
      * Creates a registry without workers.
@@ -38,7 +50,90 @@
      */
     public void recordOutageEnd(long endMillis) {
         outageEndMillis = endMillis;
-        removalDueMillis.replaceAll((id, due) -> Math.min(due, endMillis + outageGraceMillis));
+        removalDueMillis.replaceAll((id, due) -> Math.min(due, getGraceEndMillis()));
+    }
+
+    /**
+     * Records a rollback of the store. Must be followed by {@link #remove} for the workers that the new snapshot lacks and by
+     * {@link #reconcile} for its entries.
+     *
+     * @param nowMillis the current time, in milliseconds
+     */
+    public void recordRollback(long nowMillis) {
+        rollbackMillis = nowMillis;
+        held.clear();
+        removalDueMillis.replaceAll((id, due) -> getGraceEndMillis());
+    }
+
+    private long getGraceEndMillis() {
+        return Math.max(outageEndMillis, rollbackMillis) + outageGraceMillis;
+    }
+
+    /**
+     * Compares an entry of the first snapshot after a rollback with what is known of the worker. An entry of a start that is
+     * known to run, drain or have left changes nothing, except that a worker that drains is not used.
+     *
+     * @param restored the entry
+     * @return the entry to put; empty if what is known stays in force
+     */
+    public Optional<ListedWorker> reconcile(ListedWorker restored) {
+        String id = restored.id();
+        Optional<ListedWorker> known = Optional.ofNullable(workers.get(id));
+        Optional<ListedWorker> last = known.or(() -> Optional.ofNullable(departed.get(id)));
+        if (last.isEmpty() || restored.startedAtMillis() > last.get().startedAtMillis()) {
+            return Optional.of(restored);
+        }
+        if (known.isPresent() && known.get().equals(restored)) {
+            return Optional.empty();
+        }
+        boolean drains = restored.server().leaving()
+                && known.filter(k ->
+                                k.isSameIncarnation(restored) && !k.server().leaving())
+                        .isPresent();
+        if (drains) {
+            return known.map(ListedWorker::withLeaving);
+        }
+        held.add(id);
+        return Optional.empty();
+    }
+
+    /**
+     * Holds an entry of the first snapshot after a rollback that cannot be read. The known entry stays in force.
+     *
+     * @param id the id of the worker
+     */
+    public void hold(String id) {
+        if (workers.containsKey(id)) {
+            held.add(id);
+        }
+    }
+
+    /**
+     * Ends the holding of entries that the store no longer has.
+     *
+     * @param ids the ids of the workers in the store
+     */
+    public void retainHeld(Set<String> ids) {
+        held.retainAll(ids);
+    }
+
+    /**
+     * Returns whether the entry of a worker is held until the worker has written it again or the store has removed it.
+     *
+     * @param id the id of the worker
+     * @return true if it is held
+     */
+    public boolean isHeld(String id) {
+        return held.contains(id);
+    }
+
+    /**
+     * Returns whether any entry is held.
+     *
+     * @return true if a change of a held entry is awaited
+     */
+    public boolean hasHeld() {
+        return !held.isEmpty();
     }
 
     /**
@@ -49,6 +144,8 @@
      */
     public Optional<ListedWorker> put(ListedWorker worker) {
         removalDueMillis.remove(worker.id());
+        departed.remove(worker.id());
+        held.remove(worker.id());
         return Optional.ofNullable(workers.put(worker.id(), worker));
     }
 
@@ -75,18 +172,20 @@
      * @return true if the worker was removed immediately
      */
     public boolean remove(String id, long nowMillis) {
+        held.remove(id);
         ListedWorker known = workers.get(id);
         if (known == null) {
             return false;
         }
-        boolean mayHaveExpired = nowMillis - outageEndMillis < outageGraceMillis
-                && !known.server().leaving();
+        boolean mayHaveExpired =
+                nowMillis < getGraceEndMillis() && !known.server().leaving();
         if (mayHaveExpired) {
-            removalDueMillis.putIfAbsent(id, outageEndMillis + outageGraceMillis);
+            removalDueMillis.putIfAbsent(id, getGraceEndMillis());
             return false;
         }
         workers.remove(id);
         removalDueMillis.remove(id);
+        rememberDeparture(known);
         return true;
     }
 
@@ -112,13 +211,20 @@
             Map.Entry<String, Long> entry = i.next();
             if (nowMillis >= entry.getValue()) {
                 removed.add(entry.getKey());
-                workers.remove(entry.getKey());
+                Optional.ofNullable(workers.remove(entry.getKey())).ifPresent(this::rememberDeparture);
                 i.remove();
             }
         }
         return removed;
     }
 
+    private void rememberDeparture(ListedWorker worker) {
+        departed.put(worker.id(), worker);
+        if (departed.size() > MAX_DEPARTED) {
+            departed.remove(departed.keySet().iterator().next());
+        }
+    }
+
     /**
      * Gets the ids of all workers.
      *
--- a/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
+++ b/router/src/main/java/org/magnoliavane/router/ConfigurationController.java
@@ -13,7 +13,8 @@
 import org.magnoliavane.routing.RoutingTable;
 
 /**
- * Applies each newer configuration of the store. When one cannot be read, the last valid one stays in force.
+ * Applies each newer configuration of the store. When one cannot be read, the last valid one stays in force. After a
+ * rollback of the store, the version in force stays as well, until the operator has published it again or a newer one.
  *
  * <p>Thread-safe.
  */
@@ -23,6 +24,9 @@
     private final RoutingState routingState;
     private final EntryFormat entries;
 
+    /** Whether the version in force may have been published again with another content, because a rollback has removed it. */
+    private boolean replaceable;
+
     ConfigurationController(RoutingState routingState, EntryFormat entries) {
         this.routingState = routingState;
         this.entries = entries;
@@ -34,18 +38,32 @@
     }
 
     @Override
-    public boolean onChange(KeyedRecord change) {
+    public synchronized boolean onChange(KeyedRecord change) {
+        apply(change).ifPresent(table -> replaceable = false);
+        return true;
+    }
+
+    /** Applies an entry, and returns its configuration if it is in force then. */
+    private Optional<RoutingTable> apply(KeyedRecord change) {
         if (change.isRemoval()) {
-            return true;
+            return Optional.empty();
         }
         try {
             Optional<RoutingTable> table = entries.readConfiguration(change);
-            if (table.isPresent() && routingState.install(table.get())) {
+            if (table.isPresent() && install(table.get())) {
                 LOG.log(
                         Level.INFO,
                         "event=configuration version={0} offset={1}",
                         Long.toString(table.get().getVersion()),
                         Long.toString(change.offset()));
+                return table;
+            }
+            if (table.isPresent() && replaceable) {
+                LOG.log(
+                        Level.WARNING,
+                        "event=configuration_reverted version={0} offset={1}; the newer one stays in force",
+                        Long.toString(table.get().getVersion()),
+                        Long.toString(change.offset()));
             }
         } catch (IOException e) {
             LOG.log(
@@ -54,11 +72,30 @@
                     Long.toString(change.offset()),
                     e.getMessage());
         }
-        return true;
+        return Optional.empty();
+    }
+
+    private boolean install(RoutingTable table) {
+        return replaceable ? routingState.installRepublished(table) : routingState.install(table);
     }
 
     @Override
     public void onSnapshot(Set<String> keys) {
         // The configuration stays in force even if the store no longer contains it.
     }
+
+    @Override
+    public synchronized void onRollback(Set<String> keys) {
+        replaceable = true;
+    }
+
+    @Override
+    public synchronized void onRestored(KeyedRecord entry) {
+        apply(entry);
+    }
+
+    @Override
+    public boolean needsOwnReads() {
+        return false;
+    }
 }
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -26,6 +26,7 @@
 import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
+import org.magnoliavane.membership.OwnRecord;
 import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.protocol.generated.NodeReport;
@@ -104,6 +105,9 @@
     /** Delay before this node is listed again when the store did not confirm its listing. */
     private static final long LISTING_RETRY_MILLIS = 1000;
 
+    /** Maximum delay before this node is listed again after a rollback of the store has lost its listing. */
+    private static final long MAX_RELIST_DELAY_MILLIS = 1000;
+
     /** Time after the end of listening in which requests on connections that were just accepted are still refused. */
     private static final long LAST_REQUESTS_MILLIS = 50;
 
@@ -132,6 +136,9 @@
     private final HttpClient client;
     private final TopicFollower configurationFollower;
     private final TopicFollower workerFollower;
+    private final TopicFollower nodeFollower;
+    private final NodeController nodeController;
+    private final OwnRecord ownRecord = new OwnRecord();
     private final PeerChannel peerChannel;
     private final PeerStoreUpdates storeUpdates;
     private final PeerReports peerReports;
@@ -186,9 +193,10 @@
                 ReadSchedule.heldOpenWithin(Math.max(settings.configurationMillis(), settings.contactMillis())));
         this.workerFollower =
                 createFollower(Topic.WORKERS, workerController, ReadSchedule.within(settings.drainMillis()));
-        TopicFollower nodeFollower = createFollower(
+        this.nodeController = new NodeController(peerTable, entries, self, millis);
+        this.nodeFollower = createFollower(
                 Topic.NODES,
-                new NodeController(peerTable, entries, self, millis),
+                nodeController,
                 ReadSchedule.heldOpen(2 * RARE_CHANGE_WAIT_MILLIS, NODES_READ_INTERVAL_MILLIS));
         storeUpdates.start(Map.of(
                 Topic.CONFIGURATION, configurationFollower, Topic.WORKERS, workerFollower, Topic.NODES, nodeFollower));
@@ -246,6 +254,7 @@
                 millis,
                 metrics));
         metrics.register("configuration.version", (Gauge<Long>) this::getConfigurationVersion);
+        metrics.register("store.era", (Gauge<Long>) this::getStoreEra);
         BudgetMetrics.register(metrics, budget);
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
         listSelf();
@@ -317,11 +326,7 @@
         GracefulShutdown.Schedule schedule = shutdown.getSchedule();
         LOG.log(Level.INFO, "event=leaving node={0} active={1}", self.name(), frontend.countActive());
         peerReports.sendToAll();
-        store.removeNode(self.name()).whenComplete((done, failure) -> {
-            if (failure != null) {
-                LOG.log(Level.WARNING, "event=unlist_failed reason=\"{0}\"", failure.getMessage());
-            }
-        });
+        removeSelf();
         long addressesExpired = start + (long) (CACHED_ADDRESS_LIFETIMES * 1000 * settings.addressLifetimeSeconds());
         awaitUntil(
                 schedule.answerByMillis(), () -> millis.getAsLong() >= addressesExpired && frontend.countActive() == 0);
@@ -381,6 +386,7 @@
                 .setReady(isReady())
                 .setLeaving(shutdown.isShuttingDown())
                 .setConfigurationVersion(getConfigurationVersion())
+                .setStoreEra(getStoreEra())
                 .addAllPunctualServices(admissionQueues.getServicesWithOnTimeRequests())
                 .addAllPauses(toPauses(roleController.getPendingChanges()))
                 .addAllUnreachable(
@@ -428,6 +434,7 @@
     }
 
     private void onPeerReport(NodeReport report) {
+        observeEra(report.getStoreEra());
         refreshOutdatedConfiguration();
         roleOrderSender.onPeerReport(report);
         if (report.hasStoreServed()) {
@@ -470,15 +477,68 @@
         peerReports.scheduleChangeReport();
     }
 
+    /** Gets the highest epoch of the store from which this node has read a topic. */
+    private long getStoreEra() {
+        return getFollowers().mapToLong(TopicFollower::getEra).max().orElse(0);
+    }
+
+    private Stream<TopicFollower> getFollowers() {
+        return Stream.of(configurationFollower, workerFollower, nodeFollower);
+    }
+
+    /** Lets each topic be read again that was last read in an older epoch of the store. */
+    private void observeEra(long era) {
+        getFollowers().forEach(f -> f.observeEra(era));
+    }
+
+    private void detectRollback() {
+        long era = getStoreEra();
+        observeEra(era);
+        roleOrderSender.onStoreEra(era);
+        if (isOwnRecordLost()) {
+            // Nodes that write in the same moment would burden the store when it comes back.
+            long delay = ThreadLocalRandom.current().nextLong(MAX_RELIST_DELAY_MILLIS);
+            LOG.log(Level.INFO, "event=listing_lost node={0} delay_millis={1}", self.name(), Long.toString(delay));
+            ownRecord.startWrite(!shutdown.isShuttingDown());
+            timers.schedule(this::writeSelf, delay, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean isOwnRecordLost() {
+        return ownRecord.isLost(nodeFollower.getEra(), nodeController.isSelfListed(), millis.getAsLong());
+    }
+
+    private void writeSelf() {
+        if (shutdown.isShuttingDown()) {
+            removeSelf();
+        } else {
+            listSelf();
+        }
+    }
+
     private void listSelf() {
         if (shutdown.isShuttingDown()) {
             return;
         }
-        failures.call("listing", () -> store.listNode(self)).whenComplete((done, failure) -> {
+        ownRecord.startWrite(true);
+        failures.call("listing", () -> store.listNode(self)).whenComplete((era, failure) -> {
             if (failure != null) {
                 LOG.log(Level.WARNING, "event=list_failed reason=\"{0}\"", failure.getMessage());
                 timers.schedule(this::listSelf, LISTING_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            ownRecord.confirmWrite(true, era, millis.getAsLong());
+        });
+    }
+
+    private void removeSelf() {
+        ownRecord.startWrite(false);
+        store.removeNode(self.name()).whenComplete((era, failure) -> {
+            if (failure != null) {
+                LOG.log(Level.WARNING, "event=unlist_failed reason=\"{0}\"", failure.getMessage());
+                return;
             }
+            ownRecord.confirmWrite(false, era, millis.getAsLong());
         });
     }
 
@@ -488,6 +548,8 @@
         failures.repeat("ticks", timers, TICK_MILLIS, () -> {
             failures.run("pauses", this::detectPause);
             failures.run("expiry", workerController::removeExpired);
+            failures.run("expiry", nodeController::removeExpired);
+            failures.run("rollback", this::detectRollback);
         });
     }
 
--- a/router/src/main/java/org/magnoliavane/router/RoutingState.java
+++ b/router/src/main/java/org/magnoliavane/router/RoutingState.java
@@ -38,6 +38,19 @@
         return before.isEmpty() || before.get().getVersion() < table.getVersion();
     }
 
+    /**
+     * Applies a configuration that was written after a rollback of the store, unless a newer version is in force. A version
+     * that the rollback has removed may have been published again with another content.
+     *
+     * @param table the routing table
+     * @return true if it was applied
+     */
+    public boolean installRepublished(RoutingTable table) {
+        Optional<RoutingTable> before = routing.getAndUpdate(
+                old -> old.isPresent() && old.get().getVersion() > table.getVersion() ? old : Optional.of(table));
+        return before.isEmpty() || before.get().getVersion() <= table.getVersion();
+    }
+
     /**
      * Gets the workers of a service.
      *
--- a/router/src/main/java/org/magnoliavane/router/WorkerController.java
+++ b/router/src/main/java/org/magnoliavane/router/WorkerController.java
@@ -134,7 +134,7 @@
             LOG.log(
                     Level.INFO,
                     "event=worker_removal_deferred worker={0} gap_millis={1} source={2} served_millis={3}"
-                            + " reason=\"its entry may have expired in an outage of the store\"",
+                            + " reason=\"its entry may have expired in an outage of the store or be lost in a rollback\"",
                     id,
                     Long.toString(lastGap.millis()),
                     lastGap.source(),
@@ -145,6 +145,7 @@
 
     @Override
     public synchronized void onSnapshot(Set<String> keys) {
+        registry.retainHeld(keys);
         for (String id : registry.getIds()) {
             if (!keys.contains(id)) {
                 removeWorker(id);
@@ -152,6 +153,41 @@
         }
     }
 
+    @Override
+    public synchronized void onRollback(Set<String> keys) {
+        registry.recordRollback(millis.getAsLong());
+        onSnapshot(keys);
+    }
+
+    @Override
+    public synchronized void onRestored(KeyedRecord entry) {
+        if (entry.isRemoval()) {
+            return;
+        }
+        try {
+            ListedWorker restored = entries.readWorker(entry);
+            registry.reconcile(restored).ifPresent(this::putWorker);
+        } catch (IOException e) {
+            registry.hold(entry.key());
+            LOG.log(
+                    Level.WARNING,
+                    "event=worker_unreadable worker={0} suspended=false restored=true reason=\"{1}\"",
+                    entry.key(),
+                    e.getMessage());
+        }
+        if (registry.isHeld(entry.key())) {
+            LOG.log(
+                    Level.INFO,
+                    "event=worker_held worker={0} reason=\"its restored entry contradicts what is known\"",
+                    entry.key());
+        }
+    }
+
+    @Override
+    public synchronized boolean needsOwnReads() {
+        return registry.hasHeld();
+    }
+
     private void updateOutageEnd() {
         availability.findOutageEndMillis().ifPresent(registry::recordOutageEnd);
     }
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -139,7 +139,8 @@
                 .setTopic(toMessage(update.topic()))
                 .setFrom(complete ? update.from() : update.to())
                 .setTo(update.to())
-                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()));
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()))
+                .setEra(update.era());
         if (complete) {
             update.records()
                     .forEach(r -> message.addRecords(TopicRecord.newBuilder()
@@ -168,6 +169,7 @@
         List<KeyedRecord> records = message.getRecordsList().stream()
                 .map(r -> new KeyedRecord(r.getKey(), r.getValue().toByteArray(), r.getOffset()))
                 .toList();
-        return new TopicUpdate(topic, message.getFrom(), message.getTo(), records, message.getAgeMillis());
+        return new TopicUpdate(
+                topic, message.getFrom(), message.getTo(), records, message.getAgeMillis(), message.getEra());
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -60,6 +61,28 @@
         peers.keySet().retainAll(names);
     }
 
+    /**
+     * Finds the listing of another node.
+     *
+     * @param name the name of the node
+     * @return the listing; empty if the node is not known
+     */
+    public Optional<NodeListing> findListing(String name) {
+        return Optional.ofNullable(peers.get(name)).map(Peer::listing);
+    }
+
+    /**
+     * Returns whether a node has not reported lately.
+     *
+     * @param name the name of the node
+     * @param nowMillis the current time in milliseconds
+     * @return true if the node is known and unresponsive
+     */
+    public boolean isUnresponsive(String name, long nowMillis) {
+        Peer peer = peers.get(name);
+        return peer != null && peer.isUnresponsive(nowMillis);
+    }
+
     /**
      * Records the report of a node. A report of an unknown node or of another run is ignored.
      *
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleOrderSender.java
@@ -79,12 +79,12 @@
     }
 
     /**
-     * Adds the known end of the order log to a report of this node.
+     * Adds the known end of the order log to a report of this node, if it belongs to the epoch of the store in the report.
      *
      * @param report the report to complete
      */
     public synchronized void addTo(NodeReport.Builder report) {
-        if (lease.getLogEnd() > 0) {
+        if (lease.getLogEnd() > 0 && report.getStoreEra() == lease.getEra()) {
             report.setOrderLogEnd(lease.getLogEnd()).setOrderLogAgeMillis(lease.getLogEndAgeMillis(millis.getAsLong()));
         }
     }
@@ -95,7 +95,17 @@
      * @param report the report of the other node
      */
     public synchronized void onPeerReport(NodeReport report) {
-        lease.observeLogEnd(report.getOrderLogEnd(), report.getOrderLogAgeMillis(), millis.getAsLong());
+        lease.observeLogEnd(
+                report.getOrderLogEnd(), report.getStoreEra(), report.getOrderLogAgeMillis(), millis.getAsLong());
+    }
+
+    /**
+     * Records the epoch of the store, as this node has read it.
+     *
+     * @param era the epoch
+     */
+    public synchronized void onStoreEra(long era) {
+        lease.observeEra(era, millis.getAsLong());
     }
 
     /**
@@ -134,20 +144,23 @@
         }
         LOG.log(
                 Level.INFO,
-                "event=order_claim outcome={0} end={1}",
+                "event=order_claim outcome={0} end={1} era={2}",
                 claim.get().accepted() ? "accepted" : "refused",
-                Long.toString(claim.get().logEnd()));
+                Long.toString(claim.get().logEnd()),
+                Long.toString(claim.get().era()));
         endAcquisition(claim.get());
-        if (claim.get().accepted()) {
+        if (findFencingToken().isPresent()) {
             orders.run();
+        } else if (claim.get().accepted()) {
+            LOG.log(Level.INFO, "event=order_claim outcome=abandoned reason=\"answered late or in another epoch\"");
         }
     }
 
     private synchronized void endAcquisition(OrderClaimResult claim) {
         if (claim.accepted()) {
-            lease.completeAcquisition(claim.logEnd());
+            lease.completeAcquisition(claim.logEnd(), claim.era(), millis.getAsLong());
         } else {
-            lease.rejectAcquisition(claim.logEnd(), millis.getAsLong());
+            lease.rejectAcquisition(claim.logEnd(), claim.era(), millis.getAsLong());
         }
     }
 
--- a/router/src/main/java/org/magnoliavane/router/store/KeyedStore.java
+++ b/router/src/main/java/org/magnoliavane/router/store/KeyedStore.java
@@ -3,7 +3,8 @@
 import java.util.concurrent.CompletionStage;
 
 /**
- * A store of keyed records. The returned stages fail with an {@link java.io.IOException} when the store does not answer
+ * A store of keyed records. The store may come back from a copy that is some seconds old. It then has a higher epoch
+ * (era), what was written since the copy is lost, and offsets are assigned again. The returned stages fail with an {@link java.io.IOException} when the store does not answer
  * or answers with an error.
  *
  * <p>Implementations are thread-safe.
@@ -34,17 +35,17 @@
      * Lists a node or replaces its listing.
      *
      * @param node the listing
-     * @return a stage that completes when the store has confirmed the change
+     * @return the epoch of the store that has confirmed the change
      */
-    CompletionStage<Void> listNode(NodeListing node);
+    CompletionStage<Long> listNode(NodeListing node);
 
     /**
      * Removes the listing of a node.
      *
      * @param name the name of the node
-     * @return a stage that completes when the store has confirmed the change
+     * @return the epoch of the store that has confirmed the change
      */
-    CompletionStage<Void> removeNode(String name);
+    CompletionStage<Long> removeNode(String name);
 
     /**
      * Appends a claim to the order lease to its log, if no other claim was appended since.
--- a/router/src/main/java/org/magnoliavane/router/store/OrderClaimResult.java
+++ b/router/src/main/java/org/magnoliavane/router/store/OrderClaimResult.java
@@ -5,5 +5,6 @@
  *
  * @param accepted true if the record was appended
  * @param logEnd the end of the log, after the record if it was appended
+ * @param era the epoch of the store that answered
  */
-public record OrderClaimResult(boolean accepted, long logEnd) {}
+public record OrderClaimResult(boolean accepted, long logEnd, long era) {}
--- a/router/src/main/java/org/magnoliavane/router/store/RecordBatch.java
+++ b/router/src/main/java/org/magnoliavane/router/store/RecordBatch.java
@@ -7,5 +7,6 @@
  *
  * @param records the records, oldest first
  * @param nextOffset the offset of the next read
+ * @param era the epoch of the store in which the offsets are valid
  */
-public record RecordBatch(List<KeyedRecord> records, long nextOffset) {}
+public record RecordBatch(List<KeyedRecord> records, long nextOffset, long era) {}
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.router.store;
 
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
@@ -26,6 +27,10 @@
  * read, it reads a new snapshot. While the store does not answer, it retries, and the listener keeps its last known
  * state.
  *
+ * <p>Offsets are compared within one epoch of the store. After a rollback, which raises the epoch, the known state stays in
+ * force until a snapshot of the new epoch has been read, and the listener compares its entries with that state. A response
+ * of an older epoch is dropped.
+ *
  * <p>While another node passes on what it reads ({@link #applyUpdate}), the follower does not read itself, so that the
  * calls to the store do not grow with the number of nodes. It reads again when an update is missing, or when no recent
  * one has arrived.
@@ -72,6 +77,13 @@
     private boolean catchingUp;
     private boolean inOutage;
     private boolean snapshotKnown;
+    private long era;
+
+    /** The highest epoch that was heard of, so that a wrong one leads to one snapshot only. */
+    private long observedEra;
+
+    /** Whether a newer epoch was heard of and its snapshot has not been read. */
+    private boolean newerEra;
 
     /**
      * Creates a follower.
@@ -141,17 +153,65 @@
         return lastSuccessMillis == Long.MIN_VALUE ? Long.MAX_VALUE : millis.getAsLong() - lastSuccessMillis;
     }
 
+    /**
+     * Gets the epoch of the store from which the known content was read.
+     *
+     * @return the epoch; 0 before the first snapshot
+     */
+    public synchronized long getEra() {
+        return era;
+    }
+
     /**
      * Gets the position of this follower without records.
      *
-     * @return the position; empty before the first snapshot
+     * @return the position; empty before the first snapshot, and after a rollback until its snapshot has been read
      */
     public synchronized Optional<TopicUpdate> findPosition() {
-        return snapshotKnown
-                ? Optional.of(new TopicUpdate(topic, nextOffset, nextOffset, List.of(), getAgeMillis()))
+        return snapshotKnown && !newerEra
+                ? Optional.of(new TopicUpdate(topic, nextOffset, nextOffset, List.of(), getAgeMillis(), era))
                 : Optional.empty();
     }
 
+    /**
+     * Reads a snapshot at once if the epoch of the store is newer than the known one and was not heard of before.
+     *
+     * @param storeEra the epoch that another node, or another follower of this node, knows
+     */
+    public void observeEra(long storeEra) {
+        synchronized (this) {
+            if (!snapshotKnown || storeEra <= Math.max(era, observedEra)) {
+                return;
+            }
+        }
+        results.execute(failures.guard(loop, () -> expectEra(storeEra)));
+    }
+
+    private void expectEra(long storeEra) {
+        synchronized (this) {
+            if (!snapshotKnown || storeEra <= Math.max(era, observedEra)) {
+                return;
+            }
+            startRollback(storeEra);
+            catchingUp = true;
+            generation++;
+        }
+        sendRead(0);
+    }
+
+    private void startRollback(long newEra) {
+        LOG.log(
+                Level.WARNING,
+                "event=store_rollback topic={0} era={1} new_era={2} offset={3}",
+                topic,
+                Long.toString(era),
+                Long.toString(newEra),
+                Long.toString(nextOffset));
+        observedEra = newEra;
+        newerEra = true;
+        nextOffset = -1;
+    }
+
     /**
      * Applies what another node has read. Reads the store at once if records are missing in between.
      *
@@ -163,11 +223,21 @@
     }
 
     private void applyUpdate(TopicUpdate update, long received) {
+        if (update.era() > getEra()) {
+            observeEra(update.era());
+            return;
+        }
+        if (listener.needsOwnReads()) {
+            return;
+        }
         boolean isGap;
         synchronized (this) {
             if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > schedule.overdueMillis()) {
                 return;
             }
+            if (update.era() < era || newerEra) {
+                return;
+            }
             isGap = update.from() > nextOffset;
             if (isGap) {
                 LOG.log(
@@ -236,17 +306,40 @@
     /** Applies the result of a read. Runs as a task of {@link #results}, without the lock while listeners are called. */
     private void apply(long current, RecordBatch batch, boolean isSnapshot, long wait, long elapsed, long received) {
         long from;
+        boolean isRollback;
+        boolean isOlderEra;
         synchronized (this) {
             if (current != generation) {
                 return;
             }
             from = nextOffset;
+            isRollback = snapshotKnown && batch.era() > era;
+            isOlderEra = snapshotKnown && batch.era() < era;
+            if (isRollback && (!isSnapshot || !newerEra)) {
+                startRollback(batch.era());
+            }
+            if (isSnapshot && !isOlderEra) {
+                era = batch.era();
+            }
+        }
+        if (isOlderEra) {
+            handleFailure(current, new IOException("a response of the older epoch " + batch.era()));
+            return;
+        }
+        if (isRollback && !isSnapshot) {
+            sendRead(0);
+            return;
         }
-        boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
-        List<KeyedRecord> changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE);
-        if (isSnapshot && !outdated) {
-            Set<String> keys = batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet());
-            failures.run(loop, () -> listener.onSnapshot(keys));
+        List<KeyedRecord> changes = List.of();
+        if (isRollback) {
+            restore(batch);
+        } else {
+            boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
+            changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE);
+            if (isSnapshot && !outdated) {
+                Set<String> keys = getKeys(batch);
+                failures.run(loop, () -> listener.onSnapshot(keys));
+            }
         }
         CompletableFuture<Void> refresh;
         TopicUpdate update;
@@ -255,6 +348,7 @@
             // The age counts from the response, because the listener may have taken time.
             lastSuccessMillis = Math.max(lastSuccessMillis, received);
             snapshotKnown = true;
+            newerEra &= !isSnapshot;
             if (current != generation) {
                 // A refresh that began meanwhile has sent its own read.
                 return;
@@ -266,8 +360,8 @@
             catchingUp = false;
             refresh = nextRefresh;
             update = isSnapshot
-                    ? new TopicUpdate(topic, nextOffset, nextOffset, List.of(), 0)
-                    : new TopicUpdate(topic, from, nextOffset, changes, 0);
+                    ? new TopicUpdate(topic, nextOffset, nextOffset, List.of(), 0, era)
+                    : new TopicUpdate(topic, from, nextOffset, changes, 0, era);
         }
         refresh.complete(null);
         failures.run(loop, () -> onRead.accept(update));
@@ -282,6 +376,41 @@
      *     from a later page of a snapshot
      */
     private List<KeyedRecord> applyRecords(List<KeyedRecord> records, long end, ReadGap.Source source) {
+        notifyRead(end, source);
+        List<KeyedRecord> changes = new ArrayList<>();
+        for (KeyedRecord change : records) {
+            boolean isNew = change.offset() > offsets.getOrDefault(change.key(), -1L);
+            if (!isNew || apply(change)) {
+                changes.add(change);
+            }
+        }
+        return changes;
+    }
+
+    /** Lets the listener compare the first snapshot after a rollback with what is known. Offsets are assigned again. */
+    private void restore(RecordBatch batch) {
+        notifyRead(batch.nextOffset(), ReadGap.Source.STORE);
+        offsets.clear();
+        Set<String> keys = getKeys(batch);
+        LOG.log(
+                Level.INFO,
+                "event=store_restored topic={0} era={1} offset={2} entries={3}",
+                topic,
+                Long.toString(batch.era()),
+                Long.toString(batch.nextOffset()),
+                Integer.toString(keys.size()));
+        failures.run(loop, () -> listener.onRollback(keys));
+        for (KeyedRecord entry : batch.records()) {
+            offsets.put(entry.key(), entry.offset());
+            failures.run(loop, () -> listener.onRestored(entry));
+        }
+    }
+
+    private static Set<String> getKeys(RecordBatch batch) {
+        return batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet());
+    }
+
+    private void notifyRead(long end, ReadGap.Source source) {
         ReadGap gap;
         synchronized (this) {
             gap = new ReadGap(snapshotKnown ? getAgeMillis() : 0, source);
@@ -291,14 +420,6 @@
             }
         }
         failures.run(loop, () -> listener.onRead(gap));
-        List<KeyedRecord> changes = new ArrayList<>();
-        for (KeyedRecord change : records) {
-            boolean isNew = change.offset() > offsets.getOrDefault(change.key(), -1L);
-            if (!isNew || apply(change)) {
-                changes.add(change);
-            }
-        }
-        return changes;
     }
 
     /** Tells the listener of a record, and returns false if it only renews an entry. */
@@ -345,13 +466,14 @@
     }
 
     private void readAgain(long current) {
+        boolean needsOwnReads = listener.needsOwnReads();
         boolean stillCurrent;
         long wait;
         long updatedMillis;
         synchronized (this) {
             stillCurrent = current == generation;
             wait = inOutage || slowStore ? 0 : schedule.getWaitMillis(getAgeMillis());
-            updatedMillis = getUpdatedMillis();
+            updatedMillis = needsOwnReads ? 0 : getUpdatedMillis();
         }
         if (stillCurrent && updatedMillis > 0) {
             scheduleRead(current, updatedMillis);
--- a/router/src/main/java/org/magnoliavane/router/store/TopicListener.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicListener.java
@@ -27,4 +27,27 @@
      * @param keys the keys of the snapshot
      */
     void onSnapshot(Set<String> keys);
+
+    /**
+     * Handles the start of the first snapshot after a rollback of the store. Its entries follow in {@link #onRestored}; the
+     * changes after them have been written since the rollback.
+     *
+     * @param keys the keys of the snapshot
+     */
+    void onRollback(Set<String> keys);
+
+    /**
+     * Handles an entry of the first snapshot after a rollback. It may be older than what is known of its key.
+     *
+     * @param entry the entry
+     */
+    void onRestored(KeyedRecord entry);
+
+    /**
+     * Returns whether the listener waits for changes that other nodes may not pass on, such as the renewal of an entry that
+     * contradicts what was known before a rollback.
+     *
+     * @return true if the follower must read the store itself
+     */
+    boolean needsOwnReads();
 }
--- a/router/src/main/java/org/magnoliavane/router/store/TopicUpdate.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicUpdate.java
@@ -10,5 +10,6 @@
  * @param to the offset after the last record read
  * @param records the records between the two offsets that do more than renew an entry, oldest first
  * @param ageMillis the time in milliseconds since the topic was read successfully
+ * @param era the epoch of the store in which the offsets are valid
  */
-public record TopicUpdate(Topic topic, long from, long to, List<KeyedRecord> records, long ageMillis) {}
+public record TopicUpdate(Topic topic, long from, long to, List<KeyedRecord> records, long ageMillis, long era) {}
--- a/router/src/test/java/org/magnoliavane/router/LockOrderTest.java
+++ b/router/src/test/java/org/magnoliavane/router/LockOrderTest.java
@@ -72,6 +72,7 @@
                         end,
                         end + round + 1,
                         List.of(new KeyedRecord("w1", new byte[] {(byte) (1 + round % 2)}, end + round)),
+                        0,
                         0))),
                 start(round -> roleControllers.get(0).evaluateServices()),
                 start(round -> roleControllers.get(0).getPendingChanges()),
--- a/router/src/test/java/org/magnoliavane/router/peer/PeerLoopsTest.java
+++ b/router/src/test/java/org/magnoliavane/router/peer/PeerLoopsTest.java
@@ -229,5 +229,20 @@
         public void onSnapshot(Set<String> keys) {
             // Only the position matters.
         }
+
+        @Override
+        public void onRollback(Set<String> keys) {
+            // Only the position matters.
+        }
+
+        @Override
+        public void onRestored(KeyedRecord entry) {
+            // Only the position matters.
+        }
+
+        @Override
+        public boolean needsOwnReads() {
+            return false;
+        }
     }
 }
--- a/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
+++ b/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +28,7 @@
     private boolean unresponsive;
     private int lostReads;
     private int calls;
+    private long era;
 
     public FakeKeyedStore(VirtualTimers timers) {
         this.timers = timers;
@@ -38,6 +41,25 @@
         woken.forEach(w -> respond(w.result, w.from));
     }
 
+    /**
+     * Brings the store back from the copy with the given number of records, in a new epoch. Reads that are held open get no
+     * response.
+     */
+    public void rollBack(int copyEnd) {
+        records.subList(copyEnd, records.size()).clear();
+        era++;
+        loseWaitingReads();
+    }
+
+    /** Gets the end of the topic, from which the next record is added. */
+    public int getEnd() {
+        return records.size();
+    }
+
+    public long getEra() {
+        return era;
+    }
+
     void setDown(boolean value) {
         down = value;
     }
@@ -87,13 +109,20 @@
         long end = records.size();
         onSnapshot.run();
         // Later pages have records from after the first one, whose end offset counts.
-        return all.thenApply(b -> new RecordBatch(b.records(), end));
+        return all.thenApply(b -> new RecordBatch(getNewest(b.records()), end, b.era()));
+    }
+
+    private static List<KeyedRecord> getNewest(List<KeyedRecord> all) {
+        Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+        all.forEach(r -> newest.put(r.key(), r));
+        newest.values().removeIf(KeyedRecord::isRemoval);
+        return List.copyOf(newest.values());
     }
 
     @Override
     public CompletionStage<RecordBatch> readChanges(Topic topic, long from, long waitMillis, long timeoutMillis) {
         calls++;
-        if (historyLost && from > 0) {
+        if (historyLost && from > 0 || from > records.size()) {
             historyLost = false;
             return CompletableFuture.failedFuture(new HistoryLostException(topic, from));
         }
@@ -124,20 +153,24 @@
     }
 
     private void respond(CompletableFuture<RecordBatch> result, long from) {
-        timers.at(timers.now() + responseMillis, () -> result.complete(readFrom(from)));
+        long responseEra = era;
+        timers.at(
+                timers.now() + responseMillis,
+                () -> result.complete(
+                        responseEra == era ? readFrom(from) : new RecordBatch(List.of(), from, responseEra)));
     }
 
     private RecordBatch readFrom(long from) {
-        return new RecordBatch(List.copyOf(records.subList((int) from, records.size())), records.size());
+        return new RecordBatch(List.copyOf(records.subList((int) from, records.size())), records.size(), era);
     }
 
     @Override
-    public CompletionStage<Void> listNode(NodeListing node) {
+    public CompletionStage<Long> listNode(NodeListing node) {
         throw new UnsupportedOperationException();
     }
 
     @Override
-    public CompletionStage<Void> removeNode(String name) {
+    public CompletionStage<Long> removeNode(String name) {
         throw new UnsupportedOperationException();
     }
 
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -162,7 +162,7 @@
             // The age grows while the reader's own read is held open.
             long ageMillis = (at - 5000) % (2 * POSITION_INTERVAL_MILLIS);
             node.follower.applyUpdate(
-                    new TopicUpdate(Topic.WORKERS, position.to(), position.to(), List.of(), ageMillis));
+                    new TopicUpdate(Topic.WORKERS, position.to(), position.to(), List.of(), ageMillis, 0));
         }
         timers.runUntil(10_000 + phase);
         store.loseRead();
@@ -302,6 +302,123 @@
         assertEquals(node.roles.size(), WORKERS - 1);
     }
 
+    /** Guards against records that are taken for old because their offsets were assigned before the rollback. */
+    @Test
+    public void recordsAtOffsetsThatAreAssignedASecondTimeAreRead() {
+        heartbeats = false;
+        startNodes(3);
+        timers.runUntil(5000);
+        int copyEnd = store.getEnd();
+        store.put("w7", "role-b 0");
+        store.put("w8", "role-b 0");
+        timers.runUntil(10_000);
+        store.rollBack(copyEnd);
+        store.put("w7", "role-c 0");
+        timers.runUntil(14_000);
+        nodes.forEach(n -> assertEquals(n.events, List.of("rollback " + WORKERS)));
+        store.put("w8", "role-c 0");
+        timers.runUntil(14_000 + 2 * INTERVAL_MILLIS);
+        nodes.forEach(n -> assertEquals(n.restored.get("w7"), "role-c 0"));
+        nodes.forEach(n -> assertEquals(n.roles.get("w8"), "role-c"));
+    }
+
+    /** Guards against a topic that is read no more, or read as if only records were deleted, after the log became shorter. */
+    @Test
+    public void aReadBeyondTheEndLeadsToTheSnapshotOfTheNewEpoch() {
+        heartbeats = false;
+        nodes.add(new Node(false));
+        nodes.get(0).follower.refresh();
+        timers.runUntil(5000);
+        store.rollBack(WORKERS - 10);
+        timers.runUntil(9000);
+        assertEquals(nodes.get(0).events, List.of("rollback " + (WORKERS - 10)));
+        assertEquals(nodes.get(0).roles.size(), WORKERS, "the known state stays in force");
+        assertEquals(nodes.get(0).follower.getEra(), 1);
+    }
+
+    /** Guards against entries that return, or positions that move, by what a node has read before the rollback. */
+    @Test
+    public void anUpdateOfAnOlderEpochIsIgnoredAndOneOfANewerEpochLeadsToAReadOfItsOwn() {
+        heartbeats = false;
+        Node node = new Node(false);
+        nodes.add(node);
+        node.follower.refresh();
+        timers.runUntil(5000);
+        int calls = store.getCallCount();
+        store.rollBack(WORKERS - 10);
+        node.follower.applyUpdate(new TopicUpdate(Topic.WORKERS, 50, 50, List.of(), 0, 1));
+        timers.runUntil(5100);
+        assertEquals(node.events, List.of("rollback " + (WORKERS - 10)));
+        assertEquals(store.getCallCount(), calls + 2, "the snapshot and the next read of changes");
+        KeyedRecord old = new KeyedRecord("w7", "role-b 0".getBytes(), WORKERS + 9);
+        node.follower.applyUpdate(new TopicUpdate(Topic.WORKERS, 50, WORKERS + 10, List.of(old), 0, 0));
+        assertEquals(node.roles.get("w7"), "role-a");
+        assertEquals(node.follower.findPosition().orElseThrow().to(), WORKERS - 10);
+    }
+
+    /** Guards against state that a late response replaces by the one before the rollback. */
+    @Test
+    public void aResponseThatBeganBeforeTheRollbackIsDropped() {
+        heartbeats = false;
+        Node node = new Node(false);
+        nodes.add(node);
+        node.follower.refresh();
+        timers.runUntil(5000);
+        store.setResponseMillis(1000);
+        node.follower.refresh();
+        timers.runUntil(5500);
+        store.rollBack(WORKERS - 10);
+        store.setResponseMillis(4);
+        node.follower.observeEra(1);
+        timers.runUntil(5600);
+        assertEquals(node.follower.getEra(), 1);
+        timers.runUntil(7000);
+        assertEquals(node.follower.getEra(), 1);
+        assertEquals(node.follower.findPosition().orElseThrow().to(), WORKERS - 10);
+        assertEquals(node.events, List.of("rollback " + (WORKERS - 10)));
+    }
+
+    /** Guards against a node that keeps positions of the old epoch, because it was cut off or frozen during the rollback. */
+    @Test
+    public void aNodeThatWasCutOffDuringTwoRollbacksReadsTheNewestEpoch() {
+        heartbeats = false;
+        startNodes(3);
+        timers.runUntil(5000);
+        Node cutOff = nodes.get(2);
+        cutOff.receives = false;
+        store.setUnresponsive(true);
+        timers.runUntil(8000);
+        store.rollBack(WORKERS - 10);
+        store.put("w55", "role-b 0");
+        store.rollBack(WORKERS - 20);
+        store.put("w56", "role-b 0");
+        store.setUnresponsive(false);
+        timers.runUntil(12_000);
+        cutOff.receives = true;
+        timers.runUntil(14_000);
+        nodes.forEach(n -> assertEquals(n.follower.getEra(), 2));
+        nodes.forEach(n ->
+                assertEquals(n.events.stream().filter(e -> !e.equals("gap")).toList(), List.of("rollback 41")));
+        nodes.forEach(n -> assertEquals(n.restored.get("w56"), "role-b 0"));
+    }
+
+    /** Guards against reads for ever because one node names an epoch that the store does not have. */
+    @Test
+    public void anEpochThatTheStoreDoesNotHaveLeadsToOneSnapshot() {
+        heartbeats = false;
+        Node node = new Node(false);
+        nodes.add(node);
+        node.follower.refresh();
+        timers.runUntil(5000);
+        int before = store.getCallCount();
+        for (int i = 0; i < 10; i++) {
+            node.follower.observeEra(7);
+            timers.runUntil(timers.now() + 50);
+        }
+        assertEquals(store.getCallCount(), before + 2, "the snapshot and the next read of changes");
+        assertEquals(node.events, List.of());
+    }
+
     private TopicFollower createFollower(TopicListener listener, Consumer<TopicUpdate> onRead) {
         return new TopicFollower(
                 new TopicSource(store, Topic.WORKERS, schedule),
@@ -333,6 +450,7 @@
     private final class Node implements TopicListener {
         private final Map<String, String> roles = new HashMap<>();
         private final List<String> events = new ArrayList<>();
+        private final Map<String, String> restored = new HashMap<>();
         private final boolean reader;
         private final TopicFollower follower;
         private Optional<Throwable> failure = Optional.empty();
@@ -365,7 +483,8 @@
 
         private TopicUpdate withGrowingAge(TopicUpdate position) {
             long ageMillis = position.ageMillis() + timers.now() - cutOffMillis;
-            return new TopicUpdate(position.topic(), position.from(), position.to(), List.of(), ageMillis);
+            return new TopicUpdate(
+                    position.topic(), position.from(), position.to(), List.of(), ageMillis, position.era());
         }
 
         private void send(TopicUpdate update) {
@@ -406,6 +525,21 @@
         public void onSnapshot(Set<String> keys) {
             roles.keySet().retainAll(keys);
         }
+
+        @Override
+        public void onRollback(Set<String> keys) {
+            events.add("rollback " + keys.size());
+        }
+
+        @Override
+        public void onRestored(KeyedRecord entry) {
+            restored.put(entry.key(), new String(entry.value()));
+        }
+
+        @Override
+        public boolean needsOwnReads() {
+            return false;
+        }
     }
 
     /** A listener that makes a call whenever it is called. */
@@ -425,5 +559,20 @@
         public void onSnapshot(Set<String> keys) {
             call.run();
         }
+
+        @Override
+        public void onRollback(Set<String> keys) {
+            call.run();
+        }
+
+        @Override
+        public void onRestored(KeyedRecord entry) {
+            call.run();
+        }
+
+        @Override
+        public boolean needsOwnReads() {
+            return false;
+        }
     }
 }
