--- a/router/src/main/java/org/magnoliavane/router/WorkerController.java
+++ b/router/src/main/java/org/magnoliavane/router/WorkerController.java
@@ -66,7 +66,7 @@
     @Override
     public synchronized boolean onChange(KeyedRecord change) {
         if (change.isRemoval()) {
-            removeWorker(change.key());
+            removeWorker(change.key(), registry::remove);
             return true;
         }
         try {
@@ -126,15 +126,15 @@
         return true;
     }
 
-    private void removeWorker(String id) {
-        if (registry.remove(id, millis.getAsLong())) {
+    private void removeWorker(String id, Removal removal) {
+        if (removal.remove(id, millis.getAsLong())) {
             logGone(id, "removed from the store");
             publish();
         } else if (registry.isRemovalScheduled(id)) {
             LOG.log(
                     Level.INFO,
                     "event=worker_removal_deferred worker={0} gap_millis={1} source={2} served_millis={3}"
-                            + " reason=\"its entry may have expired in an outage of the store\"",
+                            + " reason=\"its entry may have expired in an outage of the store or be lost in a rollback\"",
                     id,
                     Long.toString(lastGap.millis()),
                     lastGap.source(),
@@ -145,13 +145,53 @@
 
     @Override
     public synchronized void onSnapshot(Set<String> keys) {
+        registry.retainHeld(keys);
+        removeOthers(keys, registry::remove);
+    }
+
+    private void removeOthers(Set<String> keys, Removal removal) {
         for (String id : registry.getIds()) {
             if (!keys.contains(id)) {
-                removeWorker(id);
+                removeWorker(id, removal);
             }
         }
     }
 
+    @Override
+    public synchronized void onRollback(Set<String> keys) {
+        registry.recordRollback(millis.getAsLong());
+        removeOthers(keys, registry::removeMissing);
+    }
+
+    @Override
+    public synchronized void onRestored(KeyedRecord entry) {
+        if (entry.isRemoval()) {
+            return;
+        }
+        try {
+            ListedWorker restored = entries.readWorker(entry);
+            registry.reconcile(restored).ifPresent(this::putWorker);
+        } catch (IOException e) {
+            registry.hold(entry.key());
+            LOG.log(
+                    Level.WARNING,
+                    "event=worker_unreadable worker={0} suspended=false restored=true reason=\"{1}\"",
+                    entry.key(),
+                    e.getMessage());
+        }
+        if (registry.isHeld(entry.key())) {
+            LOG.log(
+                    Level.INFO,
+                    "event=worker_held worker={0} reason=\"its restored entry contradicts what is known\"",
+                    entry.key());
+        }
+    }
+
+    @Override
+    public synchronized boolean needsOwnReads() {
+        return registry.hasHeld();
+    }
+
     private void updateOutageEnd() {
         availability.findOutageEndMillis().ifPresent(registry::recordOutageEnd);
     }
@@ -178,4 +218,9 @@
     private void publish() {
         routingState.setWorkers(registry.groupByService());
     }
+
+    /** Removes a worker or schedules its removal, and returns true if it was removed immediately. */
+    private interface Removal {
+        boolean remove(String id, long nowMillis);
+    }
 }
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -140,7 +140,8 @@
                 .setTopic(toMessage(update.topic()))
                 .setFrom(complete ? update.from() : update.to())
                 .setTo(update.to())
-                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()));
+                .setAgeMillis((int) Math.min(Integer.MAX_VALUE, update.ageMillis()))
+                .setEra(update.era());
         if (complete) {
             message.addAllRecords(records);
         }
@@ -165,6 +166,7 @@
         List<KeyedRecord> records = message.getRecordsList().stream()
                 .map(RecordCompression::fromMessage)
                 .toList();
-        return new TopicUpdate(topic, message.getFrom(), message.getTo(), records, message.getAgeMillis());
+        return new TopicUpdate(
+                topic, message.getFrom(), message.getTo(), records, message.getAgeMillis(), message.getEra());
     }
 }
