Limit what organisations use at all nodes together

Cause: nothing limited an organisation; one with 4 to 7 times its usual load took the workers' memory from the others. Change: each organisation with a cap has an owner among the live nodes, which grants units from a token bucket and states retry times one after another. Requests over the cap are answered with 429 before dispatch, and units of requests that did not run are returned.

--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -21,6 +21,7 @@
     private final Map<String, ServiceProfile> services;
     private final CallerLimits limits;
     private final Map<String, Organisation> organisationsByKey;
+    private final Map<String, UsageCap> capsByName = new HashMap<>();
     private final boolean hasOrganisations;
 
     /** The priorities of the organisations and of the routes, each in ascending order, without duplicates. */
@@ -41,6 +42,7 @@
         this.hasOrganisations = !organisations.isEmpty();
         this.organisationsByKey = new HashMap<>();
         organisations.forEach(o -> o.keyDigests().forEach(digest -> organisationsByKey.put(digest, o)));
+        organisations.forEach(o -> o.usageCap().ifPresent(cap -> capsByName.put(o.name(), cap)));
         this.organisationPriorities = toLevels(organisations.stream().map(Organisation::priority));
         this.routePriorities =
                 toLevels(routesByHost.values().stream().flatMap(List::stream).map(Route::priority));
@@ -148,6 +150,16 @@
         return Optional.ofNullable(organisationsByKey.get(keyDigest));
     }
 
+    /**
+     * Finds the usage cap of an organisation.
+     *
+     * @param name the name of the organisation
+     * @return the cap; empty if the organisation has none or is not in the configuration
+     */
+    public Optional<UsageCap> findUsageCap(String name) {
+        return Optional.ofNullable(capsByName.get(name));
+    }
+
     /**
      * Gets the urgency of a request: its rank by the priority of its organisation and, among equal ones, of its route.
      *
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -47,6 +48,7 @@
 import org.magnoliavane.router.peer.PeerReservationService;
 import org.magnoliavane.router.peer.PeerStoreUpdates;
 import org.magnoliavane.router.peer.PeerTable;
+import org.magnoliavane.router.peer.UsageLimiter;
 import org.magnoliavane.router.roles.OrderFormat;
 import org.magnoliavane.router.roles.RoleController;
 import org.magnoliavane.router.roles.RoleOrderSender;
@@ -59,6 +61,7 @@
 import org.magnoliavane.router.store.TopicFollower;
 import org.magnoliavane.router.store.TopicListener;
 import org.magnoliavane.router.store.TopicSource;
+import org.magnoliavane.routing.UsageCap;
 
 /**
  * Runs a router process: creates and connects its components and stops them in order.
@@ -241,6 +244,7 @@
                 this::getCallerAddresses,
                 this::isReady,
                 shutdown,
+                UsageLimiter.open(self, peerTable, peerChannel, this::findUsageCap, millis, metrics),
                 budget,
                 timers,
                 millis,
@@ -364,6 +368,10 @@
                 new TopicSource(store, topic, schedule), listener, timers, millis, storeUpdates::send, failures);
     }
 
+    private Optional<UsageCap> findUsageCap(String organisation) {
+        return routingState.getRoutingTable().flatMap(r -> r.findUsageCap(organisation));
+    }
+
     private long getConfigurationVersion() {
         return routingState.getRoutingTable().map(r -> r.getVersion()).orElse(0L);
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
@@ -24,6 +24,18 @@
         Optional<String> lastEventId,
         List<Long> sharedParts) {
 
+    /**
+     * Finds the number of tokens that count for the usage of an organisation.
+     *
+     * @return the prompt tokens and the largest number of output tokens; empty if the request states no size
+     */
+    public OptionalLong findTotalTokens() {
+        return generation.isPresent()
+                ? OptionalLong.of((long) generation.get().promptTokens()
+                        + generation.get().maxOutputTokens())
+                : OptionalLong.empty();
+    }
+
     /**
      * Formats the shared parts for a log line.
      *
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
@@ -9,6 +9,7 @@
 import org.magnoliavane.router.RoutingState;
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.router.peer.UsageLimiter;
 import org.magnoliavane.router.settings.RouterSettings;
 
 /**
@@ -22,6 +23,7 @@
  * @param directory lists the addresses for callers
  * @param ready returns whether this node is ready for requests
  * @param shutdown decides which requests are accepted while the node shuts down
+ * @param usage limits what organisations use
  * @param budget bounds the bytes that are buffered
  * @param timers schedules timeouts
  * @param millis a monotonic clock in milliseconds
@@ -36,6 +38,7 @@
         NodeDirectory directory,
         BooleanSupplier ready,
         GracefulShutdown shutdown,
+        UsageLimiter usage,
         ByteBudget budget,
         ScheduledExecutorService timers,
         LongSupplier millis,
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -17,6 +17,7 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.magnoliavane.ExecutionStatus;
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.http.Failures;
@@ -91,6 +92,8 @@
     private volatile long idleLimitMillis = DEFAULT_IDLE_MILLIS;
     private final AtomicReference<Sending> sending = new AtomicReference<>(Sending.NOT_STARTED);
     private final AtomicBoolean expired = new AtomicBoolean();
+    private volatile boolean sent;
+    private volatile boolean refusedAsNotRun;
 
     /** Whether the request has been sent to a worker. */
     private enum Sending {
@@ -311,7 +314,15 @@
 
     @Override
     public boolean permitSending() {
-        return sending.updateAndGet(s -> s == Sending.NOT_STARTED ? Sending.STARTED : s) == Sending.STARTED;
+        boolean permitted =
+                sending.updateAndGet(s -> s == Sending.NOT_STARTED ? Sending.STARTED : s) == Sending.STARTED;
+        sent |= permitted;
+        return permitted;
+    }
+
+    /** Returns whether the request was not sent to a worker, or its response states that it has not run. */
+    boolean isNotRun() {
+        return !sent || refusedAsNotRun;
     }
 
     /** Answers a request that ended by an internal failure, unless a response was started. */
@@ -372,6 +383,7 @@
 
     @Override
     public void fail(Fault fault) {
+        refusedAsNotRun |= fault.ran() == ExecutionStatus.NO && !responseStarted.get();
         Map<String, String> failureHeaders = new HashMap<>(JSON_HEADERS);
         fault.retryAfterMillis()
                 .ifPresent(m -> failureHeaders.put("Retry-After", String.valueOf(m / MILLIS_PER_SECOND)));
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -33,10 +33,12 @@
 import org.magnoliavane.http.server.ReadGate;
 import org.magnoliavane.http.server.SingleRequestFilter;
 import org.magnoliavane.json.Json;
+import org.magnoliavane.router.peer.UsageDecision;
 import org.magnoliavane.router.settings.RouterSettings;
 import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 import org.magnoliavane.routing.RoutingTable;
+import org.magnoliavane.usage.UsageUnits;
 
 /**
  * Serves callers, and serves readiness, node addresses and metrics on separate ports.
@@ -94,7 +96,8 @@
                         this::awaitRefresh,
                         this::resolveRoute,
                         this::authenticate,
-                        this::refuseDuringShutdown),
+                        this::refuseDuringShutdown,
+                        this::limitUsage),
                 this::dispatch);
         // The listener loses requests that arrive before it has a handler. It opens the address of the metrics, and the
         // addresses of callers follow.
@@ -317,6 +320,51 @@
                         .withRetryAfterMillis(SHUTDOWN_RETRY_MILLIS));
     }
 
+    /** Refuses a request whose organisation is over its usage cap. Units are returned if the request does not run. */
+    private void limitUsage(FrontendExchange exchange, Consumer<FrontendExchange> next) {
+        Optional<Organisation> organisation =
+                exchange.getOrganisation().filter(o -> o.usageCap().isPresent());
+        if (organisation.isEmpty()) {
+            next.accept(exchange);
+            return;
+        }
+        exchange.setStage("usage");
+        long units = UsageUnits.count(
+                organisation.get().usageCap().get(), exchange.getMetadata().findTotalTokens());
+        context.usage()
+                .admit(
+                        organisation.get(),
+                        units,
+                        decision -> handleFailures(exchange, () -> {
+                            if (!decision.admitted() || decision.source() == UsageDecision.Source.LOCAL) {
+                                LOG.log(
+                                        Level.INFO,
+                                        "event=usage request={0} organisation={1} {2}",
+                                        exchange.getMetadata().attemptId(),
+                                        organisation.get().name(),
+                                        decision);
+                            }
+                            if (!decision.admitted()) {
+                                exchange.fail(createOverCapFault(decision));
+                                return;
+                            }
+                            exchange.onComplete(() -> {
+                                if (exchange.isNotRun()) {
+                                    context.usage().giveBack(decision);
+                                }
+                            });
+                            next.accept(exchange);
+                        }));
+    }
+
+    private static Fault createOverCapFault(UsageDecision decision) {
+        return Fault.notRun(
+                        FaultKind.OVERLOADED,
+                        "the organisation is over its usage cap",
+                        "send the request again after the stated time")
+                .withRetryAfterMillis(decision.retryAfterMillis());
+    }
+
     private boolean setRouteIfFound(FrontendExchange exchange) {
         RoutingTable table = context.routingState().getRoutingTable().orElseThrow();
         Optional<Route> route = table.findRoute(exchange.getHost(), exchange.getPath());
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -302,6 +302,7 @@
                 List::of,
                 () -> true,
                 new GracefulShutdown(),
+                null,
                 ByteBudget.of(1 << 20),
                 timers,
                 millis,
