--- a/core/src/test/java/org/magnoliavane/usage/UsageOwnerTest.java
+++ b/core/src/test/java/org/magnoliavane/usage/UsageOwnerTest.java
@@ -99,8 +99,8 @@
     public void aLoweredCapTakesEffectAtOnce() {
         UsageCap lowered = new UsageCap(UsageCap.Unit.TOKENS, 100, 100, 200);
         ask(1, 1, 0);
-        assertFalse(owner.decide(request(2, 101, 0), lowered, 1, 5000).isGranted()
-                && owner.decide(request(3, 100, 0), lowered, 1, 5000).isGranted());
+        assertFalse(owner.decide(request(2, "o", 101, 0), lowered, 1, 5000).isGranted()
+                && owner.decide(request(3, "o", 100, 0), lowered, 1, 5000).isGranted());
         NodeUsage usage = NodeUsage.create(CAP, 10, 0, 0);
         usage.recordGrant(100, 500, 0);
         assertTrue(usage.tryUseAhead(100, 10));
@@ -113,8 +113,8 @@
     @Test
     public void unitsAheadAreGrantedFromAmpleRoomAndReturnedWhenUnused() {
         ask(1, 1, 0);
-        assertEquals(owner.decide(request(2, 100, 300), CAP, 1, 5000).grantedUnits(), 400);
-        assertEquals(owner.decide(request(3, 100, 300), CAP, 1, 5000).grantedUnits(), 100);
+        assertEquals(owner.decide(request(2, "o", 100, 300), CAP, 1, 5000).grantedUnits(), 400);
+        assertEquals(owner.decide(request(3, "o", 100, 300), CAP, 1, 5000).grantedUnits(), 100);
         NodeUsage usage = NodeUsage.create(CAP, 10, 0, 0);
         assertEquals(usage.getAheadToRequest(100, 0), 0);
         usage.recordGrant(1000, 0, 0);
@@ -126,10 +126,10 @@
     }
 
     private UsageGrant ask(long id, long units, long nowMillis) {
-        return owner.decide(request(id, units, 0), CAP, 1, nowMillis);
+        return owner.decide(request(id, "o", units, 0), CAP, 1, nowMillis);
     }
 
-    private static UsageOwner.UsageRequest request(long id, long units, long ahead) {
-        return new UsageOwner.UsageRequest(new MessageId("n", 1, id), "o", units, ahead);
+    static UsageOwner.UsageRequest request(long id, String organisation, long units, long ahead) {
+        return new UsageOwner.UsageRequest(new MessageId("n", 1, id), organisation, units, ahead);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -316,7 +316,9 @@
     public boolean permitSending() {
         boolean permitted =
                 sending.updateAndGet(s -> s == Sending.NOT_STARTED ? Sending.STARTED : s) == Sending.STARTED;
-        sent |= permitted;
+        if (permitted) {
+            sent = true;
+        }
         return permitted;
     }
 
@@ -383,7 +385,9 @@
 
     @Override
     public void fail(Fault fault) {
-        refusedAsNotRun |= fault.ran() == ExecutionStatus.NO && !responseStarted.get();
+        if (fault.ran() == ExecutionStatus.NO && !responseStarted.get()) {
+            refusedAsNotRun = true;
+        }
         Map<String, String> failureHeaders = new HashMap<>(JSON_HEADERS);
         fault.retryAfterMillis()
                 .ifPresent(m -> failureHeaders.put("Retry-After", String.valueOf(m / MILLIS_PER_SECOND)));
