--- a/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
@@ -1,15 +1,18 @@
 package org.magnoliavane.balance;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
 import java.util.stream.Stream;
 
 /**
  * Orders the requests that wait for free capacity at the workers of a service. Requests that can still be on time come
- * first, oldest first. Overdue requests, which have passed their latest start time but still deserve a response, use the
- * remaining capacity, also oldest first. A burst therefore delays only requests that are overdue in any case, and not those
- * that arrive after it.
+ * first, by urgency and then by age. Overdue requests, which have passed their latest start time but still deserve a
+ * response, use the remaining capacity in the same order. A burst therefore delays only requests that are overdue in any
+ * case, and not those that arrive after it.
  *
  * <p>Not thread-safe.
  *
@@ -19,20 +22,24 @@
     private static final Comparator<Entry<?>> OLDEST_FIRST =
             Comparator.<Entry<?>>comparingLong(Entry::arrivalMillis).thenComparingLong(Entry::sequenceNumber);
 
-    private final TreeSet<Entry<T>> onTime = new TreeSet<>(OLDEST_FIRST);
-    private final TreeSet<Entry<T>> overdue = new TreeSet<>(OLDEST_FIRST);
+    private static final Comparator<Entry<?>> MOST_URGENT_FIRST =
+            Comparator.<Entry<?>>comparingInt(Entry::urgency).thenComparing(OLDEST_FIRST);
+
+    private final TreeSet<Entry<T>> onTime = new TreeSet<>(MOST_URGENT_FIRST);
+    private final TreeSet<Entry<T>> overdue = new TreeSet<>(MOST_URGENT_FIRST);
     private long nextSequenceNumber;
 
     /**
      * Adds a request.
      *
      * @param request the request
+     * @param urgency the rank in the order of admission; 0 is the most urgent
      * @param arrivalMillis the arrival time, in milliseconds
      * @param latestStartMillis the latest start time at which the request is on time, in milliseconds
      * @return the entry of the request, for {@link #remove}
      */
-    public Entry<T> add(T request, long arrivalMillis, long latestStartMillis) {
-        Entry<T> entry = new Entry<>(request, arrivalMillis, latestStartMillis, nextSequenceNumber++);
+    public Entry<T> add(T request, int urgency, long arrivalMillis, long latestStartMillis) {
+        Entry<T> entry = new Entry<>(request, urgency, arrivalMillis, latestStartMillis, nextSequenceNumber++);
         onTime.add(entry);
         return entry;
     }
@@ -44,19 +51,37 @@
      * @return the entry of the request; empty if the queue is empty
      */
     public Optional<Entry<T>> peek(long nowMillis) {
-        return peek(0, nowMillis);
+        return peekFirst(1, nowMillis).stream().findFirst();
     }
 
     /**
-     * Gets a request by its position in the order of admission without removing it.
+     * Gets the first requests in the order of admission without removing them. The last of several is the oldest on-time
+     * request, unless it is among the others, so that it is considered however many more urgent requests wait.
      *
-     * @param position the position; 0 for the next request
+     * @param count the largest number of requests
      * @param nowMillis the current time, in milliseconds
-     * @return the entry of the request; empty if there are not as many requests
+     * @return the entries of the requests
      */
-    public Optional<Entry<T>> peek(int position, long nowMillis) {
+    public List<Entry<T>> peekFirst(int count, long nowMillis) {
         moveOverdue(nowMillis);
-        return Stream.concat(onTime.stream(), overdue.stream()).skip(position).findFirst();
+        List<Entry<T>> first = new ArrayList<>(
+                Stream.concat(onTime.stream(), overdue.stream()).limit(count).toList());
+        if (count > 1 && first.size() == count) {
+            onTime.stream()
+                    .min(OLDEST_FIRST)
+                    .filter(oldest -> !first.contains(oldest))
+                    .ifPresent(oldest -> first.set(count - 1, oldest));
+        }
+        return first;
+    }
+
+    /**
+     * Gets all waiting requests.
+     *
+     * @return the entries of the requests, in no particular order
+     */
+    public List<Entry<T>> getAll() {
+        return Stream.concat(onTime.stream(), overdue.stream()).toList();
     }
 
     /**
@@ -71,8 +96,12 @@
     }
 
     private void moveOverdue(long nowMillis) {
-        while (!onTime.isEmpty() && onTime.first().latestStartMillis < nowMillis) {
-            overdue.add(onTime.pollFirst());
+        for (Iterator<Entry<T>> i = onTime.iterator(); i.hasNext(); ) {
+            Entry<T> entry = i.next();
+            if (entry.isOverdue(nowMillis)) {
+                i.remove();
+                overdue.add(entry);
+            }
         }
     }
 
@@ -100,11 +129,12 @@
      *
      * @param <T> the type of the request
      * @param request the request
+     * @param urgency the rank in the order of admission; 0 is the most urgent
      * @param arrivalMillis the arrival time, in milliseconds
      * @param latestStartMillis the latest start time at which the request is on time, in milliseconds
      * @param sequenceNumber orders requests with the same arrival time
      */
-    public record Entry<T>(T request, long arrivalMillis, long latestStartMillis, long sequenceNumber) {
+    public record Entry<T>(T request, int urgency, long arrivalMillis, long latestStartMillis, long sequenceNumber) {
         /**
          * Returns whether the request has passed its latest start time.
          *
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -18,7 +18,10 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.magnoliavane.balance.AdmissionForecast;
+import org.magnoliavane.balance.Backlog;
 import org.magnoliavane.balance.RetryBudget;
+import org.magnoliavane.balance.StepTimes;
 import org.magnoliavane.balance.StoreAvailability;
 import org.magnoliavane.balance.UnreachableWorkers;
 import org.magnoliavane.balance.WorkerLoadTracker;
@@ -29,8 +32,10 @@
 import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.protocol.generated.NodeReport;
+import org.magnoliavane.protocol.generated.ServiceBacklog;
 import org.magnoliavane.protocol.generated.StorePeriod;
 import org.magnoliavane.protocol.generated.WorkerPause;
+import org.magnoliavane.router.dispatch.AdmissionControl;
 import org.magnoliavane.router.dispatch.AdmissionQueues;
 import org.magnoliavane.router.dispatch.DispatchContext;
 import org.magnoliavane.router.dispatch.Dispatcher;
@@ -136,6 +141,7 @@
     private final PeerStoreUpdates storeUpdates;
     private final PeerReports peerReports;
     private final AdmissionQueues admissionQueues;
+    private final AdmissionForecast admissionForecast = new AdmissionForecast();
     private final RoleOrderSender roleOrderSender;
     private final RoleController roleController;
     private final Dispatcher dispatcher;
@@ -209,6 +215,8 @@
                 peerChannel, peerTable, loadTracker, poisonGuard, millis, this::createReport, this::onPeerReport);
         WorkerSelector workerSelector = new WorkerSelector(
                 loadTracker, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
+        PeerReservationService reservationService = PeerReservationService.open(self, peerTable, peerChannel, millis);
+        reservationService.registerMetrics(metrics);
         RetryBudgets retryBudgets = new RetryBudgets(
                 () -> new RetryBudget(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()),
                 () -> peerTable.countNodes(millis.getAsLong()),
@@ -219,7 +227,12 @@
                 loadTracker,
                 workerSelector,
                 admissionQueues,
-                PeerReservationService.open(self, peerTable, peerChannel, millis),
+                new AdmissionControl(
+                        admissionForecast,
+                        StepTimes.UNKNOWN,
+                        millis,
+                        () -> ThreadLocalRandom.current().nextDouble()),
+                reservationService,
                 retryBudgets,
                 poisonGuard,
                 this::onUnreachable,
@@ -247,6 +260,9 @@
                 metrics));
         metrics.register("configuration.version", (Gauge<Long>) this::getConfigurationVersion);
         BudgetMetrics.register(metrics, budget);
+        metrics.register("admission.waiting", (Gauge<Integer>) () -> admissionQueues.getBacklogs().stream()
+                .mapToInt(Backlog::requests)
+                .sum());
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
         listSelf();
         startPauseDetection(workerController);
@@ -386,6 +402,13 @@
                 .addAllUnreachable(
                         toPauses(unreachableWorkers.getReported(routingState.countWorkers(), millis.getAsLong())));
         roleOrderSender.addTo(report);
+        admissionQueues
+                .getBacklogs()
+                .forEach(b -> report.addBacklogs(ServiceBacklog.newBuilder()
+                        .setService(b.service())
+                        .setUrgency(b.urgency())
+                        .setRequests(b.requests())
+                        .setTokens((int) b.tokens())));
         availability.findPeriod().ifPresent(p -> report.setStoreServed(toStorePeriod(p)));
         return report.build();
     }
@@ -430,6 +453,12 @@
     private void onPeerReport(NodeReport report) {
         refreshOutdatedConfiguration();
         roleOrderSender.onPeerReport(report);
+        admissionForecast.updatePeer(
+                report.getNode(),
+                report.getBacklogsList().stream()
+                        .map(b -> new Backlog(b.getService(), b.getUrgency(), b.getRequests(), b.getTokens()))
+                        .toList(),
+                millis.getAsLong());
         if (report.hasStoreServed()) {
             recordStorePeriod(report.getStoreServed());
         }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -1,8 +1,13 @@
 package org.magnoliavane.router.dispatch;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -11,27 +16,26 @@
 import java.util.function.Predicate;
 
 import org.magnoliavane.balance.AdmissionQueue;
+import org.magnoliavane.balance.Backlog;
 import org.magnoliavane.router.LoopFailures;
 
 /**
- * Holds the requests of this node that wait for free capacity at the workers of a service, and admits them one at a time in
- * the order of {@link AdmissionQueue}. Overdue requests also yield to on-time requests of other nodes, because a response
- * occupies capacity for seconds and would make other requests overdue in turn.
+ * Holds the requests of this node that wait for free capacity at the workers of a service. The first few in the order of
+ * {@link AdmissionQueue} ask the reservation owners of workers for capacity, and wait there; the others wait here. Overdue
+ * requests also yield to on-time requests of other nodes, because a response occupies capacity for seconds and would make
+ * other requests overdue in turn.
  *
  * <p>Thread-safe.
  */
 public final class AdmissionQueues {
     /**
-     * Longest delay between two polls for free capacity, in milliseconds. The delay is random, so that the nodes do not all
-     * request the same capacity at the same time.
+     * Longest delay in milliseconds until requests are tried again for which no owner could be asked. The delay is random,
+     * so that the nodes do not all ask at the same time.
      */
     private static final double MAX_POLL_MILLIS = 30;
 
-    /**
-     * Number of requests that are tried in each poll. The later ones use capacity that is too small for the first, which
-     * keeps its claim on a worker.
-     */
-    private static final int MAX_CANDIDATES = 4;
+    /** Number of requests of a service that ask at the same time. */
+    private static final int MAX_ASKING = 4;
 
     private static final String LOOP = "admission";
 
@@ -39,24 +43,25 @@
     enum Outcome {
         /** The request is admitted or no longer waits. */
         ADMITTED,
-        /** No worker has free capacity. */
+        /** No worker can be asked for capacity. */
         NO_CAPACITY,
-        /** A reservation is requested; {@link #handleReservationResult} receives the result. */
+        /** The request asks for capacity; {@link #handleReservationResult} receives the result. */
         PENDING
     }
 
     /** A request that waits for free capacity. */
     interface WaitingRequest {
-        /**
-         * Admits the request if a worker has free capacity.
-         *
-         * @param mayClaim whether the request may claim capacity that becomes free: it is the first in its queue and can
-         *     still be on time
-         */
-        Outcome tryAdmit(boolean mayClaim);
+        /** Admits the request, or asks for capacity if a worker may have some soon. */
+        Outcome tryAdmit();
+
+        /** Stops asking for capacity, because other requests precede this one now. It may be tried again later. */
+        void withdraw();
 
         /** Returns whether the request no longer waits. */
         boolean isDone();
+
+        /** Gets the capacity that the request needs, in tokens. */
+        int getTokens();
     }
 
     private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
@@ -70,7 +75,7 @@
     /**
      * Creates empty queues.
      *
-     * @param timers runs the polls for free capacity
+     * @param timers runs the polls
      * @param clockMillis a monotonic clock, in milliseconds
      * @param random supplies random numbers between 0 and 1
      * @param onTimeElsewhere returns whether on-time requests for a service wait at another node
@@ -110,39 +115,80 @@
         }
     }
 
-    void enqueue(String service, WaitingRequest request, long arrivalMillis, long latestStartMillis) {
+    /**
+     * Adds a request, which is tried at once if it is among the first.
+     *
+     * @param service the name of the service
+     * @param request the request
+     * @param urgency the rank in the order of admission; 0 is the most urgent
+     * @param arrivalMillis the arrival time, in milliseconds
+     * @param latestStartMillis the latest start time at which the request is on time, in milliseconds
+     */
+    void enqueue(String service, WaitingRequest request, int urgency, long arrivalMillis, long latestStartMillis) {
         ServiceQueue queue = queues.computeIfAbsent(service, ServiceQueue::new);
         synchronized (queue) {
-            queue.waiting.add(request, arrivalMillis, latestStartMillis);
+            queue.remove(request);
+            queue.entries.put(request, queue.waiting.add(request, urgency, arrivalMillis, latestStartMillis));
         }
         admitWaiting(queue);
     }
 
+    /**
+     * Gets the requests that wait at this node.
+     *
+     * @return the backlogs of all services and urgencies
+     */
+    public List<Backlog> getBacklogs() {
+        List<Backlog> backlogs = new ArrayList<>();
+        for (ServiceQueue queue : queues.values()) {
+            synchronized (queue) {
+                Map<Integer, Backlog> byUrgency = new TreeMap<>();
+                queue.waiting
+                        .getAll()
+                        .forEach(e -> byUrgency.merge(
+                                e.urgency(),
+                                new Backlog(
+                                        queue.service,
+                                        e.urgency(),
+                                        1,
+                                        e.request().getTokens()),
+                                Backlog::plus));
+                backlogs.addAll(byUrgency.values());
+            }
+        }
+        return backlogs;
+    }
+
     /** Admits waiting requests of a service; called when capacity may have become free. */
     void handleCapacityFreed(String service) {
         ServiceQueue queue = queues.get(service);
         if (queue != null) {
+            synchronized (queue) {
+                queue.tried.clear();
+            }
             admitWaiting(queue);
         }
     }
 
     /**
-     * Continues after the result of a reservation. Only one request of a queue has a reservation pending at a time, which
-     * preserves the order and limits the number of messages while a service is full.
+     * Continues after the result of an attempt that was pending. A request that was granted, or waits no longer for another
+     * reason, leaves the queue; another one is tried again later.
      */
-    void handleReservationResult(String service, boolean granted) {
+    void handleReservationResult(String service, WaitingRequest request, boolean granted) {
+        boolean leaves = granted || request.isDone();
         ServiceQueue queue = queues.get(service);
         synchronized (queue) {
-            queue.reservationPending = false;
-            if (!granted && !advance(queue)) {
-                return;
+            if (leaves) {
+                queue.remove(request);
+            } else if (queue.asking.remove(request)) {
+                queue.tried.add(request);
             }
         }
         admitWaiting(queue);
     }
 
     /**
-     * Admits requests until none is left or a reservation is pending. One thread at a time does this for a queue; a call
+     * Tries requests until none of the first ones is left to be tried. One thread at a time does this for a queue; a call
      * meanwhile, which an attempt may also make itself, lets that thread continue.
      */
     private void admitWaiting(ServiceQueue queue) {
@@ -154,20 +200,11 @@
             queue.admitting = true;
         }
         while (continueAdmitting(queue)) {
-            if (!failures.run(LOOP, () -> admitNext(queue))) {
-                failures.run(LOOP, () -> restartAfterFailure(queue));
-            }
+            failures.run(LOOP, () -> admitFirst(queue));
         }
         failures.run(LOOP, () -> reportOnTime(queue));
     }
 
-    private void restartAfterFailure(ServiceQueue queue) {
-        synchronized (queue) {
-            queue.reservationPending = false;
-            restart(queue);
-        }
-    }
-
     private static boolean continueAdmitting(ServiceQueue queue) {
         synchronized (queue) {
             queue.admitting = queue.admissionRequested;
@@ -187,82 +224,64 @@
         onChange.run();
     }
 
-    private void admitNext(ServiceQueue queue) {
+    private void admitFirst(ServiceQueue queue) {
         // Requests and other components are called without the lock.
         for (Optional<Attempt> next = startAttempt(queue); next.isPresent(); next = startAttempt(queue)) {
-            Attempt attempt = next.get();
-            if (attempt.entry.isOverdue(attempt.nowMillis) && onTimeElsewhere.test(queue.service)) {
-                synchronized (queue) {
-                    queue.reservationPending = false;
-                    restart(queue);
-                }
-                return;
-            }
-            Outcome outcome = tryAdmit(attempt);
-            if (outcome == Outcome.PENDING) {
-                // A result that arrived during the attempt has requested to continue.
-                return;
+            AdmissionQueue.Entry<WaitingRequest> entry = next.get().entry;
+            next.get().displaced.forEach(r -> failures.run(LOOP, r::withdraw));
+            Outcome outcome = Outcome.NO_CAPACITY;
+            try {
+                boolean yields = entry.isOverdue(next.get().nowMillis) && onTimeElsewhere.test(queue.service);
+                outcome = yields ? Outcome.NO_CAPACITY : tryAdmit(entry.request());
+            } finally {
+                handleOutcome(queue, entry.request(), outcome);
             }
-            synchronized (queue) {
-                queue.reservationPending = false;
-                if (outcome == Outcome.ADMITTED) {
-                    queue.waiting.remove(attempt.entry);
-                } else if (!advance(queue)) {
-                    return;
-                }
+        }
+    }
+
+    private static void handleOutcome(ServiceQueue queue, WaitingRequest request, Outcome outcome) {
+        synchronized (queue) {
+            if (outcome == Outcome.ADMITTED) {
+                queue.remove(request);
+            } else if (outcome == Outcome.NO_CAPACITY) {
+                queue.asking.remove(request);
+                queue.tried.add(request);
             }
+            // The result of a pending attempt may have arrived already.
         }
     }
 
-    /** Chooses the request to try next; empty if a reservation is pending or no request can be tried before the next poll. */
+    /** Chooses the request to try next; empty if each of the first ones asks or has been tried since the last poll. */
     private Optional<Attempt> startAttempt(ServiceQueue queue) {
         synchronized (queue) {
-            if (queue.reservationPending) {
-                return Optional.empty();
-            }
             long now = clockMillis.getAsLong();
-            Optional<AdmissionQueue.Entry<WaitingRequest>> next = queue.waiting.peek(queue.candidate, now);
-            if (next.isEmpty()) {
-                if (queue.candidate > 0) {
-                    restart(queue);
+            List<AdmissionQueue.Entry<WaitingRequest>> first = queue.waiting.peekFirst(MAX_ASKING, now);
+            for (AdmissionQueue.Entry<WaitingRequest> entry : first) {
+                if (!queue.tried.contains(entry.request()) && queue.asking.add(entry.request())) {
+                    List<WaitingRequest> displaced = queue.asking.stream()
+                            .filter(r -> first.stream().noneMatch(e -> e.request() == r))
+                            .toList();
+                    displaced.forEach(queue.asking::remove);
+                    return Optional.of(new Attempt(entry, now, displaced));
                 }
-                return Optional.empty();
             }
-            // Set before the attempt, because the result may arrive before it returns.
-            queue.reservationPending = true;
-            return Optional.of(new Attempt(next.get(), now, queue.candidate == 0));
+            if (first.stream().anyMatch(e -> !queue.asking.contains(e.request()))) {
+                schedulePoll(queue);
+            }
+            return Optional.empty();
         }
     }
 
     /** Tries to admit a request. One whose attempt fails leaves the queue, and is refused when its wait ends. */
-    private Outcome tryAdmit(Attempt attempt) {
-        WaitingRequest request = attempt.entry.request();
+    private Outcome tryAdmit(WaitingRequest request) {
         try {
-            return request.isDone()
-                    ? Outcome.ADMITTED
-                    : request.tryAdmit(attempt.first && !attempt.entry.isOverdue(attempt.nowMillis));
+            return request.isDone() ? Outcome.ADMITTED : request.tryAdmit();
         } catch (RuntimeException | Error e) {
             failures.record(LOOP, e);
             return Outcome.ADMITTED;
         }
     }
 
-    /** Continues with the next candidate, or waits for the next poll and returns false if there are no more. */
-    private boolean advance(ServiceQueue queue) {
-        queue.candidate++;
-        if (queue.candidate < MAX_CANDIDATES) {
-            return true;
-        }
-        restart(queue);
-        return false;
-    }
-
-    /** Continues with the first request at the next poll. */
-    private void restart(ServiceQueue queue) {
-        queue.candidate = 0;
-        schedulePoll(queue);
-    }
-
     private void schedulePoll(ServiceQueue queue) {
         if (!queue.pollScheduled) {
             queue.pollScheduled = true;
@@ -274,6 +293,7 @@
     private void poll(ServiceQueue queue) {
         synchronized (queue) {
             queue.pollScheduled = false;
+            queue.tried.clear();
         }
         admitWaiting(queue);
     }
@@ -281,17 +301,30 @@
     private static final class ServiceQueue {
         private final String service;
         private final AdmissionQueue<WaitingRequest> waiting = new AdmissionQueue<>();
+        private final Map<WaitingRequest, AdmissionQueue.Entry<WaitingRequest>> entries = new IdentityHashMap<>();
+
+        /** Requests that ask for capacity or are being tried. */
+        private final Set<WaitingRequest> asking = Collections.newSetFromMap(new IdentityHashMap<>());
+
+        /** Requests that are not tried again before the next poll. */
+        private final Set<WaitingRequest> tried = Collections.newSetFromMap(new IdentityHashMap<>());
+
         private boolean reportedOnTime;
         private boolean pollScheduled;
-        private boolean reservationPending;
         private boolean admitting;
         private boolean admissionRequested;
-        private int candidate;
 
         ServiceQueue(String service) {
             this.service = service;
         }
+
+        void remove(WaitingRequest request) {
+            asking.remove(request);
+            tried.remove(request);
+            Optional.ofNullable(entries.remove(request)).ifPresent(waiting::remove);
+        }
     }
 
-    private record Attempt(AdmissionQueue.Entry<WaitingRequest> entry, long nowMillis, boolean first) {}
+    private record Attempt(
+            AdmissionQueue.Entry<WaitingRequest> entry, long nowMillis, List<WaitingRequest> displaced) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CallerRequest.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CallerRequest.java
@@ -23,6 +23,7 @@
  *     milliseconds of the monotonic clock
  * @param organisation the organisation of the caller; empty if the request is anonymous
  * @param urgency the rank of the request in the order of admission; 0 is the most urgent
+ * @param urgencies the number of urgencies that requests can have
  */
 public record CallerRequest(
         String method,
@@ -35,7 +36,8 @@
         long arrivalMillis,
         long deadlineMillis,
         Optional<Organisation> organisation,
-        int urgency) {
+        int urgency,
+        int urgencies) {
 
     /**
      * Gets the id that identifies the request in logs.
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -20,6 +20,7 @@
  * @param loadTracker the load and the health of the workers
  * @param workerSelector selects workers
  * @param admissionQueues the requests that wait for free capacity at model workers
+ * @param admissionControl decides which model requests can be served in time
  * @param reservationService reserves capacity at model workers
  * @param retryBudgets the limits on retries and hedged requests
  * @param poisonGuard keeps requests that crash workers away from them
@@ -39,6 +40,7 @@
         WorkerLoadTracker loadTracker,
         WorkerSelector workerSelector,
         AdmissionQueues admissionQueues,
+        AdmissionControl admissionControl,
         ReservationService reservationService,
         RetryBudgets retryBudgets,
         PoisonGuard poisonGuard,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/ReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/ReservationService.java
@@ -2,8 +2,8 @@
 
 import java.util.function.Consumer;
 
-import org.magnoliavane.balance.ListedWorker;
-import org.magnoliavane.routing.EngineProfile;
+import org.magnoliavane.balance.ReservationTable.Demand;
+import org.magnoliavane.balance.ReservationTable.Reply;
 
 /**
  * Reserves capacity at workers, so that nodes that choose the same worker concurrently do not overcommit it.
@@ -15,28 +15,19 @@
     /**
      * Requests a reservation.
      *
-     * @param worker the worker
-     * @param engine the profile of the engines of its service
-     * @param tokens the KV cache memory that the request will occupy, in tokens
-     * @param claimId keeps free capacity for the request if it is rejected; {@link
-     *     org.magnoliavane.balance.ReservationTable#NO_CLAIM} for a request that does not
-     * @param onResult receives true if the reservation is granted or its owner does not reply in time, otherwise false
-     * @return the reservation, which the caller must release whatever the result
+     * @param demand the capacity that the request needs, and for how long it waits for it
+     * @param onReply receives the reply of the reservation owner: granted, rejected, or waiting, which is followed by one of
+     *     the other two. Without a reply in time, the demand states whether it counts as granted. It may be called before
+     *     this method returns, on any thread, and is not called any more once the reservation has been released; a call that
+     *     is under way then may still end.
+     * @return the reservation, which the caller must release whatever the reply
      */
-    Reservation reserve(
-            ListedWorker worker, EngineProfile engine, int tokens, long claimId, Consumer<Boolean> onResult);
+    Reservation reserve(Demand demand, Consumer<Reply> onReply);
 
-    /**
-     * Creates an id for the claims of a request, which it uses in all its attempts.
-     *
-     * @return the id, which is not used for another request of this node
-     */
-    long createClaimId();
-
-    /** A reservation of capacity at a worker. */
+    /** A reservation of capacity at a worker, or a request for one that waits. */
     @FunctionalInterface
     interface Reservation {
-        /** Releases the reservation; further calls have no effect. */
+        /** Releases the reservation or withdraws the request; further calls have no effect. */
         void release();
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
@@ -33,7 +33,8 @@
  * <p>The admission queue calls {@link #isDone} and {@link #tryAdmit} on any thread. Everything else runs on the executor of
  * the request.
  */
-final class StreamExecution extends RequestExecution implements AdmissionQueues.WaitingRequest {
+final class StreamExecution extends RequestExecution
+        implements AdmissionQueues.WaitingRequest, CapacityRequest.Listener {
     /** Duration of a prefill per token on an idle worker; a third above the data sheets. */
     private static final double PREFILL_MILLIS_PER_TOKEN = 0.034;
 
@@ -90,8 +91,8 @@
     /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
     private static final double AMPLE_MEMORY_SHARE = 0.7;
 
-    /** Share of the memory of a worker from which a request may claim one; smaller ones find room as streams end. */
-    private static final double LARGE_MEMORY_SHARE = 0.5;
+    /** Interval at which a request that waits at reservation owners looks for workers that have become free meanwhile. */
+    private static final long FREE_WORKER_INTERVAL_MILLIS = 100;
 
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
@@ -143,9 +144,12 @@
     private Optional<WorkerExchange> activePrefill = Optional.empty();
     private final PrefilledPrompt prompt = new PrefilledPrompt();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
-    private final long claimId;
-    private volatile Optional<ListedWorker> claimedWorker = Optional.empty();
     private volatile boolean waiting;
+
+    /** The latest start with which the request is on time, as of its latest wait. */
+    private volatile long onTimeStartMillis;
+
+    private Optional<CapacityRequest> capacityRequest = Optional.empty();
     private int waits;
     private int prefills;
     private int refusedDecodes;
@@ -165,7 +169,6 @@
         this.position = StreamPosition.after(
                 request.metadata().lastEventId().filter(id -> request.route().resumable()));
         this.engineAtArrival = findCurrentEngine();
-        this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
     }
 
@@ -212,11 +215,10 @@
         waiting = true;
         long expectedMillis = estimatePrefillMillis(generationSize.promptTokens());
         // A finished prefill would be wasted if its request had to wait behind later requests as an overdue one.
-        long latestStartMillis = stream.hasStarted()
-                        || prompt.findPrefillWorker().isPresent()
+        onTimeStartMillis = stream.hasStarted() || prompt.findPrefillWorker().isPresent()
                 ? getLatestStartMillis()
                 : request.arrivalMillis() + request.route().targetMillis() - expectedMillis - FIRST_EVENT_MILLIS;
-        context.admissionQueues().enqueue(service, this, request.arrivalMillis(), latestStartMillis);
+        context.admissionQueues().enqueue(service, this, request.urgency(), request.arrivalMillis(), onTimeStartMillis);
         if (waiting) {
             int wait = ++waits;
             schedule(getLatestStartMillis() - now(), () -> {
@@ -243,7 +245,7 @@
     /** Fails a waiting request in time for the caller to receive the time after which it may retry. */
     private void handleQueueTimeout() {
         if (waiting) {
-            waiting = false;
+            stopWaiting();
             if (!activeDecodes.isEmpty()) {
                 // No replacement was found, and the worker may go on.
                 return;
@@ -283,78 +285,125 @@
     }
 
     @Override
-    public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
-        Optional<ListedWorker> freeWorker = chooseDecodeWorker();
-        boolean claims = freeWorker.isEmpty() && mayClaim && isLarge();
-        Optional<ListedWorker> decodeWorker = claims ? chooseWorkerToClaim() : freeWorker;
-        if (decodeWorker.isEmpty()) {
+    public int getTokens() {
+        return generationSize.estimateMemoryTokens();
+    }
+
+    @Override
+    public AdmissionQueues.Outcome tryAdmit() {
+        Optional<CapacityRequest.Candidate> first = chooseCandidate(Set.of());
+        if (first.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
+        Optional<ListedWorker> prefillWorker = choosePrefillWorker(first.get().worker());
+        if (prefillWorker.isPresent()
+                && context.loadTracker().countTokens(prefillWorker.get().id(), now()) > MAX_QUEUED_TOKENS) {
+            return AdmissionQueues.Outcome.NO_CAPACITY;
+        }
+        if (findEngine().isEmpty()) {
+            waiting = false;
+            executor.execute(() -> admit(() -> {}, first.get().worker()));
+            return AdmissionQueues.Outcome.ADMITTED;
+        }
+        executor.execute(() -> askForCapacity(first.get()));
+        return AdmissionQueues.Outcome.PENDING;
+    }
+
+    private Optional<ListedWorker> choosePrefillWorker(ListedWorker decodeWorker) {
         boolean prefilled = prompt.findPrefillWorker().isPresent()
                 || prefills >= MAX_PREFILLS
                 || generationSize.promptTokens() == 0;
-        Optional<ListedWorker> prefillWorker = prefilled
+        return prefilled
                 ? Optional.empty()
                 : context.workerSelector()
                         .choosePrefill(
                                 getWorkers(),
                                 excludedWorkers,
-                                decodeWorker.get().server().zone(),
+                                decodeWorker.server().zone(),
                                 now());
-        if (prefillWorker.isPresent()
-                && context.loadTracker().countTokens(prefillWorker.get().id(), now()) > MAX_QUEUED_TOKENS) {
-            return AdmissionQueues.Outcome.NO_CAPACITY;
+    }
+
+    private void askForCapacity(CapacityRequest.Candidate first) {
+        if (!waiting) {
+            context.admissionQueues().handleReservationResult(service, this, false);
+            return;
         }
-        Optional<EngineProfile> engine = findEngine();
-        if (engine.isEmpty()) {
-            waiting = false;
-            executor.execute(() -> admit(() -> {}, decodeWorker.get(), prefillWorker));
-            return AdmissionQueues.Outcome.ADMITTED;
+        CapacityRequest asking = new CapacityRequest(
+                context.reservationService(), executor, this::chooseCandidate, this::createDemand, this);
+        capacityRequest.ifPresent(CapacityRequest::withdraw);
+        capacityRequest = Optional.of(asking);
+        asking.ask(first);
+        schedule(FREE_WORKER_INTERVAL_MILLIS, () -> lookForFreeWorker(asking));
+    }
+
+    private void lookForFreeWorker(CapacityRequest asking) {
+        if (capacityRequest.isPresent() && capacityRequest.get() == asking) {
+            asking.lookForFree();
+            schedule(FREE_WORKER_INTERVAL_MILLIS, () -> lookForFreeWorker(asking));
         }
-        requestReservation(engine.get(), decodeWorker.get(), prefillWorker, claims);
-        return AdmissionQueues.Outcome.PENDING;
     }
 
-    private void requestReservation(
-            EngineProfile engine, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker, boolean claims) {
-        CompletableFuture<ReservationService.Reservation> requested = new CompletableFuture<>();
-        // The result may arrive before the handle is known, and the request may end meanwhile.
-        requested.complete(context.reservationService()
-                .reserve(
-                        decodeWorker,
-                        engine,
-                        generationSize.estimateMemoryTokens(),
-                        claims ? claimId : ReservationTable.NO_CLAIM,
-                        granted -> requested.thenAccept(handle -> executor.execute(
-                                () -> handleReservationResult(handle, granted, claims, decodeWorker, prefillWorker)))));
+    private ReservationTable.Demand createDemand(CapacityRequest.Candidate candidate) {
+        EngineProfile engine = findEngine().orElseThrow();
+        long now = now();
+        return new ReservationTable.Demand(
+                candidate.worker().id(),
+                getTokens(),
+                engine.getUsableTokens(),
+                engine.slots(),
+                request.urgency(),
+                now - request.arrivalMillis(),
+                onTimeStartMillis - now,
+                Math.max(0, getLatestStartMillis() - now),
+                candidate.free());
     }
 
-    /** Returns whether the request needs so much of a worker that it may never find room beside smaller ones. */
-    private boolean isLarge() {
-        return findEngine()
-                .filter(e -> generationSize.estimateMemoryTokens() >= LARGE_MEMORY_SHARE * e.getUsableTokens())
-                .isPresent();
-    }
-
-    /** Chooses a worker without free capacity to wait for, the same in each attempt as long as it is usable. */
-    private Optional<ListedWorker> chooseWorkerToClaim() {
-        Collection<ListedWorker> workers = getWorkers();
-        boolean usable = claimedWorker
-                .filter(workers::contains)
-                .filter(w -> !excludedWorkers.contains(w.id()))
-                .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
-                .filter(this::isWilling)
-                .isPresent();
-        if (!usable) {
-            claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
-            claimedWorker.ifPresent(w -> log(
-                    "claim",
-                    w,
-                    "tokens=" + context.loadTracker().countTokens(w.id(), now()) + " own_tokens="
-                            + generationSize.estimateMemoryTokens()));
+    @Override
+    public void withdraw() {
+        executor.execute(this::withdrawCapacityRequest);
+    }
+
+    private void withdrawCapacityRequest() {
+        capacityRequest.ifPresent(CapacityRequest::withdraw);
+        capacityRequest = Optional.empty();
+    }
+
+    private void stopWaiting() {
+        if (waiting) {
+            waiting = false;
+            withdrawCapacityRequest();
+            context.admissionQueues().handleReservationResult(service, this, false);
         }
-        // An engine may refuse requests although its reservations leave room; the claim then has to wait as well.
-        return claimedWorker.filter(w -> !context.loadTracker().isFull(w.id(), now()));
+    }
+
+    /** Chooses a decode worker to ask for capacity: one with free capacity, or the better one of two at random. */
+    private Optional<CapacityRequest.Candidate> chooseCandidate(Set<String> asked) {
+        Set<String> excluded = new HashSet<>(excludedWorkers);
+        excluded.addAll(asked);
+        Optional<CapacityRequest.Candidate> free =
+                chooseDecodeWorker(excluded).map(w -> new CapacityRequest.Candidate(w, true));
+        if (free.isPresent() || findEngine().isEmpty()) {
+            return free;
+        }
+        List<ListedWorker> workers = getWorkers().stream()
+                .filter(w -> w.server().role() == WorkerRole.DECODE && !excluded.contains(w.id()))
+                .toList();
+        return chooseOfTwo(workers, excluded)
+                .or(() -> context.workerSelector().chooseDecodeToClaim(workers, excluded, now()))
+                .map(w -> new CapacityRequest.Candidate(w, false));
+    }
+
+    /** Chooses at random, because all nodes know about the same loads and would wait for the same worker. */
+    private Optional<ListedWorker> chooseOfTwo(List<ListedWorker> workers, Set<String> excluded) {
+        if (workers.isEmpty()) {
+            return Optional.empty();
+        }
+        List<ListedWorker> two = Stream.generate(() ->
+                        workers.get((int) (workers.size() * context.random().getAsDouble())))
+                .limit(2)
+                .distinct()
+                .toList();
+        return context.workerSelector().chooseDecodeToClaim(two, excluded, now());
     }
 
     /** Returns whether a worker has not announced that it wants no requests. */
@@ -362,36 +411,47 @@
         return context.loadTracker().getNotices().isUsable(worker, now());
     }
 
-    private void handleReservationResult(
-            ReservationService.Reservation handle,
-            boolean granted,
-            boolean claims,
-            ListedWorker decodeWorker,
-            Optional<ListedWorker> prefillWorker) {
-        try {
-            if (granted && waiting) {
-                waiting = false;
-                admit(handle, decodeWorker, prefillWorker);
-            } else {
-                handle.release();
-            }
-            if (!granted && !claims) {
-                context.loadTracker().markFull(decodeWorker.id(), now() + REJECTED_BACKOFF_MILLIS);
-            }
-        } finally {
-            context.admissionQueues().handleReservationResult(service, granted);
+    @Override
+    public void onGranted(ListedWorker worker, ReservationService.Reservation handle) {
+        capacityRequest = Optional.empty();
+        if (!waiting) {
+            handle.release();
+            return;
         }
+        waiting = false;
+        // The request leaves the queue first, because it may have to wait again at once.
+        context.admissionQueues().handleReservationResult(service, this, true);
+        admit(context.admissionControl().measure(service, getTokens(), handle), worker);
+    }
+
+    @Override
+    public void onWaiting(ListedWorker worker) {
+        log(
+                "waiting",
+                worker,
+                "urgency=" + request.urgency() + " own_tokens=" + getTokens() + " overdue_in_millis="
+                        + (onTimeStartMillis - now()) + " wait_millis=" + (getLatestStartMillis() - now()));
+        context.metrics().counter("admission.waits").inc();
     }
 
-    private void admit(
-            ReservationService.Reservation handle, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
+    @Override
+    public void onRejected(ListedWorker worker, boolean last) {
+        context.loadTracker().markFull(worker.id(), now() + REJECTED_BACKOFF_MILLIS);
+        context.metrics().counter("admission.rejections").inc();
+        if (last) {
+            capacityRequest = Optional.empty();
+            context.admissionQueues().handleReservationResult(service, this, false);
+        }
+    }
+
+    private void admit(ReservationService.Reservation handle, ListedWorker decodeWorker) {
         if (ended) {
             handle.release();
             return;
         }
         if (activeDecodes.isEmpty()) {
             reservation = handle;
-            startExchanges(decodeWorker, prefillWorker);
+            startExchanges(decodeWorker, choosePrefillWorker(decodeWorker));
             return;
         }
         replacementReservation = handle;
@@ -501,7 +561,7 @@
                     .filter(context.routingState()::isUsable)
                     .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
                     .filter(this::isWilling)
-                    .or(() -> chooseDecodeWorker());
+                    .or(() -> chooseDecodeWorker(excludedWorkers));
             removePlannedLoad();
             if (decodeWorker.isPresent()) {
                 startDecode(decodeWorker.get());
@@ -521,17 +581,13 @@
                 .orElse(true);
     }
 
-    private Optional<ListedWorker> chooseDecodeWorker() {
+    private Optional<ListedWorker> chooseDecodeWorker(Set<String> excluded) {
         Optional<EngineProfile> engine = findEngine();
         return engine.isPresent()
                 ? context.workerSelector()
                         .chooseDecode(
-                                getWorkers(),
-                                engine.get(),
-                                generationSize.estimateMemoryTokens(),
-                                excludedWorkers,
-                                now())
-                : context.workerSelector().choosePlain(getWorkers(), excludedWorkers, now());
+                                getWorkers(), engine.get(), generationSize.estimateMemoryTokens(), excluded, now())
+                : context.workerSelector().choosePlain(getWorkers(), excluded, now());
     }
 
     private void startDecode(ListedWorker worker) {
@@ -577,7 +633,7 @@
             return;
         }
         excludedWorkers.add(unresponsive.getWorker().id());
-        Optional<ListedWorker> second = chooseDecodeWorker();
+        Optional<ListedWorker> second = chooseDecodeWorker(excludedWorkers);
         if (second.isPresent() && context.retryBudgets().tryAcquire(service)) {
             log("take_over", unresponsive, "second=" + second.get().id() + " millis=" + unresponsive.getAgeMillis());
             startDecode(second.get());
@@ -629,7 +685,7 @@
 
     /** Ends the other exchanges of the stream once one of them continues it. */
     private void continueWith(WorkerExchange exchange) {
-        waiting = false;
+        stopWaiting();
         for (WorkerExchange other : List.copyOf(activeDecodes)) {
             if (other == exchange) {
                 continue;
@@ -971,7 +1027,7 @@
 
     @Override
     void cancelExchanges() {
-        waiting = false;
+        stopWaiting();
         activePrefill.ifPresent(WorkerExchange::cancel);
         activePrefill = Optional.empty();
         activeDecodes.forEach(WorkerExchange::cancel);
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -239,7 +239,8 @@
                 arrivalMillis,
                 getDeadlineMillis(),
                 organisation,
-                routingTable.getUrgency(organisation, route));
+                routingTable.getUrgency(organisation, route),
+                routingTable.countUrgencies());
     }
 
     /**
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -1,19 +1,27 @@
 package org.magnoliavane.router.peer;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-import org.magnoliavane.balance.ListedWorker;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
 import org.magnoliavane.balance.ReservationTable;
+import org.magnoliavane.balance.ReservationTable.Demand;
+import org.magnoliavane.balance.ReservationTable.Reply;
 import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.protocol.generated.PeerDatagram;
 import org.magnoliavane.protocol.generated.ReservationRelease;
@@ -22,40 +30,73 @@
 import org.magnoliavane.protocol.generated.ReservationRequest;
 import org.magnoliavane.router.dispatch.ReservationService;
 import org.magnoliavane.router.store.NodeListing;
-import org.magnoliavane.routing.EngineProfile;
 
 /**
- * Reserves worker memory at the reservation owner of each worker, which is chosen among the live nodes by rendezvous
- * hashing. Holders renew their reservations, so that a new owner discovers them. When the owner does not reply in time,
- * the reservation counts as granted, unless it is a claim, since the worker itself refuses requests that do not fit into
- * its memory.
+ * Reserves worker capacity at the reservation owner of each worker, which is chosen among the live nodes by rendezvous
+ * hashing. Holders renew their reservations and repeat their waiting requests, so that a new owner discovers them and
+ * nothing is left of a holder that has failed. When the owner does not reply in time, the demand states whether it counts as
+ * granted, since the worker itself refuses requests that do not fit into its memory.
  *
  * <p>Thread-safe.
  */
 public final class PeerReservationService implements ReservationService {
+    private static final Logger LOG = System.getLogger(PeerReservationService.class.getName());
+
     /** Maximum wait for a reply of the owner. Between zones a round trip takes about two milliseconds. */
     private static final long REPLY_TIMEOUT_MILLIS = 25;
 
     private static final long RENEWAL_INTERVAL_MILLIS = 700;
 
+    /** Interval at which waiting requests are repeated; owners forget them when three repeats in a row are lost. */
+    private static final long REPEAT_INTERVAL_MILLIS = 200;
+
+    /** Time after which a waiting request is rejected whose owner replies to no repeat; two may be lost. */
+    private static final long SILENT_OWNER_MILLIS = 650;
+
+    /** Interval at which owners look for capacity that became free without a message, at the end of a lease or protection. */
+    private static final long GRANT_INTERVAL_MILLIS = 50;
+
     /** Time after which an owner reclaims a reservation that is not renewed. Three renewals in a row may be lost. */
     private static final long LEASE_MILLIS = 3000;
 
+    /** Number of released reservations whose workers are known, for grants that cross the release. */
+    private static final int MAX_RELEASED = 1024;
+
+    private static final long RUN_MASK = 0xffffff;
+    private static final int RUN_SHIFT = 24;
+
     private final NodeListing self;
     private final PeerTable peerTable;
     private final PeerChannel channel;
     private final LongSupplier millis;
     private final ReservationTable reservationTable = new ReservationTable(LEASE_MILLIS);
-    private final AtomicLong lastId = new AtomicLong();
+    private final AtomicLong lastId;
     private final Map<Long, HeldReservation> held = new ConcurrentHashMap<>();
+    private final Map<String, InetSocketAddress> requesters = new ConcurrentHashMap<>();
+    private final Map<Long, String> releasedWorkers = Collections.synchronizedMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
+            return size() > MAX_RELEASED;
+        }
+    });
+    private final LongAdder messages = new LongAdder();
+    private final LongAdder lateGrants = new LongAdder();
+    private final LongAdder silences = new LongAdder();
 
     private PeerReservationService(NodeListing self, PeerTable peerTable, PeerChannel channel, LongSupplier millis) {
         this.self = self;
         this.peerTable = peerTable;
         this.channel = channel;
         this.millis = millis;
+        // Owners may still know reservations of an earlier run of this node.
+        this.lastId = new AtomicLong((self.run() & RUN_MASK) << RUN_SHIFT);
         channel.addListener(this::onDatagram);
         channel.repeat("renewals", RENEWAL_INTERVAL_MILLIS, this::renew);
+        channel.repeat("waiting", REPEAT_INTERVAL_MILLIS, this::repeatWaiting);
+        channel.repeat(
+                "grants",
+                GRANT_INTERVAL_MILLIS,
+                () -> reservationTable.getWorkersWithWaiting().forEach(this::sendGrants));
     }
 
     /**
@@ -72,82 +113,123 @@
         return new PeerReservationService(self, peerTable, channel, millis);
     }
 
-    @Override
-    public long createClaimId() {
-        return lastId.incrementAndGet();
+    /**
+     * Registers the metrics of reservations.
+     *
+     * @param metrics receives gauges
+     */
+    public void registerMetrics(MetricRegistry metrics) {
+        metrics.register("reservations.held", (Gauge<Integer>) held::size);
+        metrics.register("reservations.waiting", (Gauge<Integer>) reservationTable::countWaiting);
+        metrics.register("reservations.granted_after_wait", (Gauge<Long>) lateGrants::sum);
+        metrics.register("reservations.owner_silent", (Gauge<Long>) silences::sum);
+        metrics.register("reservations.messages", (Gauge<Long>) messages::sum);
     }
 
     @Override
-    public Reservation reserve(
-            ListedWorker worker, EngineProfile engine, int tokens, long claimId, Consumer<Boolean> onReply) {
+    public Reservation reserve(Demand demand, Consumer<Reply> onReply) {
         long id = lastId.incrementAndGet();
-        ReservationRequest request = ReservationRequest.newBuilder()
-                .setId(id)
-                .setWorker(worker.id())
-                .setTokens(tokens)
-                .setLimitTokens(engine.getUsableTokens())
-                .setSlots(engine.slots())
-                .setClaimId(claimId)
-                .build();
-        HeldReservation reservation = new HeldReservation(request, onReply);
+        HeldReservation reservation = new HeldReservation(demand, millis.getAsLong(), onReply);
         held.put(id, reservation);
-        NodeListing owner = findOwner(worker.id());
-        if (owner.name().equals(self.name())) {
-            complete(id, reservationTable.tryReserve(toTableRequest(request, self.name()), millis.getAsLong()));
-        } else {
-            channel.send(channel.createDatagram().setRoomRequest(request).build(), List.of(owner));
+        if (!request(id, reservation)) {
             channel.getExecutor().schedule(() -> handleMissingReply(id), REPLY_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
         return () -> release(id);
     }
 
-    /** Completes a pending reservation. A rejected one is removed so that it is not renewed. */
-    private void complete(long id, boolean granted) {
+    /** Sends a request to its owner; returns true if this node is the owner and the reply has been handled. */
+    private boolean request(long id, HeldReservation reservation) {
+        long now = millis.getAsLong();
+        Demand demand = reservation.getDemand(now);
+        NodeListing owner = findOwner(demand.worker());
+        if (!owner.name().equals(self.name())) {
+            send(channel.createDatagram().setRoomRequest(toMessage(id, demand)), owner);
+            return false;
+        }
+        handleReply(id, reservationTable.request(self.name(), id, demand, now));
+        sendGrants(demand.worker());
+        return true;
+    }
+
+    /** Handles a reply of an owner. A grant that arrives after the release is given back. */
+    private void handleReply(long id, Reply reply) {
         HeldReservation reservation = held.get(id);
-        if (reservation != null && reservation.completed.compareAndSet(false, true)) {
-            if (!granted) {
-                held.remove(id);
+        if (reservation == null) {
+            String worker = releasedWorkers.get(id);
+            if (reply != Reply.REJECTED && worker != null) {
+                sendRelease(id, worker);
             }
-            reservation.onReply.accept(granted);
+            return;
+        }
+        reservation.lastReplyMillis = millis.getAsLong();
+        if (!reservation.accept(reply)) {
+            return;
+        }
+        if (reply == Reply.REJECTED) {
+            held.remove(id);
+        } else if (reply == Reply.WAITING) {
+            long waitMillis = reservation.getDemand(millis.getAsLong()).waitMillis();
+            channel.getExecutor().schedule(() -> endWait(id), waitMillis, TimeUnit.MILLISECONDS);
+        }
+        reservation.onReply.accept(reply);
+    }
+
+    /** Rejects a request that has waited for as long as it wants to, or whose owner is silent. */
+    private void endWait(long id) {
+        HeldReservation reservation = held.get(id);
+        if (reservation != null && reservation.accept(Reply.REJECTED)) {
+            release(id);
+            reservation.onReply.accept(Reply.REJECTED);
         }
     }
 
-    /**
-     * Grants a reservation whose owner has not replied. A claim is released instead: it is made because no free capacity
-     * is known.
-     */
     private void handleMissingReply(long id) {
         HeldReservation reservation = held.get(id);
-        if (reservation == null || reservation.completed.get()) {
+        if (reservation == null || reservation.hasReply()) {
             return;
         }
-        if (reservation.request.getClaimId() == ReservationTable.NO_CLAIM) {
-            complete(id, true);
-        } else {
-            release(id);
+        silences.increment();
+        LOG.log(
+                Level.INFO,
+                "event=owner_silent worker={0} owner={1} granted={2}",
+                reservation.demand.worker(),
+                findOwner(reservation.demand.worker()).name(),
+                reservation.demand.assumeGranted());
+        if (!reservation.demand.assumeGranted()) {
+            endWait(id);
+        } else if (reservation.accept(Reply.GRANTED)) {
+            reservation.onReply.accept(Reply.GRANTED);
         }
     }
 
     private void release(long id) {
         HeldReservation reservation = held.remove(id);
-        if (reservation == null) {
-            return;
-        }
-        if (reservation.completed.compareAndSet(false, true)) {
-            // No reply is handled after the release, so the requester is notified here.
-            reservation.onReply.accept(false);
+        if (reservation != null) {
+            reservation.accept(Reply.REJECTED);
+            releasedWorkers.put(id, reservation.demand.worker());
+            sendRelease(id, reservation.demand.worker());
         }
-        String worker = reservation.request.getWorker();
+    }
+
+    private void sendRelease(long id, String worker) {
         NodeListing owner = findOwner(worker);
         if (owner.name().equals(self.name())) {
             reservationTable.release(worker, self.name(), id, millis.getAsLong());
+            sendGrants(worker);
         } else {
-            ReservationRelease release =
-                    ReservationRelease.newBuilder().setId(id).setWorker(worker).build();
-            channel.send(channel.createDatagram().setRoomRelease(release).build(), List.of(owner));
+            send(
+                    channel.createDatagram()
+                            .setRoomRelease(
+                                    ReservationRelease.newBuilder().setId(id).setWorker(worker)),
+                    owner);
         }
     }
 
+    private void send(PeerDatagram.Builder datagram, NodeListing node) {
+        messages.increment();
+        channel.send(datagram.build(), List.of(node));
+    }
+
     private NodeListing findOwner(String worker) {
         List<NodeListing> nodes = new ArrayList<>(peerTable.getLiveListings(millis.getAsLong()));
         nodes.add(self);
@@ -156,16 +238,40 @@
 
     private void renew() {
         Map<NodeListing, ReservationRenewal.Builder> byOwner = new HashMap<>();
-        for (HeldReservation reservation : held.values()) {
-            byOwner.computeIfAbsent(findOwner(reservation.request.getWorker()), o -> ReservationRenewal.newBuilder())
-                    .addRooms(reservation.request);
-        }
+        held.forEach((id, reservation) -> {
+            if (!reservation.isWaiting()) {
+                byOwner.computeIfAbsent(findOwner(reservation.demand.worker()), o -> ReservationRenewal.newBuilder())
+                        .addRooms(ReservationRequest.newBuilder()
+                                .setId(id)
+                                .setWorker(reservation.demand.worker())
+                                .setTokens(reservation.demand.tokens()));
+            }
+        });
         byOwner.forEach((owner, reservations) -> {
             if (owner.name().equals(self.name())) {
                 applyRenewal(reservations.build(), self.name());
             } else {
-                channel.send(
-                        channel.createDatagram().setRoomRenewal(reservations).build(), List.of(owner));
+                send(channel.createDatagram().setRoomRenewal(reservations), owner);
+            }
+        });
+    }
+
+    private void repeatWaiting() {
+        long now = millis.getAsLong();
+        held.forEach((id, reservation) -> {
+            if (!reservation.isWaiting()) {
+                return;
+            }
+            if (now - reservation.lastReplyMillis >= SILENT_OWNER_MILLIS) {
+                silences.increment();
+                LOG.log(
+                        Level.INFO,
+                        "event=owner_silent worker={0} owner={1} waiting=true",
+                        reservation.demand.worker(),
+                        findOwner(reservation.demand.worker()).name());
+                endWait(id);
+            } else {
+                request(id, reservation);
             }
         });
     }
@@ -174,25 +280,20 @@
         switch (datagram.getBodyCase()) {
             case ROOM_REQUEST -> {
                 ReservationRequest request = datagram.getRoomRequest();
-                boolean granted =
-                        reservationTable.tryReserve(toTableRequest(request, datagram.getNode()), millis.getAsLong());
-                ReservationReply reply = ReservationReply.newBuilder()
-                        .setId(request.getId())
-                        .setGranted(granted)
-                        .build();
-                channel.send(channel.createDatagram().setRoomAnswer(reply).build(), sender);
+                requesters.put(datagram.getNode(), sender);
+                sendReply(
+                        request.getId(),
+                        reservationTable.request(
+                                datagram.getNode(), request.getId(), toDemand(request), millis.getAsLong()),
+                        sender);
+                sendGrants(request.getWorker());
             }
-            case ROOM_ANSWER -> {
-                complete(
-                        datagram.getRoomAnswer().getId(),
-                        datagram.getRoomAnswer().getGranted());
+            case ROOM_ANSWER -> handleReply(datagram.getRoomAnswer().getId(), toReply(datagram.getRoomAnswer()));
+            case ROOM_RELEASE -> {
+                ReservationRelease release = datagram.getRoomRelease();
+                reservationTable.release(release.getWorker(), datagram.getNode(), release.getId(), millis.getAsLong());
+                sendGrants(release.getWorker());
             }
-            case ROOM_RELEASE ->
-                reservationTable.release(
-                        datagram.getRoomRelease().getWorker(),
-                        datagram.getNode(),
-                        datagram.getRoomRelease().getId(),
-                        millis.getAsLong());
             case ROOM_RENEWAL -> applyRenewal(datagram.getRoomRenewal(), datagram.getNode());
             default -> {
                 // Reports are handled by another listener.
@@ -200,29 +301,105 @@
         }
     }
 
+    private void sendReply(long id, Reply reply, InetSocketAddress to) {
+        messages.increment();
+        ReservationReply message = ReservationReply.newBuilder()
+                .setId(id)
+                .setGranted(reply == Reply.GRANTED)
+                .setWaiting(reply == Reply.WAITING)
+                .build();
+        channel.send(channel.createDatagram().setRoomAnswer(message).build(), to);
+    }
+
+    /** Grants waiting requests that fit now. A lost grant is sent again when the request is repeated. */
+    private void sendGrants(String worker) {
+        for (ReservationTable.Holder holder : reservationTable.takeGrants(worker, millis.getAsLong())) {
+            lateGrants.increment();
+            LOG.log(
+                    Level.INFO,
+                    "event=granted_after_wait worker={0} node={1} id={2}",
+                    worker,
+                    holder.node(),
+                    Long.toString(holder.id()));
+            if (holder.node().equals(self.name())) {
+                handleReply(holder.id(), Reply.GRANTED);
+            } else {
+                sendReply(holder.id(), Reply.GRANTED, requesters.get(holder.node()));
+            }
+        }
+    }
+
     private void applyRenewal(ReservationRenewal renewal, String node) {
-        renewal.getRoomsList().forEach(r -> reservationTable.renew(toTableRequest(r, node), millis.getAsLong()));
+        renewal.getRoomsList().forEach(r -> reservationTable.renew(node, r.getId(), toDemand(r), millis.getAsLong()));
+    }
+
+    private static Reply toReply(ReservationReply message) {
+        if (message.getGranted()) {
+            return Reply.GRANTED;
+        }
+        return message.getWaiting() ? Reply.WAITING : Reply.REJECTED;
+    }
+
+    private static ReservationRequest toMessage(long id, Demand demand) {
+        return ReservationRequest.newBuilder()
+                .setId(id)
+                .setWorker(demand.worker())
+                .setTokens(demand.tokens())
+                .setLimitTokens(demand.limitTokens())
+                .setSlots(demand.slots())
+                .setUrgency(demand.urgency())
+                .setAgeMillis((int) Math.max(0, demand.ageMillis()))
+                .setOverdueInMillis((int) demand.overdueInMillis())
+                .setWaitMillis((int) demand.waitMillis())
+                .build();
     }
 
-    private static ReservationTable.Request toTableRequest(ReservationRequest request, String node) {
-        return new ReservationTable.Request(
-                request.getWorker(),
-                node,
-                request.getId(),
-                request.getTokens(),
-                request.getLimitTokens(),
-                request.getSlots(),
-                request.getClaimId());
+    private static Demand toDemand(ReservationRequest message) {
+        return new Demand(
+                message.getWorker(),
+                message.getTokens(),
+                message.getLimitTokens(),
+                message.getSlots(),
+                message.getUrgency(),
+                message.getAgeMillis(),
+                message.getOverdueInMillis(),
+                message.getWaitMillis(),
+                false);
     }
 
     private static final class HeldReservation {
-        private final ReservationRequest request;
-        private final Consumer<Boolean> onReply;
-        private final AtomicBoolean completed = new AtomicBoolean();
+        private final Demand demand;
+        private final long sinceMillis;
+        private final Consumer<Reply> onReply;
+        private Optional<Reply> lastReply = Optional.empty();
+        private volatile long lastReplyMillis;
 
-        HeldReservation(ReservationRequest request, Consumer<Boolean> onReply) {
-            this.request = request;
+        HeldReservation(Demand demand, long nowMillis, Consumer<Reply> onReply) {
+            this.demand = demand;
+            this.sinceMillis = nowMillis;
+            this.lastReplyMillis = nowMillis;
             this.onReply = onReply;
         }
+
+        Demand getDemand(long nowMillis) {
+            return demand.after(nowMillis - sinceMillis);
+        }
+
+        /** Returns whether a reply changes the state. Granted and rejected are final. */
+        synchronized boolean accept(Reply reply) {
+            boolean changes = lastReply.isEmpty() || lastReply.get() == Reply.WAITING && reply != Reply.WAITING;
+            if (changes) {
+                lastReply = Optional.of(reply);
+            }
+            return changes;
+        }
+
+        synchronized boolean hasReply() {
+            return lastReply.isPresent();
+        }
+
+        synchronized boolean isWaiting() {
+            return lastReply.filter(r -> r == Reply.WAITING).isPresent();
+        }
     }
 }
