--- a/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
+++ b/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
@@ -25,6 +25,15 @@
     /** Time after which a waiting request is forgotten that is not repeated; its holder repeats it three times within it. */
     private static final long REPEAT_TIMEOUT_MILLIS = 600;
 
+    /** Time after which a waiting request that is not repeated keeps no capacity free, because its node may have failed. */
+    private static final long PROTECTION_REPEAT_MILLIS = 250;
+
+    /**
+     * Lease of a reservation that was granted after a wait, until its holder confirms it by a renewal or a repeated request;
+     * the holder may have failed meanwhile. It is longer than the interval of repeats, because the grant may be lost.
+     */
+    private static final long UNCONFIRMED_LEASE_MILLIS = 300;
+
     /**
      * Maximum time for which a waiting request keeps capacity free, so that other requests do not starve while a worker has
      * long streams.
@@ -101,6 +110,7 @@
         worker.waiting.put(holder, entry);
         grantInOrder(worker, nowMillis);
         if (worker.granted.remove(holder)) {
+            worker.reservations.put(holder, new Reservation(demand.tokens, nowMillis + leaseMillis));
             releasedMillis.remove(new Released(demand.worker, holder));
             return Reply.GRANTED;
         }
@@ -117,6 +127,7 @@
 
     /**
      * Grants waiting requests of a worker as far as they fit, and returns those that have been granted since the last call.
+     * Their holders must confirm them by a renewal.
      *
      * @param worker the id of the worker
      * @param nowMillis the current time, in milliseconds
@@ -158,7 +169,7 @@
             if (next.isEmpty()) {
                 return;
             }
-            worker.grant(next.get(), nowMillis + leaseMillis);
+            worker.grant(next.get(), nowMillis + Math.min(leaseMillis, UNCONFIRMED_LEASE_MILLIS));
         }
     }
 
@@ -339,6 +350,7 @@
     private static final class Waiting {
         final Holder holder;
         final Demand demand;
+        final long repeatedMillis;
         final long arrivalMillis;
         final long overdueMillis;
         final long expiryMillis;
@@ -348,6 +360,7 @@
         Waiting(Holder holder, Demand demand, long nowMillis, long sequenceNumber) {
             this.holder = holder;
             this.demand = demand;
+            this.repeatedMillis = nowMillis;
             this.arrivalMillis = nowMillis - demand.ageMillis;
             this.overdueMillis = nowMillis + demand.overdueInMillis;
             this.expiryMillis = nowMillis + Math.min(Math.max(1, demand.waitMillis), REPEAT_TIMEOUT_MILLIS);
@@ -362,6 +375,7 @@
         boolean mayProtect(long nowMillis) {
             return demand.waitMillis > 0
                     && !isOverdue(nowMillis)
+                    && nowMillis - repeatedMillis < PROTECTION_REPEAT_MILLIS
                     && protectedSinceMillis
                             .filter(m -> nowMillis - m >= MAX_PROTECTION_MILLIS)
                             .isEmpty();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
@@ -1,7 +1,6 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.DoubleSupplier;
@@ -53,11 +52,9 @@
         };
     }
 
-    /** Selects the workers at which a stream can end within a time. */
-    List<ListedWorker> selectFastEnough(Collection<ListedWorker> workers, int outputTokens, long remainingMillis) {
-        return workers.stream()
-                .filter(w -> outputTokens * stepTimes.getStepMillis(w) <= remainingMillis)
-                .toList();
+    /** Returns whether a worker can write a number of output tokens within a time. */
+    boolean isFastEnough(ListedWorker worker, int outputTokens, long remainingMillis) {
+        return outputTokens * stepTimes.getStepMillis(worker) <= remainingMillis;
     }
 
     /** Estimates how long a new request waits; empty if nothing is known. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -176,7 +176,7 @@
      */
     void handleReservationResult(String service, WaitingRequest request, boolean granted) {
         boolean leaves = granted || request.isDone();
-        ServiceQueue queue = queues.get(service);
+        ServiceQueue queue = queues.computeIfAbsent(service, ServiceQueue::new);
         synchronized (queue) {
             if (leaves) {
                 queue.remove(request);
@@ -200,11 +200,19 @@
             queue.admitting = true;
         }
         while (continueAdmitting(queue)) {
-            failures.run(LOOP, () -> admitFirst(queue));
+            if (!failures.run(LOOP, () -> admitFirst(queue))) {
+                failures.run(LOOP, () -> scheduleAfterFailure(queue));
+            }
         }
         failures.run(LOOP, () -> reportOnTime(queue));
     }
 
+    private void scheduleAfterFailure(ServiceQueue queue) {
+        synchronized (queue) {
+            schedulePoll(queue);
+        }
+    }
+
     private static boolean continueAdmitting(ServiceQueue queue) {
         synchronized (queue) {
             queue.admitting = queue.admissionRequested;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -281,6 +281,11 @@
                 detail + " list_millis=" + context.workerListAgeMillis().getAsLong());
     }
 
+    /** Logs that the request is refused at once because it could not be served in time. */
+    final void logRefusal(String cause, String detail) {
+        LOG.log(Level.INFO, "event=refused request={0} cause={1} {2}", request.getId(), cause, detail);
+    }
+
     private void handleDeadline() {
         if (ended) {
             return;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -193,6 +194,9 @@
             return;
         }
         reservation.release();
+        if (refuseHopeless()) {
+            return;
+        }
         if (hasWorkers()) {
             waitForCapacity();
         } else if (mayTryUnreachableAgain()) {
@@ -204,6 +208,49 @@
         }
     }
 
+    /** Refuses a new request at once that no worker can finish or that cannot be expected to start in time. */
+    private boolean refuseHopeless() {
+        if (stream.hasStarted() || mayHaveRun || exchanges > 0 || prefills > 0) {
+            return false;
+        }
+        List<ListedWorker> usable =
+                getAllWorkers().stream().filter(this::isUsable).toList();
+        if (!usable.isEmpty() && usable.stream().noneMatch(this::isFastEnough)) {
+            refuse(
+                    "deadline",
+                    "no worker can end the stream in time",
+                    "output_tokens=" + generationSize.expectedOutputTokens(),
+                    NO_WORKER_RETRY_AFTER_MILLIS);
+            return true;
+        }
+        OptionalLong wait = findEngine()
+                .map(e -> context.admissionControl()
+                        .estimateWaitMillis(service, request.urgency(), context.admissionQueues(), e, usable))
+                .orElse(OptionalLong.empty());
+        long untilLatestStart = getLatestStartMillis() - now();
+        if (wait.isEmpty() || wait.getAsLong() <= untilLatestStart) {
+            return false;
+        }
+        refuse(
+                "wait",
+                "the expected wait is too long",
+                "wait_millis=" + wait.getAsLong() + " latest_start_in_millis=" + untilLatestStart,
+                context.admissionControl().computeRetryAfterMillis(wait.getAsLong(), getRemainingMillis()));
+        return true;
+    }
+
+    private void refuse(String cause, String reason, String detail, long retryAfterMillis) {
+        logRefusal(cause, "urgency=" + request.urgency() + " retry_after_millis=" + retryAfterMillis + ' ' + detail);
+        context.metrics().counter("admission.refused_" + cause).inc();
+        failWithoutResponse(reason, retryAfterMillis);
+    }
+
+    /** Returns whether a worker can end the stream before its deadline. */
+    private boolean isFastEnough(ListedWorker worker) {
+        return context.admissionControl()
+                .isFastEnough(worker, generationSize.expectedOutputTokens(), getRemainingMillis());
+    }
+
     /** Returns whether a stream that has begun, which can no longer be refused, has time for a worker that may be only silent. */
     private boolean mayTryUnreachableAgain() {
         return stream.hasStarted()
@@ -268,11 +315,14 @@
     }
 
     private boolean hasWorkers() {
-        return getWorkers().stream()
-                .anyMatch(w -> isEligible(w)
-                        && !w.server().leaving()
-                        && !context.loadTracker().getNotices().isLeaving(w, now())
-                        && !excludedWorkers.contains(w.id()));
+        return getWorkers().stream().anyMatch(this::isUsable);
+    }
+
+    private boolean isUsable(ListedWorker worker) {
+        return isEligible(worker)
+                && !worker.server().leaving()
+                && !context.loadTracker().getNotices().isLeaving(worker, now())
+                && !excludedWorkers.contains(worker.id());
     }
 
     private static long estimatePrefillMillis(int tokens) {
@@ -496,7 +546,16 @@
         }
     }
 
+    /** Gets the workers at which the stream can end before its deadline; all once it has been sent to one. */
     private Collection<ListedWorker> getWorkers() {
+        return exchanges > 0 || stream.hasStarted()
+                ? getAllWorkers()
+                : getAllWorkers().stream()
+                        .filter(w -> w.server().role() == WorkerRole.PREFILL || isFastEnough(w))
+                        .toList();
+    }
+
+    private Collection<ListedWorker> getAllWorkers() {
         return context.routingState().getWorkers(service);
     }
 
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -162,10 +162,13 @@
             return;
         }
         reservation.lastReplyMillis = millis.getAsLong();
+        boolean waited = reservation.isWaiting();
         if (!reservation.accept(reply)) {
             return;
         }
-        if (reply == Reply.REJECTED) {
+        if (reply == Reply.GRANTED && waited) {
+            confirm(id, reservation);
+        } else if (reply == Reply.REJECTED) {
             held.remove(id);
         } else if (reply == Reply.WAITING) {
             long waitMillis = reservation.getDemand(millis.getAsLong()).waitMillis();
@@ -174,6 +177,27 @@
         reservation.onReply.accept(reply);
     }
 
+    /** Confirms a grant, which the owner reclaims soon otherwise. */
+    private void confirm(long id, HeldReservation reservation) {
+        NodeListing owner = findOwner(reservation.demand.worker());
+        if (owner.name().equals(self.name())) {
+            reservationTable.renew(self.name(), id, reservation.demand, millis.getAsLong());
+        } else {
+            send(
+                    channel.createDatagram()
+                            .setRoomRenewal(ReservationRenewal.newBuilder().addRooms(toRenewal(id, reservation))),
+                    owner);
+        }
+    }
+
+    private static ReservationRequest toRenewal(long id, HeldReservation reservation) {
+        return ReservationRequest.newBuilder()
+                .setId(id)
+                .setWorker(reservation.demand.worker())
+                .setTokens(reservation.demand.tokens())
+                .build();
+    }
+
     /** Rejects a request that has waited for as long as it wants to, or whose owner is silent. */
     private void endWait(long id) {
         HeldReservation reservation = held.get(id);
@@ -239,12 +263,9 @@
     private void renew() {
         Map<NodeListing, ReservationRenewal.Builder> byOwner = new HashMap<>();
         held.forEach((id, reservation) -> {
-            if (!reservation.isWaiting()) {
+            if (reservation.isGranted()) {
                 byOwner.computeIfAbsent(findOwner(reservation.demand.worker()), o -> ReservationRenewal.newBuilder())
-                        .addRooms(ReservationRequest.newBuilder()
-                                .setId(id)
-                                .setWorker(reservation.demand.worker())
-                                .setTokens(reservation.demand.tokens()));
+                        .addRooms(toRenewal(id, reservation));
             }
         });
         byOwner.forEach((owner, reservations) -> {
@@ -398,6 +419,10 @@
             return lastReply.isPresent();
         }
 
+        synchronized boolean isGranted() {
+            return lastReply.filter(r -> r == Reply.GRANTED).isPresent();
+        }
+
         synchronized boolean isWaiting() {
             return lastReply.filter(r -> r == Reply.WAITING).isPresent();
         }
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -277,6 +277,7 @@
                 new AdmissionQueues(
                         timers, millis, () -> 0.5, service -> false, () -> {}, LoopFailures.create(metrics)),
                 null,
+                null,
                 new RetryBudgets(
                         () -> new RetryBudget(0, 10, 10_000), () -> 1, () -> reach("countRequest", millis.getAsLong())),
                 new PoisonGuard(
