--- a/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
@@ -28,6 +28,9 @@
     /** Share of the grants that goes to the oldest request whatever its urgency, see {@link ReservationTable}. */
     private static final double OLDEST_SHARE = 0.25;
 
+    /** Factor by which waits are underestimated, since more urgent requests that arrive later precede. */
+    private static final double WAIT_MARGIN = 2;
+
     /** Smallest time after which the caller of a refused request may retry; shorter ones would only add load. */
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
@@ -109,6 +112,17 @@
                 .toList();
     }
 
+    /**
+     * Returns whether a request cannot be expected to start in time.
+     *
+     * @param waitMillis the expected wait, in milliseconds
+     * @param latestStartInMillis the time until its latest start, in milliseconds
+     * @return true if it should be refused at once
+     */
+    public static boolean isHopeless(long waitMillis, long latestStartInMillis) {
+        return WAIT_MARGIN * waitMillis > latestStartInMillis;
+    }
+
     /**
      * Computes the time after which the caller of a refused request may retry: when it can be expected to be admitted, but
      * early enough that the caller waits for it.
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CapacityRequest.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CapacityRequest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import org.magnoliavane.balance.ListedWorker;
@@ -14,19 +15,28 @@
 import org.magnoliavane.balance.ReservationTable.Reply;
 
 /**
- * Asks the reservation owners of up to two workers for capacity for one request, takes the first grant and withdraws from the
- * others. The second owner is asked only when the request waits at the first, so that a decision costs one request and one
+ * Asks the reservation owners of several workers for capacity for one request, takes the first grant and withdraws from the
+ * others. Each owner is asked only when the request waits at the ones before, so that a decision costs one request and one
  * reply as long as capacity is free.
  *
  * <p>Not thread-safe; all methods and callbacks run on the executor of the request.
  */
 final class CapacityRequest {
-    /** Number of workers for which a request waits at the same time. */
-    private static final int MAX_WORKERS = 2;
+    /**
+     * Number of workers for which a request waits that can still be on time. A worker frees memory for about one stream a
+     * second; with two workers a quarter of the most urgent requests of a burst became overdue, with six less than a tenth.
+     */
+    private static final int MAX_WORKERS = 6;
+
+    /** The same for an overdue request; it waits for long, and each owner costs ten messages a second. */
+    private static final int MAX_OVERDUE_WORKERS = 1;
 
     /** Number of rejections after which the request is tried again later; bounds the messages while owners have full queues. */
     private static final int MAX_REJECTIONS = 2;
 
+    /** Number of looks for a free worker after which one may be asked again that was asked before; owners know better than reports. */
+    private static final int LOOKS_UNTIL_ASKED_AGAIN = 5;
+
     /**
      * A worker that may be asked for capacity.
      *
@@ -55,6 +65,7 @@
     }
 
     private final ReservationService service;
+    private final BooleanSupplier overdue;
     private final Executor executor;
     private final Chooser chooser;
     private final Function<Candidate, Demand> demands;
@@ -62,13 +73,20 @@
     private final Map<String, Ask> asks = new LinkedHashMap<>();
     private final Set<String> rejected = new HashSet<>();
 
+    /** Workers that were asked lately. */
+    private final Set<String> asked = new HashSet<>();
+
+    private int looks;
+
     CapacityRequest(
             ReservationService service,
+            BooleanSupplier overdue,
             Executor executor,
             Chooser chooser,
             Function<Candidate, Demand> demands,
             Listener listener) {
         this.service = service;
+        this.overdue = overdue;
         this.executor = executor;
         this.chooser = chooser;
         this.demands = demands;
@@ -79,6 +97,7 @@
     void ask(Candidate candidate) {
         Ask ask = new Ask(candidate.worker());
         asks.put(candidate.worker().id(), ask);
+        asked.add(candidate.worker().id());
         ask.reservation = service.reserve(demands.apply(candidate), r -> executor.execute(() -> handleReply(ask, r)));
     }
 
@@ -112,27 +131,38 @@
     }
 
     private void askAnother() {
-        if (asks.size() < MAX_WORKERS) {
+        if (asks.size() < getMaxWorkers()) {
             chooser.choose(getTried()).ifPresent(this::ask);
         }
     }
 
     /**
      * Asks for a worker that has become free meanwhile as far as this node knows, instead of the one for which the request has
-     * waited longest; its place in the order does not depend on when it asked.
+     * waited longest; its place in the order does not depend on when it asked. Called several times a second; an overdue request
+     * also withdraws from the workers beyond its number.
      */
     void lookForFree() {
+        while (asks.size() > getMaxWorkers()) {
+            withdraw(asks.values().iterator().next());
+        }
         if (asks.isEmpty() || asks.values().stream().anyMatch(a -> !a.waiting)) {
             return;
         }
-        chooser.choose(getTried()).filter(Candidate::free).ifPresent(free -> {
-            if (asks.size() == MAX_WORKERS) {
+        if (++looks % LOOKS_UNTIL_ASKED_AGAIN == 0) {
+            asked.retainAll(asks.keySet());
+        }
+        chooser.choose(Set.copyOf(asked)).filter(Candidate::free).ifPresent(free -> {
+            if (asks.size() >= getMaxWorkers()) {
                 withdraw(asks.values().iterator().next());
             }
             ask(free);
         });
     }
 
+    private int getMaxWorkers() {
+        return overdue.getAsBoolean() ? MAX_OVERDUE_WORKERS : MAX_WORKERS;
+    }
+
     /** Withdraws the request from all owners. */
     void withdraw() {
         List.copyOf(asks.values()).forEach(this::withdraw);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -15,6 +15,7 @@
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
+import org.magnoliavane.balance.AdmissionForecast;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.ReservationTable;
 import org.magnoliavane.routing.EngineProfile;
@@ -93,7 +94,7 @@
     private static final double AMPLE_MEMORY_SHARE = 0.7;
 
     /** Interval at which a request that waits at reservation owners looks for workers that have become free meanwhile. */
-    private static final long FREE_WORKER_INTERVAL_MILLIS = 100;
+    private static final long FREE_WORKER_INTERVAL_MILLIS = 200;
 
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
@@ -228,7 +229,7 @@
                         .estimateWaitMillis(service, request.urgency(), context.admissionQueues(), e, usable))
                 .orElse(OptionalLong.empty());
         long untilLatestStart = getLatestStartMillis() - now();
-        if (wait.isEmpty() || wait.getAsLong() <= untilLatestStart) {
+        if (wait.isEmpty() || !AdmissionForecast.isHopeless(wait.getAsLong(), untilLatestStart)) {
             return false;
         }
         refuse(
@@ -379,7 +380,12 @@
             return;
         }
         CapacityRequest asking = new CapacityRequest(
-                context.reservationService(), executor, this::chooseCandidate, this::createDemand, this);
+                context.reservationService(),
+                () -> onTimeStartMillis < now(),
+                executor,
+                this::chooseCandidate,
+                this::createDemand,
+                this);
         capacityRequest.ifPresent(CapacityRequest::withdraw);
         capacityRequest = Optional.of(asking);
         asking.ask(first);
