Refuse overdue requests that wait as soon as they are hopeless

Change: an overdue request is checked every 200 ms while it waits, with all waiting requests ahead of it.

--- a/core/src/test/java/org/magnoliavane/balance/AdmissionLoadTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/AdmissionLoadTest.java
@@ -61,6 +61,7 @@
         Result result = play("large and small", create(66, 1, l -> {
             l.kinds = kinds;
             l.meanMillis = 800;
+            l.endMillis = 12_000;
         }));
         assertTrue(
                 result.onTime[1] + result.late[1] >= 0.8 * result.arrived[1],
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -93,6 +93,9 @@
     /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
     private static final double AMPLE_MEMORY_SHARE = 0.7;
 
+    /** Interval at which an overdue request that waits is checked for being hopeless; callers can use the time they get back. */
+    private static final long OVERDUE_CHECK_INTERVAL_MILLIS = 200;
+
     /** Interval at which a request that waits at reservation owners looks for workers that have become free meanwhile. */
     private static final long FREE_WORKER_INTERVAL_MILLIS = 200;
 
@@ -195,7 +198,7 @@
             return;
         }
         reservation.release();
-        if (refuseHopeless()) {
+        if (refuseHopeless(request.urgency())) {
             return;
         }
         if (hasWorkers()) {
@@ -209,8 +212,12 @@
         }
     }
 
-    /** Refuses a new request at once that no worker can finish or that cannot be expected to start in time. */
-    private boolean refuseHopeless() {
+    /**
+     * Refuses a request that has been sent to no worker if none can finish it, or if it cannot be expected to start in time.
+     *
+     * @param urgency the urgency up to which waiting requests count as ahead of it
+     */
+    private boolean refuseHopeless(int urgency) {
         if (stream.hasStarted() || mayHaveRun || exchanges > 0 || prefills > 0) {
             return false;
         }
@@ -226,7 +233,7 @@
         }
         OptionalLong wait = findEngine()
                 .map(e -> context.admissionControl()
-                        .estimateWaitMillis(service, request.urgency(), context.admissionQueues(), e, usable))
+                        .estimateWaitMillis(service, urgency, context.admissionQueues(), e, usable))
                 .orElse(OptionalLong.empty());
         long untilLatestStart = getLatestStartMillis() - now();
         if (wait.isEmpty() || !AdmissionForecast.isHopeless(wait.getAsLong(), untilLatestStart)) {
@@ -269,6 +276,7 @@
         context.admissionQueues().enqueue(service, this, request.urgency(), request.arrivalMillis(), onTimeStartMillis);
         if (waiting) {
             int wait = ++waits;
+            schedule(onTimeStartMillis + 1 - now(), () -> checkOverdue(wait));
             schedule(getLatestStartMillis() - now(), () -> {
                 // The timer of an earlier wait may be due while the request waits again.
                 if (wait == waits) {
@@ -278,6 +286,13 @@
         }
     }
 
+    /** Refuses an overdue request while it waits, for which all waiting requests count as ahead. */
+    private void checkOverdue(int wait) {
+        if (wait == waits && waiting && !refuseHopeless(Integer.MAX_VALUE)) {
+            schedule(OVERDUE_CHECK_INTERVAL_MILLIS, () -> checkOverdue(wait));
+        }
+    }
+
     /** Gets the time after which the next event could not reach the caller before its timeout. */
     private long getLatestStartMillis() {
         long lastEventOrArrivalMillis = stream.hasStarted() ? lastEventMillis : request.arrivalMillis();
