Move the choice of workers out of StreamExecution

The choice of the workers of a stream is StreamWorkers, and the refusal of hopeless requests AdmissionControl.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.DoubleSupplier;
@@ -8,9 +10,9 @@
 
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.AdmissionForecast;
+import org.magnoliavane.balance.Backlog;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.StepTimes;
-import org.magnoliavane.routing.EngineProfile;
 
 /**
  * Decides which model requests can be served in time: at which workers a stream can end before its deadline, and whether a
@@ -57,23 +59,59 @@
         return outputTokens * stepTimes.getStepMillis(worker) <= remainingMillis;
     }
 
-    /** Estimates how long a new request waits; empty if nothing is known. */
-    OptionalLong estimateWaitMillis(
+    /**
+     * Refuses a request if no worker can end it before its deadline, or if it cannot be expected to start in time.
+     *
+     * @param workers the workers of the request
+     * @param own the requests that wait at this node
+     * @param service the name of the service
+     * @param urgency the urgency up to which waiting requests count as ahead of it
+     * @param latestStartInMillis the time until the request must start, in milliseconds
+     * @param remainingMillis the time until its deadline, in milliseconds
+     * @return the refusal; empty if the request may be served in time
+     */
+    Optional<Refusal> findRefusal(
+            StreamWorkers workers,
+            Collection<Backlog> own,
             String service,
             int urgency,
-            AdmissionQueues queues,
-            EngineProfile engine,
-            Collection<ListedWorker> workers) {
-        long decoding = workers.stream()
-                .filter(w ->
-                        w.server().role() == WorkerRole.DECODE && !w.server().leaving())
+            long latestStartInMillis,
+            long remainingMillis) {
+        List<ListedWorker> usable = workers.getUsable();
+        if (!usable.isEmpty() && usable.stream().noneMatch(workers::isFastEnough)) {
+            return Optional.of(new Refusal(
+                    "deadline",
+                    "no worker can end the stream in time",
+                    "workers=" + usable.size() + " remaining_millis=" + remainingMillis,
+                    RequestExecution.NO_WORKER_RETRY_AFTER_MILLIS));
+        }
+        long decoding = usable.stream()
+                .filter(w -> w.server().role() == WorkerRole.DECODE)
                 .count();
-        return forecast.estimateWaitMillis(
-                service, urgency, queues.getBacklogs(), engine, (int) decoding, clockMillis.getAsLong());
+        OptionalLong wait = workers.findEngine()
+                .map(e ->
+                        forecast.estimateWaitMillis(service, urgency, own, e, (int) decoding, clockMillis.getAsLong()))
+                .orElse(OptionalLong.empty());
+        if (wait.isEmpty() || !AdmissionForecast.isHopeless(wait.getAsLong(), latestStartInMillis)) {
+            return Optional.empty();
+        }
+        long retryAfterMillis =
+                AdmissionForecast.computeRetryAfterMillis(wait.getAsLong(), remainingMillis, random.getAsDouble());
+        return Optional.of(new Refusal(
+                "wait",
+                "the expected wait is too long",
+                "wait_millis=" + wait.getAsLong() + " latest_start_in_millis=" + latestStartInMillis
+                        + " retry_after_millis=" + retryAfterMillis,
+                retryAfterMillis));
     }
 
-    /** Computes the time after which the caller of a refused request may retry. */
-    long computeRetryAfterMillis(long waitMillis, long remainingMillis) {
-        return AdmissionForecast.computeRetryAfterMillis(waitMillis, remainingMillis, random.getAsDouble());
-    }
+    /**
+     * Why a request is refused.
+     *
+     * @param cause names the cause in logs and metrics
+     * @param reason describes the cause to the caller
+     * @param detail the inputs of the decision, for the log
+     * @param retryAfterMillis the time after which the caller may retry, in milliseconds
+     */
+    record Refusal(String cause, String reason, String detail, long retryAfterMillis) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -3,19 +3,15 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Stream;
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
-import org.magnoliavane.balance.AdmissionForecast;
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.ReservationTable;
 import org.magnoliavane.routing.EngineProfile;
@@ -90,9 +86,6 @@
     /** Interval at which a stream that has begun tries workers again that accepted no connection. */
     private static final long UNREACHABLE_RETRY_MILLIS = 100;
 
-    /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
-    private static final double AMPLE_MEMORY_SHARE = 0.7;
-
     /** Interval at which an overdue request that waits is checked for being hopeless; callers can use the time they get back. */
     private static final long OVERDUE_CHECK_INTERVAL_MILLIS = 200;
 
@@ -125,9 +118,7 @@
 
     private final GenerationSize generationSize;
 
-    /** The engine of the service when the request arrived; a later configuration may no longer contain the service. */
-    private final Optional<EngineProfile> engineAtArrival;
-
+    private final StreamWorkers workers;
     private final StreamResponse stream;
 
     /** The last event that the caller has. */
@@ -173,8 +164,9 @@
         this.stream = new StreamResponse(response, context.wireFormat());
         this.position = StreamPosition.after(
                 request.metadata().lastEventId().filter(id -> request.route().resumable()));
-        this.engineAtArrival = findCurrentEngine();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
+        this.workers = new StreamWorkers(
+                context, request, service, generationSize, excludedWorkers, () -> exchanges > 0 || stream.hasStarted());
     }
 
     @Override
@@ -201,7 +193,7 @@
         if (refuseHopeless(request.urgency())) {
             return;
         }
-        if (hasWorkers()) {
+        if (workers.hasUsable()) {
             waitForCapacity();
         } else if (mayTryUnreachableAgain()) {
             excludedWorkers.removeAll(unreachableWorkers);
@@ -221,42 +213,20 @@
         if (stream.hasStarted() || mayHaveRun || exchanges > 0 || prefills > 0) {
             return false;
         }
-        List<ListedWorker> usable =
-                getAllWorkers().stream().filter(this::isUsable).toList();
-        if (!usable.isEmpty() && usable.stream().noneMatch(this::isFastEnough)) {
-            refuse(
-                    "deadline",
-                    "no worker can end the stream in time",
-                    "output_tokens=" + generationSize.expectedOutputTokens(),
-                    NO_WORKER_RETRY_AFTER_MILLIS);
-            return true;
-        }
-        OptionalLong wait = findEngine()
-                .map(e -> context.admissionControl()
-                        .estimateWaitMillis(service, urgency, context.admissionQueues(), e, usable))
-                .orElse(OptionalLong.empty());
-        long untilLatestStart = getLatestStartMillis() - now();
-        if (wait.isEmpty() || !AdmissionForecast.isHopeless(wait.getAsLong(), untilLatestStart)) {
-            return false;
-        }
-        refuse(
-                "wait",
-                "the expected wait is too long",
-                "wait_millis=" + wait.getAsLong() + " latest_start_in_millis=" + untilLatestStart,
-                context.admissionControl().computeRetryAfterMillis(wait.getAsLong(), getRemainingMillis()));
-        return true;
-    }
-
-    private void refuse(String cause, String reason, String detail, long retryAfterMillis) {
-        logRefusal(cause, "urgency=" + request.urgency() + " retry_after_millis=" + retryAfterMillis + ' ' + detail);
-        context.metrics().counter("admission.refused_" + cause).inc();
-        failWithoutResponse(reason, retryAfterMillis);
-    }
-
-    /** Returns whether a worker can end the stream before its deadline. */
-    private boolean isFastEnough(ListedWorker worker) {
-        return context.admissionControl()
-                .isFastEnough(worker, generationSize.expectedOutputTokens(), getRemainingMillis());
+        Optional<AdmissionControl.Refusal> refusal = context.admissionControl()
+                .findRefusal(
+                        workers,
+                        context.admissionQueues().getBacklogs(),
+                        service,
+                        urgency,
+                        getLatestStartMillis() - now(),
+                        getRemainingMillis());
+        refusal.ifPresent(r -> {
+            logRefusal(r.cause(), "urgency=" + request.urgency() + ' ' + r.detail());
+            context.metrics().counter("admission.refused_" + r.cause()).inc();
+            failWithoutResponse(r.reason(), r.retryAfterMillis());
+        });
+        return refusal.isPresent();
     }
 
     /** Returns whether a stream that has begun, which can no longer be refused, has time for a worker that may be only silent. */
@@ -330,17 +300,6 @@
         return worker.server().role() != WorkerRole.PREFILL;
     }
 
-    private boolean hasWorkers() {
-        return getWorkers().stream().anyMatch(this::isUsable);
-    }
-
-    private boolean isUsable(ListedWorker worker) {
-        return isEligible(worker)
-                && !worker.server().leaving()
-                && !context.loadTracker().getNotices().isLeaving(worker, now())
-                && !excludedWorkers.contains(worker.id());
-    }
-
     private static long estimatePrefillMillis(int tokens) {
         return PREFILL_BASE_MILLIS + (long) (PREFILL_MILLIS_PER_TOKEN * tokens);
     }
@@ -357,7 +316,7 @@
 
     @Override
     public AdmissionQueues.Outcome tryAdmit() {
-        Optional<CapacityRequest.Candidate> first = chooseCandidate(Set.of());
+        Optional<CapacityRequest.Candidate> first = workers.chooseCandidate(Set.of());
         if (first.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
@@ -366,7 +325,7 @@
                 && context.loadTracker().countTokens(prefillWorker.get().id(), now()) > MAX_QUEUED_TOKENS) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
-        if (findEngine().isEmpty()) {
+        if (workers.findEngine().isEmpty()) {
             waiting = false;
             executor.execute(() -> admit(() -> {}, first.get().worker()));
             return AdmissionQueues.Outcome.ADMITTED;
@@ -379,14 +338,7 @@
         boolean prefilled = prompt.findPrefillWorker().isPresent()
                 || prefills >= MAX_PREFILLS
                 || generationSize.promptTokens() == 0;
-        return prefilled
-                ? Optional.empty()
-                : context.workerSelector()
-                        .choosePrefill(
-                                getWorkers(),
-                                excludedWorkers,
-                                decodeWorker.server().zone(),
-                                now());
+        return prefilled ? Optional.empty() : workers.choosePrefill(decodeWorker);
     }
 
     private void askForCapacity(CapacityRequest.Candidate first) {
@@ -398,7 +350,7 @@
                 context.reservationService(),
                 () -> onTimeStartMillis < now(),
                 executor,
-                this::chooseCandidate,
+                workers::chooseCandidate,
                 this::createDemand,
                 this);
         capacityRequest.ifPresent(CapacityRequest::withdraw);
@@ -415,7 +367,7 @@
     }
 
     private ReservationTable.Demand createDemand(CapacityRequest.Candidate candidate) {
-        EngineProfile engine = findEngine().orElseThrow();
+        EngineProfile engine = workers.findEngine().orElseThrow();
         long now = now();
         return new ReservationTable.Demand(
                 candidate.worker().id(),
@@ -447,41 +399,6 @@
         }
     }
 
-    /** Chooses a decode worker to ask for capacity: one with free capacity, or the better one of two at random. */
-    private Optional<CapacityRequest.Candidate> chooseCandidate(Set<String> asked) {
-        Set<String> excluded = new HashSet<>(excludedWorkers);
-        excluded.addAll(asked);
-        Optional<CapacityRequest.Candidate> free =
-                chooseDecodeWorker(excluded).map(w -> new CapacityRequest.Candidate(w, true));
-        if (free.isPresent() || findEngine().isEmpty()) {
-            return free;
-        }
-        List<ListedWorker> workers = getWorkers().stream()
-                .filter(w -> w.server().role() == WorkerRole.DECODE && !excluded.contains(w.id()))
-                .toList();
-        return chooseOfTwo(workers, excluded)
-                .or(() -> context.workerSelector().chooseDecodeToClaim(workers, excluded, now()))
-                .map(w -> new CapacityRequest.Candidate(w, false));
-    }
-
-    /** Chooses at random, because all nodes know about the same loads and would wait for the same worker. */
-    private Optional<ListedWorker> chooseOfTwo(List<ListedWorker> workers, Set<String> excluded) {
-        if (workers.isEmpty()) {
-            return Optional.empty();
-        }
-        List<ListedWorker> two = Stream.generate(() ->
-                        workers.get((int) (workers.size() * context.random().getAsDouble())))
-                .limit(2)
-                .distinct()
-                .toList();
-        return context.workerSelector().chooseDecodeToClaim(two, excluded, now());
-    }
-
-    /** Returns whether a worker has not announced that it wants no requests. */
-    private boolean isWilling(ListedWorker worker) {
-        return context.loadTracker().getNotices().isUsable(worker, now());
-    }
-
     @Override
     public void onGranted(ListedWorker worker, ReservationService.Reservation handle) {
         capacityRequest = Optional.empty();
@@ -567,30 +484,6 @@
         }
     }
 
-    /** Gets the workers at which the stream can end before its deadline; all once it has been sent to one. */
-    private Collection<ListedWorker> getWorkers() {
-        return exchanges > 0 || stream.hasStarted()
-                ? getAllWorkers()
-                : getAllWorkers().stream()
-                        .filter(w -> w.server().role() == WorkerRole.PREFILL || isFastEnough(w))
-                        .toList();
-    }
-
-    private Collection<ListedWorker> getAllWorkers() {
-        return context.routingState().getWorkers(service);
-    }
-
-    private Optional<EngineProfile> findEngine() {
-        return findCurrentEngine().or(() -> engineAtArrival);
-    }
-
-    private Optional<EngineProfile> findCurrentEngine() {
-        return context.routingState()
-                .getRoutingTable()
-                .flatMap(r -> r.findService(service))
-                .flatMap(s -> s.engine());
-    }
-
     private void startPrefill(ListedWorker worker) {
         if (!mayProceed()) {
             return;
@@ -631,7 +524,7 @@
             CacheHandle handle =
                     context.wireFormat().readCacheHandle(exchange.getWorkerRequest(), prefillBody.toByteArray());
             long retentionMillis =
-                    findEngine().map(EngineProfile::kvRetentionMillis).orElse(0L);
+                    workers.findEngine().map(EngineProfile::kvRetentionMillis).orElse(0L);
             prompt.recordPrefill(handle, exchange.getWorker(), now(), retentionMillis);
             log(
                     "prefill_done",
@@ -640,8 +533,8 @@
             Optional<ListedWorker> decodeWorker = plannedDecodeWorker
                     .filter(context.routingState()::isUsable)
                     .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
-                    .filter(this::isWilling)
-                    .or(() -> chooseDecodeWorker(excludedWorkers));
+                    .filter(workers::isWilling)
+                    .or(() -> workers.chooseDecode());
             removePlannedLoad();
             if (decodeWorker.isPresent()) {
                 startDecode(decodeWorker.get());
@@ -654,22 +547,6 @@
         }
     }
 
-    private boolean hasAmpleMemory(ListedWorker worker) {
-        int tokens = context.loadTracker().countTokens(worker.id(), now());
-        return findEngine()
-                .map(e -> tokens < AMPLE_MEMORY_SHARE * e.kvCapacityTokens())
-                .orElse(true);
-    }
-
-    private Optional<ListedWorker> chooseDecodeWorker(Set<String> excluded) {
-        Optional<EngineProfile> engine = findEngine();
-        return engine.isPresent()
-                ? context.workerSelector()
-                        .chooseDecode(
-                                getWorkers(), engine.get(), generationSize.estimateMemoryTokens(), excluded, now())
-                : context.workerSelector().choosePlain(getWorkers(), excluded, now());
-    }
-
     private void startDecode(ListedWorker worker) {
         if (!mayProceed()) {
             return;
@@ -677,7 +554,7 @@
         exchanges++;
         Optional<CacheHandle> handle = prompt.findHandle(now() + CACHE_EXPIRY_MARGIN_MILLIS);
         Optional<ListedWorker> cachedAt = handle.isPresent() ? Optional.empty() : prompt.findPrefillWorker();
-        hadAmpleMemory = hasAmpleMemory(worker);
+        hadAmpleMemory = workers.hasAmpleMemory(worker);
         logChoice(
                 "decode",
                 worker,
@@ -713,7 +590,7 @@
             return;
         }
         excludedWorkers.add(unresponsive.getWorker().id());
-        Optional<ListedWorker> second = chooseDecodeWorker(excludedWorkers);
+        Optional<ListedWorker> second = workers.chooseDecode();
         if (second.isPresent() && context.retryBudgets().tryAcquire(service)) {
             log("take_over", unresponsive, "second=" + second.get().id() + " millis=" + unresponsive.getAgeMillis());
             startDecode(second.get());
@@ -749,7 +626,7 @@
             return;
         }
         excludedWorkers.add(activeDecodes.get(0).getWorker().id());
-        if (hasWorkers()) {
+        if (workers.hasUsable()) {
             waitForCapacity();
         }
     }
