--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -3,14 +3,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.WorkerRole;
@@ -35,7 +33,8 @@
  * <p>The admission queue calls {@link #isDone} and {@link #tryAdmit} on any thread. Everything else runs on the executor of
  * the request.
  */
-final class StreamExecution extends RequestExecution implements AdmissionQueues.WaitingRequest {
+final class StreamExecution extends RequestExecution
+        implements AdmissionQueues.WaitingRequest, CapacityRequest.Listener {
     /** Duration of a prefill per token on an idle worker; a third above the data sheets. */
     private static final double PREFILL_MILLIS_PER_TOKEN = 0.034;
 
@@ -89,11 +88,11 @@
     /** Interval at which a stream that has begun tries workers again that accepted no connection. */
     private static final long UNREACHABLE_RETRY_MILLIS = 100;
 
-    /** Share of its memory below which a decode worker cannot be full, even if the estimates are inaccurate. */
-    private static final double AMPLE_MEMORY_SHARE = 0.7;
+    /** Interval at which an overdue request that waits is checked for being hopeless; callers can use the time they get back. */
+    private static final long OVERDUE_CHECK_INTERVAL_MILLIS = 200;
 
-    /** Share of the memory of a worker from which a request may claim one; smaller ones find room as streams end. */
-    private static final double LARGE_MEMORY_SHARE = 0.5;
+    /** Interval at which a request that waits at reservation owners looks for workers that have become free meanwhile. */
+    private static final long FREE_WORKER_INTERVAL_MILLIS = 200;
 
     /** Time before the expiry of a KV cache within which it is no longer sent to a worker. */
     private static final long CACHE_EXPIRY_MARGIN_MILLIS = 60;
@@ -132,9 +131,7 @@
 
     private long countedBytes;
 
-    /** The engine of the service when the request arrived; a later configuration may no longer contain the service. */
-    private final Optional<EngineProfile> engineAtArrival;
-
+    private final StreamWorkers workers;
     private final StreamResponse stream;
 
     /** The last event that the caller has. */
@@ -156,9 +153,12 @@
     private Optional<WorkerExchange> activePrefill = Optional.empty();
     private final PrefilledPrompt prompt = new PrefilledPrompt();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
-    private final long claimId;
-    private volatile Optional<ListedWorker> claimedWorker = Optional.empty();
     private volatile boolean waiting;
+
+    /** The latest start with which the request is on time, as of its latest wait. */
+    private volatile long onTimeStartMillis;
+
+    private Optional<CapacityRequest> capacityRequest = Optional.empty();
     private int waits;
     private int prefills;
     private int refusedDecodes;
@@ -177,11 +177,11 @@
         this.stream = new StreamResponse(response, context.wireFormat());
         this.position = StreamPosition.after(
                 request.metadata().lastEventId().filter(id -> request.route().resumable()));
-        this.engineAtArrival = findCurrentEngine();
-        this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
         this.buffers = context.budget().open(ByteBudget.Use.RESPONSE);
         response.onComplete(buffers::close);
+        this.workers = new StreamWorkers(
+                context, request, service, generationSize, excludedWorkers, () -> exchanges > 0 || stream.hasStarted());
     }
 
     @Override
@@ -205,7 +205,10 @@
             return;
         }
         reservation.release();
-        if (hasWorkers()) {
+        if (refuseHopeless(request.urgency())) {
+            return;
+        }
+        if (workers.hasUsable()) {
             waitForCapacity();
         } else if (mayTryUnreachableAgain()) {
             excludedWorkers.removeAll(unreachableWorkers);
@@ -216,6 +219,31 @@
         }
     }
 
+    /**
+     * Refuses a request that has been sent to no worker if none can finish it, or if it cannot be expected to start in time.
+     *
+     * @param urgency the urgency up to which waiting requests count as ahead of it
+     */
+    private boolean refuseHopeless(int urgency) {
+        if (stream.hasStarted() || mayHaveRun || exchanges > 0 || prefills > 0) {
+            return false;
+        }
+        Optional<AdmissionControl.Refusal> refusal = context.admissionControl()
+                .findRefusal(
+                        workers,
+                        context.admissionQueues().getBacklogs(),
+                        service,
+                        urgency,
+                        getLatestStartMillis() - now(),
+                        getRemainingMillis());
+        refusal.ifPresent(r -> {
+            logRefusal(r.cause(), "urgency=" + request.urgency() + ' ' + r.detail());
+            context.metrics().counter("admission.refused_" + r.cause()).inc();
+            failWithoutResponse(r.reason(), r.retryAfterMillis());
+        });
+        return refusal.isPresent();
+    }
+
     /** Returns whether a stream that has begun, which can no longer be refused, has time for a worker that may be only silent. */
     private boolean mayTryUnreachableAgain() {
         return stream.hasStarted()
@@ -227,13 +255,13 @@
         waiting = true;
         long expectedMillis = estimatePrefillMillis(generationSize.promptTokens());
         // A finished prefill would be wasted if its request had to wait behind later requests as an overdue one.
-        long latestStartMillis = stream.hasStarted()
-                        || prompt.findPrefillWorker().isPresent()
+        onTimeStartMillis = stream.hasStarted() || prompt.findPrefillWorker().isPresent()
                 ? getLatestStartMillis()
                 : request.arrivalMillis() + request.route().targetMillis() - expectedMillis - FIRST_EVENT_MILLIS;
-        context.admissionQueues().enqueue(service, this, request.arrivalMillis(), latestStartMillis);
+        context.admissionQueues().enqueue(service, this, request.urgency(), request.arrivalMillis(), onTimeStartMillis);
         if (waiting) {
             int wait = ++waits;
+            schedule(onTimeStartMillis + 1 - now(), () -> checkOverdue(wait));
             schedule(getLatestStartMillis() - now(), () -> {
                 // The timer of an earlier wait may be due while the request waits again.
                 if (wait == waits) {
@@ -243,6 +271,13 @@
         }
     }
 
+    /** Refuses an overdue request while it waits, for which all waiting requests count as ahead. */
+    private void checkOverdue(int wait) {
+        if (wait == waits && waiting && !refuseHopeless(Integer.MAX_VALUE)) {
+            schedule(OVERDUE_CHECK_INTERVAL_MILLIS, () -> checkOverdue(wait));
+        }
+    }
+
     /** Gets the time after which the next event could not reach the caller before its timeout. */
     private long getLatestStartMillis() {
         long lastEventOrArrivalMillis = stream.hasStarted() ? lastEventMillis : request.arrivalMillis();
@@ -258,7 +293,7 @@
     /** Fails a waiting request in time for the caller to receive the time after which it may retry. */
     private void handleQueueTimeout() {
         if (waiting) {
-            waiting = false;
+            stopWaiting();
             if (!activeDecodes.isEmpty()) {
                 // No replacement was found, and the worker may go on.
                 return;
@@ -280,14 +315,6 @@
         return worker.server().role() != WorkerRole.PREFILL;
     }
 
-    private boolean hasWorkers() {
-        return getWorkers().stream()
-                .anyMatch(w -> isEligible(w)
-                        && !w.server().leaving()
-                        && !context.loadTracker().getNotices().isLeaving(w, now())
-                        && !excludedWorkers.contains(w.id()));
-    }
-
     private static long estimatePrefillMillis(int tokens) {
         return PREFILL_BASE_MILLIS + (long) (PREFILL_MILLIS_PER_TOKEN * tokens);
     }
@@ -298,115 +325,136 @@
     }
 
     @Override
-    public AdmissionQueues.Outcome tryAdmit(boolean mayClaim) {
-        Optional<ListedWorker> freeWorker = chooseDecodeWorker();
-        boolean claims = freeWorker.isEmpty() && mayClaim && isLarge();
-        Optional<ListedWorker> decodeWorker = claims ? chooseWorkerToClaim() : freeWorker;
-        if (decodeWorker.isEmpty()) {
+    public int getTokens() {
+        return generationSize.estimateMemoryTokens();
+    }
+
+    @Override
+    public AdmissionQueues.Outcome tryAdmit() {
+        Optional<CapacityRequest.Candidate> first = workers.chooseCandidate(Set.of());
+        if (first.isEmpty()) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
-        boolean prefilled = prompt.findPrefillWorker().isPresent()
-                || prefills >= MAX_PREFILLS
-                || generationSize.promptTokens() == 0;
-        Optional<ListedWorker> prefillWorker = prefilled
-                ? Optional.empty()
-                : context.workerSelector()
-                        .choosePrefill(
-                                getWorkers(),
-                                excludedWorkers,
-                                decodeWorker.get().server().zone(),
-                                now());
+        Optional<ListedWorker> prefillWorker = choosePrefillWorker(first.get().worker());
         if (prefillWorker.isPresent()
                 && context.loadTracker().countTokens(prefillWorker.get().id(), now()) > MAX_QUEUED_TOKENS) {
             return AdmissionQueues.Outcome.NO_CAPACITY;
         }
-        Optional<EngineProfile> engine = findEngine();
-        if (engine.isEmpty()) {
+        if (workers.findEngine().isEmpty()) {
             waiting = false;
-            executor.execute(() -> admit(() -> {}, decodeWorker.get(), prefillWorker));
+            executor.execute(() -> admit(() -> {}, first.get().worker()));
             return AdmissionQueues.Outcome.ADMITTED;
         }
-        requestReservation(engine.get(), decodeWorker.get(), prefillWorker, claims);
+        executor.execute(() -> askForCapacity(first.get()));
         return AdmissionQueues.Outcome.PENDING;
     }
 
-    private void requestReservation(
-            EngineProfile engine, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker, boolean claims) {
-        CompletableFuture<ReservationService.Reservation> requested = new CompletableFuture<>();
-        // The result may arrive before the handle is known, and the request may end meanwhile.
-        requested.complete(context.reservationService()
-                .reserve(
-                        decodeWorker,
-                        engine,
-                        generationSize.estimateMemoryTokens(),
-                        claims ? claimId : ReservationTable.NO_CLAIM,
-                        granted -> requested.thenAccept(handle -> executor.execute(
-                                () -> handleReservationResult(handle, granted, claims, decodeWorker, prefillWorker)))));
-    }
-
-    /** Returns whether the request needs so much of a worker that it may never find room beside smaller ones. */
-    private boolean isLarge() {
-        return findEngine()
-                .filter(e -> generationSize.estimateMemoryTokens() >= LARGE_MEMORY_SHARE * e.getUsableTokens())
-                .isPresent();
-    }
-
-    /** Chooses a worker without free capacity to wait for, the same in each attempt as long as it is usable. */
-    private Optional<ListedWorker> chooseWorkerToClaim() {
-        Collection<ListedWorker> workers = getWorkers();
-        boolean usable = claimedWorker
-                .filter(workers::contains)
-                .filter(w -> !excludedWorkers.contains(w.id()))
-                .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
-                .filter(this::isWilling)
-                .isPresent();
-        if (!usable) {
-            claimedWorker = context.workerSelector().chooseDecodeToClaim(workers, excludedWorkers, now());
-            claimedWorker.ifPresent(w -> log(
-                    "claim",
-                    w,
-                    "tokens=" + context.loadTracker().countTokens(w.id(), now()) + " own_tokens="
-                            + generationSize.estimateMemoryTokens()));
+    private Optional<ListedWorker> choosePrefillWorker(ListedWorker decodeWorker) {
+        boolean prefilled = prompt.findPrefillWorker().isPresent()
+                || prefills >= MAX_PREFILLS
+                || generationSize.promptTokens() == 0;
+        return prefilled ? Optional.empty() : workers.choosePrefill(decodeWorker);
+    }
+
+    private void askForCapacity(CapacityRequest.Candidate first) {
+        if (!waiting) {
+            context.admissionQueues().handleReservationResult(service, this, false);
+            return;
         }
-        // An engine may refuse requests although its reservations leave room; the claim then has to wait as well.
-        return claimedWorker.filter(w -> !context.loadTracker().isFull(w.id(), now()));
+        CapacityRequest asking = new CapacityRequest(
+                context.reservationService(),
+                () -> onTimeStartMillis < now(),
+                executor,
+                workers::chooseCandidate,
+                this::createDemand,
+                this);
+        capacityRequest.ifPresent(CapacityRequest::withdraw);
+        capacityRequest = Optional.of(asking);
+        asking.ask(first);
+        schedule(FREE_WORKER_INTERVAL_MILLIS, () -> lookForFreeWorker(asking));
+    }
+
+    private void lookForFreeWorker(CapacityRequest asking) {
+        if (capacityRequest.isPresent() && capacityRequest.get() == asking) {
+            asking.lookForFree();
+            schedule(FREE_WORKER_INTERVAL_MILLIS, () -> lookForFreeWorker(asking));
+        }
+    }
+
+    private ReservationTable.Demand createDemand(CapacityRequest.Candidate candidate) {
+        EngineProfile engine = workers.findEngine().orElseThrow();
+        long now = now();
+        return new ReservationTable.Demand(
+                candidate.worker().id(),
+                getTokens(),
+                engine.getUsableTokens(),
+                engine.slots(),
+                request.urgency(),
+                now - request.arrivalMillis(),
+                onTimeStartMillis - now,
+                Math.max(0, getLatestStartMillis() - now),
+                candidate.free());
     }
 
-    /** Returns whether a worker has not announced that it wants no requests. */
-    private boolean isWilling(ListedWorker worker) {
-        return context.loadTracker().getNotices().isUsable(worker, now());
+    @Override
+    public void withdraw() {
+        executor.execute(this::withdrawCapacityRequest);
     }
 
-    private void handleReservationResult(
-            ReservationService.Reservation handle,
-            boolean granted,
-            boolean claims,
-            ListedWorker decodeWorker,
-            Optional<ListedWorker> prefillWorker) {
-        try {
-            if (granted && waiting) {
-                waiting = false;
-                admit(handle, decodeWorker, prefillWorker);
-            } else {
-                handle.release();
-            }
-            if (!granted && !claims) {
-                context.loadTracker().markFull(decodeWorker.id(), now() + REJECTED_BACKOFF_MILLIS);
-            }
-        } finally {
-            context.admissionQueues().handleReservationResult(service, granted);
+    private void withdrawCapacityRequest() {
+        capacityRequest.ifPresent(CapacityRequest::withdraw);
+        capacityRequest = Optional.empty();
+    }
+
+    private void stopWaiting() {
+        if (waiting) {
+            waiting = false;
+            withdrawCapacityRequest();
+            context.admissionQueues().handleReservationResult(service, this, false);
+        }
+    }
+
+    @Override
+    public void onGranted(ListedWorker worker, ReservationService.Reservation handle) {
+        capacityRequest = Optional.empty();
+        if (!waiting) {
+            handle.release();
+            return;
+        }
+        waiting = false;
+        // The request leaves the queue first, because it may have to wait again at once.
+        context.admissionQueues().handleReservationResult(service, this, true);
+        admit(context.admissionControl().measure(service, getTokens(), handle), worker);
+    }
+
+    @Override
+    public void onWaiting(ListedWorker worker) {
+        log(
+                "waiting",
+                worker,
+                "urgency=" + request.urgency() + " own_tokens=" + getTokens() + " overdue_in_millis="
+                        + (onTimeStartMillis - now()) + " wait_millis=" + (getLatestStartMillis() - now()));
+        context.metrics().counter("admission.waits").inc();
+    }
+
+    @Override
+    public void onRejected(ListedWorker worker, boolean last) {
+        context.loadTracker().markFull(worker.id(), now() + REJECTED_BACKOFF_MILLIS);
+        context.metrics().counter("admission.rejections").inc();
+        if (last) {
+            capacityRequest = Optional.empty();
+            context.admissionQueues().handleReservationResult(service, this, false);
         }
     }
 
-    private void admit(
-            ReservationService.Reservation handle, ListedWorker decodeWorker, Optional<ListedWorker> prefillWorker) {
+    private void admit(ReservationService.Reservation handle, ListedWorker decodeWorker) {
         if (ended) {
             handle.release();
             return;
         }
         if (activeDecodes.isEmpty()) {
             reservation = handle;
-            startExchanges(decodeWorker, prefillWorker);
+            startExchanges(decodeWorker, choosePrefillWorker(decodeWorker));
             return;
         }
         replacementReservation = handle;
@@ -451,21 +499,6 @@
         }
     }
 
-    private Collection<ListedWorker> getWorkers() {
-        return context.routingState().getWorkers(service);
-    }
-
-    private Optional<EngineProfile> findEngine() {
-        return findCurrentEngine().or(() -> engineAtArrival);
-    }
-
-    private Optional<EngineProfile> findCurrentEngine() {
-        return context.routingState()
-                .getRoutingTable()
-                .flatMap(r -> r.findService(service))
-                .flatMap(s -> s.engine());
-    }
-
     private void startPrefill(ListedWorker worker) {
         if (!mayProceed()) {
             return;
@@ -506,7 +539,7 @@
             CacheHandle handle =
                     context.wireFormat().readCacheHandle(exchange.getWorkerRequest(), prefillBody.toByteArray());
             long retentionMillis =
-                    findEngine().map(EngineProfile::kvRetentionMillis).orElse(0L);
+                    workers.findEngine().map(EngineProfile::kvRetentionMillis).orElse(0L);
             prompt.recordPrefill(handle, exchange.getWorker(), now(), retentionMillis);
             log(
                     "prefill_done",
@@ -515,8 +548,8 @@
             Optional<ListedWorker> decodeWorker = plannedDecodeWorker
                     .filter(context.routingState()::isUsable)
                     .filter(w -> !context.loadTracker().isUnhealthy(w.id(), now()))
-                    .filter(this::isWilling)
-                    .or(() -> chooseDecodeWorker());
+                    .filter(workers::isWilling)
+                    .or(() -> workers.chooseDecode());
             removePlannedLoad();
             if (decodeWorker.isPresent()) {
                 startDecode(decodeWorker.get());
@@ -529,26 +562,6 @@
         }
     }
 
-    private boolean hasAmpleMemory(ListedWorker worker) {
-        int tokens = context.loadTracker().countTokens(worker.id(), now());
-        return findEngine()
-                .map(e -> tokens < AMPLE_MEMORY_SHARE * e.kvCapacityTokens())
-                .orElse(true);
-    }
-
-    private Optional<ListedWorker> chooseDecodeWorker() {
-        Optional<EngineProfile> engine = findEngine();
-        return engine.isPresent()
-                ? context.workerSelector()
-                        .chooseDecode(
-                                getWorkers(),
-                                engine.get(),
-                                generationSize.estimateMemoryTokens(),
-                                excludedWorkers,
-                                now())
-                : context.workerSelector().choosePlain(getWorkers(), excludedWorkers, now());
-    }
-
     private void startDecode(ListedWorker worker) {
         if (!mayProceed()) {
             return;
@@ -556,7 +569,7 @@
         exchanges++;
         Optional<CacheHandle> handle = prompt.findHandle(now() + CACHE_EXPIRY_MARGIN_MILLIS);
         Optional<ListedWorker> cachedAt = handle.isPresent() ? Optional.empty() : prompt.findPrefillWorker();
-        hadAmpleMemory = hasAmpleMemory(worker);
+        hadAmpleMemory = workers.hasAmpleMemory(worker);
         logChoice(
                 "decode",
                 worker,
@@ -592,7 +605,7 @@
             return;
         }
         excludedWorkers.add(unresponsive.getWorker().id());
-        Optional<ListedWorker> second = chooseDecodeWorker();
+        Optional<ListedWorker> second = workers.chooseDecode();
         if (second.isPresent() && context.retryBudgets().tryAcquire(service)) {
             log("take_over", unresponsive, "second=" + second.get().id() + " millis=" + unresponsive.getAgeMillis());
             startDecode(second.get());
@@ -628,7 +641,7 @@
             return;
         }
         excludedWorkers.add(activeDecodes.get(0).getWorker().id());
-        if (hasWorkers()) {
+        if (workers.hasUsable()) {
             waitForCapacity();
         }
     }
@@ -644,7 +657,7 @@
 
     /** Ends the other exchanges of the stream once one of them continues it. */
     private void continueWith(WorkerExchange exchange) {
-        waiting = false;
+        stopWaiting();
         for (WorkerExchange other : List.copyOf(activeDecodes)) {
             if (other == exchange) {
                 continue;
@@ -1023,7 +1036,7 @@
 
     @Override
     void cancelExchanges() {
-        waiting = false;
+        stopWaiting();
         activePrefill.ifPresent(WorkerExchange::cancel);
         activePrefill = Optional.empty();
         activeDecodes.forEach(WorkerExchange::cancel);
