Return units before the refusal is sent, and log the cap with each decision

Cause: in a run of all tests of the platform module, UsageCapTest.aRequestThatDoesNotRunUsesNothing got 429 instead of 503: units were returned after the refusal had been written, and the next request of the caller came first. Change: units are returned before the response that states that the request did not run. The log line has rate and burst.

--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -92,6 +92,7 @@
     private volatile long idleLimitMillis = DEFAULT_IDLE_MILLIS;
     private final AtomicReference<Sending> sending = new AtomicReference<>(Sending.NOT_STARTED);
     private final AtomicBoolean expired = new AtomicBoolean();
+    private final AtomicReference<Runnable> notRunTask = new AtomicReference<>(() -> {});
     private volatile boolean sent;
     private volatile boolean refusedAsNotRun;
 
@@ -322,9 +323,25 @@
         return permitted;
     }
 
-    /** Returns whether the request was not sent to a worker, or its response states that it has not run. */
-    boolean isNotRun() {
-        return !sent || refusedAsNotRun;
+    /**
+     * Sets the task that runs once if the request ends without having run: before the response that states so, or when the caller
+     * leaves before it was sent to a worker.
+     */
+    void onNotRun(Runnable task) {
+        notRunTask.set(task);
+        onComplete(() -> {
+            if (!sent || refusedAsNotRun) {
+                runNotRunTask();
+            }
+        });
+    }
+
+    private void runNotRunTask() {
+        try {
+            notRunTask.getAndSet(() -> {}).run();
+        } catch (RuntimeException | Error e) {
+            Failures.recordSurvived("not_run", e);
+        }
     }
 
     /** Answers a request that ended by an internal failure, unless a response was started. */
@@ -387,6 +404,7 @@
     public void fail(Fault fault) {
         if (fault.ran() == ExecutionStatus.NO && !responseStarted.get()) {
             refusedAsNotRun = true;
+            runNotRunTask();
         }
         Map<String, String> failureHeaders = new HashMap<>(JSON_HEADERS);
         fault.retryAfterMillis()
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -38,6 +38,7 @@
 import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
 import org.magnoliavane.routing.RoutingTable;
+import org.magnoliavane.routing.UsageCap;
 import org.magnoliavane.usage.UsageUnits;
 
 /**
@@ -329,8 +330,8 @@
             return;
         }
         exchange.setStage("usage");
-        long units = UsageUnits.count(
-                organisation.get().usageCap().get(), exchange.getMetadata().findTotalTokens());
+        UsageCap cap = organisation.get().usageCap().get();
+        long units = UsageUnits.count(cap, exchange.getMetadata().findTotalTokens());
         context.usage()
                 .admit(
                         organisation.get(),
@@ -339,20 +340,18 @@
                             if (!decision.admitted() || decision.source() == UsageDecision.Source.LOCAL) {
                                 LOG.log(
                                         Level.INFO,
-                                        "event=usage request={0} organisation={1} {2}",
+                                        "event=usage request={0} organisation={1} per_second={2} burst={3} {4}",
                                         exchange.getMetadata().attemptId(),
                                         organisation.get().name(),
+                                        Double.toString(cap.unitsPerSecond()),
+                                        Double.toString(cap.burst()),
                                         decision);
                             }
                             if (!decision.admitted()) {
                                 exchange.fail(createOverCapFault(decision));
                                 return;
                             }
-                            exchange.onComplete(() -> {
-                                if (exchange.isNotRun()) {
-                                    context.usage().giveBack(decision);
-                                }
-                            });
+                            exchange.onNotRun(() -> context.usage().giveBack(decision));
                             next.accept(exchange);
                         }));
     }
