Choose workers by measured speed, and give prefills of a large fleet the slot of an owner

Cause: nodes took the worker with the fewest reported tokens. Prefills last 100 ms and reports are up to 1.5 s old, so that all nodes took the same worker, and speeds were not known. Change: WorkerSpeeds measures prefills, decodes and plain responses; reports carry up to 16 measurements each. In fleets of more than 25 nodes the better of two drawn workers is taken, and a prefill asks the reservation owner of its worker for the only slot. The expected times replace the constants of StreamExecution and feed AdmissionControl.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
@@ -31,6 +31,7 @@
 
     private final Runnable onChange;
     private final WorkerNotices notices = new WorkerNotices();
+    private final WorkerSpeeds speeds = new WorkerSpeeds();
     private final Map<String, WorkerState> states = new ConcurrentHashMap<>();
     private final Map<String, PeerReport> peerReports = new ConcurrentHashMap<>();
 
@@ -52,6 +53,15 @@
         return notices;
     }
 
+    /**
+     * Gets the measured speeds of the workers.
+     *
+     * @return the speeds
+     */
+    public WorkerSpeeds getSpeeds() {
+        return speeds;
+    }
+
     /**
      * Records the start of an exchange with a worker.
      *
@@ -189,6 +199,16 @@
         return loads;
     }
 
+    /**
+     * Counts the active requests of this node at a worker.
+     *
+     * @param worker the id of the worker
+     * @return the number of requests
+     */
+    public int countOwnRequests(String worker) {
+        return getState(worker).requests.get();
+    }
+
     /**
      * Counts the active requests at a worker.
      *
@@ -211,6 +231,58 @@
         return Math.max(0, getState(worker).tokens.get() + (int) sumPeerLoads(worker, nowMillis, Load::tokens));
     }
 
+    /**
+     * Estimates the tokens of the active requests at a worker that serves each within a short time, so that much of what
+     * other nodes have reported has ended since.
+     *
+     * @param worker the id of the worker
+     * @param durationMillis the usual time for which a request is active, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     * @return the expected number of tokens of all nodes
+     */
+    public double estimateTokens(String worker, double durationMillis, long nowMillis) {
+        return getState(worker).tokens.get() + sumRemainingLoads(worker, durationMillis, nowMillis, Load::tokens);
+    }
+
+    /**
+     * Estimates the active requests at a worker that serves each within a short time, like {@link #estimateTokens}.
+     *
+     * @param worker the id of the worker
+     * @param durationMillis the usual time for which a request is active, in milliseconds
+     * @param nowMillis the current time, in milliseconds
+     * @return the expected number of requests of all nodes
+     */
+    public double estimateRequests(String worker, double durationMillis, long nowMillis) {
+        return getState(worker).requests.get() + sumRemainingLoads(worker, durationMillis, nowMillis, Load::requests);
+    }
+
+    private double sumRemainingLoads(
+            String worker, double durationMillis, long nowMillis, ToDoubleFunction<Load> value) {
+        double sum = 0;
+        for (PeerReport report : peerReports.values()) {
+            Load load = report.loads.get(worker);
+            long ageMillis = nowMillis - report.atMillis;
+            if (load != null && ageMillis < PEER_REPORT_MAX_AGE_MILLIS) {
+                sum += value.applyAsDouble(load) * Math.exp(-ageMillis / durationMillis);
+            }
+        }
+        return sum;
+    }
+
+    /**
+     * Counts the nodes that have reported their load lately.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the number of other nodes
+     */
+    public int countReportingNodes(long nowMillis) {
+        int nodes = 0;
+        for (PeerReport report : peerReports.values()) {
+            nodes += nowMillis - report.atMillis < PEER_REPORT_MAX_AGE_MILLIS ? 1 : 0;
+        }
+        return nodes;
+    }
+
     /**
      * Gets the utilization of a decode worker, which is limited by its memory or by its slots.
      *
--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -1,5 +1,6 @@
 package org.magnoliavane.balance;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -12,7 +13,10 @@
 import org.magnoliavane.routing.EngineProfile;
 
 /**
- * Selects the workers with the lowest expected delay.
+ * Selects workers by expected delay, which follows from their known load and their measured speed. A node of a small fleet
+ * takes the worker with the lowest one. In a large fleet, the reports of other nodes are old and all nodes would take the same
+ * worker until their next reports, so each of them takes the better of two workers that are drawn at random, in proportion
+ * to their speeds.
  *
  * <p>Thread-safe.
  */
@@ -26,6 +30,21 @@
     /** Cost of a KV cache transfer between zones, which takes twice as long, in units of one active prompt. */
     private static final double REMOTE_TRANSFER_COST = 0.15;
 
+    /** Number of workers that are drawn in a large fleet. */
+    private static final int DRAWN_WORKERS = 2;
+
+    /**
+     * Number of other nodes above which a fleet counts as large. Smaller fleets also report each change of their load within
+     * an eighth of a second.
+     */
+    private static final int MAX_FREQUENTLY_REPORTING_NODES = 24;
+
+    /**
+     * Multiple of the expected time of a request for which it is taken to be active at its worker, including the time that it
+     * waits there.
+     */
+    private static final double ACTIVE_TIME_FACTOR = 1.5;
+
     /** Number of prompt tokens that count as one active request. */
     private static final double TOKENS_PER_REQUEST = 5000;
 
@@ -42,7 +61,7 @@
     /**
      * Creates a selector.
      *
-     * @param loadTracker the load and health of the workers
+     * @param loadTracker the load, health and speed of the workers
      * @param zone the availability zone of this node
      * @param random supplies random numbers between 0 and 1
      */
@@ -53,7 +72,7 @@
     }
 
     /**
-     * Chooses the worker of a plain service with the smallest share of its slots in use.
+     * Chooses a worker of a plain service by the share of its slots in use and its speed.
      *
      * @param workers the candidate workers of the service
      * @param excluded the ids of workers that must not be chosen
@@ -61,11 +80,11 @@
      * @return the worker; empty if no worker is eligible
      */
     public Optional<ListedWorker> choosePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.PLAIN, nowMillis, w -> getUtilization(w, nowMillis));
+        return choose(workers, excluded, WorkerRole.PLAIN, nowMillis, w -> getPlainCost(w, nowMillis));
     }
 
     /**
-     * Chooses the prefill worker with the fewest queued tokens, and prefers the zone of the decode worker.
+     * Chooses a prefill worker by its queued tokens and its speed, and prefers the zone of the decode worker.
      *
      * @param workers the candidate workers of the service
      * @param excluded the ids of workers that must not be chosen
@@ -77,12 +96,12 @@
             Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
         return choose(workers, excluded, WorkerRole.PREFILL, nowMillis, w -> {
             double transferCost = w.server().zone().equals(decodeZone) ? 0 : REMOTE_TRANSFER_COST;
-            return loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + transferCost;
+            return getPrefillCost(w, nowMillis) + transferCost;
         });
     }
 
     /**
-     * Chooses the decode worker with the fewest requests among those with enough free memory.
+     * Chooses a decode worker by its requests and its speed among those with enough free memory.
      *
      * @param workers the candidate workers of the service
      * @param engine the profile of the engines of the service
@@ -98,7 +117,7 @@
             double totalTokens = loadTracker.countTokens(w.id(), nowMillis) + tokens;
             boolean fits = requests == 0 || requests < engine.slots() && totalTokens <= engine.getUsableTokens();
             boolean hasCapacity = fits && !loadTracker.isFull(w.id(), nowMillis);
-            return hasCapacity ? requests : Double.POSITIVE_INFINITY;
+            return hasCapacity ? (requests + 0.5) / getSpeed(w, nowMillis) : Double.POSITIVE_INFINITY;
         });
     }
 
@@ -120,7 +139,7 @@
                 nowMillis,
                 w -> loadTracker.isFull(w.id(), nowMillis)
                         ? Double.POSITIVE_INFINITY
-                        : loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST);
+                        : loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5);
     }
 
     private Optional<ListedWorker> choose(
@@ -129,7 +148,6 @@
             WorkerRole role,
             long nowMillis,
             ToDoubleFunction<ListedWorker> load) {
-        record Scored(ListedWorker worker, double cost) {}
         List<ListedWorker> usable = workers.stream()
                 .filter(w -> w.server().role() == role && !w.server().leaving() && !excluded.contains(w.id()))
                 .filter(w -> loadTracker.getNotices().isUsable(w, nowMillis))
@@ -138,22 +156,69 @@
                 .filter(w -> !loadTracker.isUnhealthy(w.id(), nowMillis))
                 .toList();
         // Requests wait for a full but healthy worker. Unhealthy workers are used only if no worker is healthy.
-        return (healthy.isEmpty() ? usable : healthy)
+        List<Scored> candidates = (healthy.isEmpty() ? usable : healthy)
                 .stream()
-                        .map(w -> new Scored(w, computeCost(w, load.applyAsDouble(w), nowMillis)))
+                        .map(w ->
+                                new Scored(w, computeCost(w, load.applyAsDouble(w), nowMillis), getSpeed(w, nowMillis)))
                         .filter(s -> s.cost < Double.POSITIVE_INFINITY)
-                        .min(Comparator.comparingDouble(Scored::cost))
-                        .map(Scored::worker);
+                        .toList();
+        return (hasOldReports(nowMillis) ? draw(candidates) : candidates)
+                .stream().min(Comparator.comparingDouble(Scored::cost)).map(Scored::worker);
+    }
+
+    /**
+     * Returns whether the fleet is so large that the reports of other nodes are too old to tell which worker is free.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return true in a large fleet
+     */
+    public boolean hasOldReports(long nowMillis) {
+        return loadTracker.countReportingNodes(nowMillis) > MAX_FREQUENTLY_REPORTING_NODES;
+    }
+
+    /** Draws some workers in proportion to their speeds, none of them twice. */
+    private List<Scored> draw(List<Scored> candidates) {
+        List<Scored> remaining = new ArrayList<>(candidates);
+        List<Scored> drawn = new ArrayList<>();
+        while (drawn.size() < DRAWN_WORKERS && !remaining.isEmpty()) {
+            double position = random.getAsDouble()
+                    * remaining.stream().mapToDouble(Scored::speed).sum();
+            int index = 0;
+            while (index < remaining.size() - 1 && position >= remaining.get(index).speed) {
+                position -= remaining.get(index).speed;
+                index++;
+            }
+            drawn.add(remaining.remove(index));
+        }
+        return drawn;
     }
 
     private double computeCost(ListedWorker worker, double load, long nowMillis) {
         double failureRate = loadTracker.getFailureRate(worker.id(), nowMillis);
-        double cost = (load + 0.5) * (1 + FAILURE_PENALTY * failureRate);
+        double cost = load * (1 + FAILURE_PENALTY * failureRate);
         cost += worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
         return cost + MAX_RANDOM_COST * random.getAsDouble();
     }
 
-    private double getUtilization(ListedWorker worker, long nowMillis) {
-        return (double) loadTracker.countRequests(worker.id(), nowMillis) / Math.max(1, worker.slots());
+    private double getSpeed(ListedWorker worker, long nowMillis) {
+        return loadTracker.getSpeeds().getSpeed(worker.id(), nowMillis);
     }
+
+    private double getPrefillCost(ListedWorker worker, long nowMillis) {
+        double activeMillis = ACTIVE_TIME_FACTOR
+                * loadTracker
+                        .getSpeeds()
+                        .getPrefillMillis(worker.server().service(), worker.id(), (int) TOKENS_PER_REQUEST, nowMillis);
+        double queued = loadTracker.estimateTokens(worker.id(), activeMillis, nowMillis) / TOKENS_PER_REQUEST;
+        return (queued + 0.5) / getSpeed(worker, nowMillis);
+    }
+
+    private double getPlainCost(ListedWorker worker, long nowMillis) {
+        double activeMillis = ACTIVE_TIME_FACTOR
+                * loadTracker.getSpeeds().getPlainMillis(worker.server().service(), worker.id(), nowMillis);
+        double requests = loadTracker.estimateRequests(worker.id(), activeMillis, nowMillis);
+        return (requests / Math.max(1, worker.slots()) + 0.5) / getSpeed(worker, nowMillis);
+    }
+
+    private record Scored(ListedWorker worker, double cost, double speed) {}
 }
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -21,7 +21,6 @@
 import org.magnoliavane.balance.AdmissionForecast;
 import org.magnoliavane.balance.Backlog;
 import org.magnoliavane.balance.RetryBudget;
-import org.magnoliavane.balance.StepTimes;
 import org.magnoliavane.balance.StoreAvailability;
 import org.magnoliavane.balance.UnreachableWorkers;
 import org.magnoliavane.balance.WorkerLoadTracker;
@@ -229,7 +228,10 @@
                 admissionQueues,
                 new AdmissionControl(
                         admissionForecast,
-                        StepTimes.UNKNOWN,
+                        w -> loadTracker
+                                .getSpeeds()
+                                .findStepMillis(w.server().service(), w.id(), millis.getAsLong())
+                                .orElse(0),
                         millis,
                         () -> ThreadLocalRandom.current().nextDouble()),
                 reservationService,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CapacityRequest.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CapacityRequest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.balance.ReservationTable.Demand;
@@ -65,7 +66,7 @@
     }
 
     private final ReservationService service;
-    private final BooleanSupplier overdue;
+    private final IntSupplier maxWorkers;
     private final Executor executor;
     private final Chooser chooser;
     private final Function<Candidate, Demand> demands;
@@ -85,8 +86,24 @@
             Chooser chooser,
             Function<Candidate, Demand> demands,
             Listener listener) {
+        this(
+                () -> overdue.getAsBoolean() ? MAX_OVERDUE_WORKERS : MAX_WORKERS,
+                service,
+                executor,
+                chooser,
+                demands,
+                listener);
+    }
+
+    CapacityRequest(
+            IntSupplier maxWorkers,
+            ReservationService service,
+            Executor executor,
+            Chooser chooser,
+            Function<Candidate, Demand> demands,
+            Listener listener) {
         this.service = service;
-        this.overdue = overdue;
+        this.maxWorkers = maxWorkers;
         this.executor = executor;
         this.chooser = chooser;
         this.demands = demands;
@@ -160,7 +177,7 @@
     }
 
     private int getMaxWorkers() {
-        return overdue.getAsBoolean() ? MAX_OVERDUE_WORKERS : MAX_WORKERS;
+        return maxWorkers.getAsInt();
     }
 
     /** Withdraws the request from all owners. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -273,12 +273,14 @@
         LOG.log(Level.INFO, "event={0} request={1} worker={2} {3}", event, request.getId(), worker.id(), detail);
     }
 
-    /** Logs the choice of a worker with the age of the list from which it was chosen. */
+    /** Logs the choice of a worker with its measured speed and the age of the list from which it was chosen. */
     final void logChoice(String event, ListedWorker worker, String detail) {
         log(
                 event,
                 worker,
-                detail + " list_millis=" + context.workerListAgeMillis().getAsLong());
+                detail + " speed_percent="
+                        + Math.round(100 * context.loadTracker().getSpeeds().getSpeed(worker.id(), now()))
+                        + " list_millis=" + context.workerListAgeMillis().getAsLong());
     }
 
     /** Logs that the request is refused at once because it could not be served in time. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -33,11 +33,8 @@
  */
 final class StreamExecution extends RequestExecution
         implements AdmissionQueues.WaitingRequest, CapacityRequest.Listener {
-    /** Duration of a prefill per token on an idle worker; a third above the data sheets. */
-    private static final double PREFILL_MILLIS_PER_TOKEN = 0.034;
-
-    /** Constant part of the duration of a prefill: connection, first step and response. */
-    private static final long PREFILL_BASE_MILLIS = 25;
+    /** Number of output tokens from which the duration of a stream shows the speed of its worker. */
+    private static final int MIN_MEASURED_TOKENS = 10;
 
     /** Time from the end of a prefill to the first event, including a margin. */
     private static final long FIRST_EVENT_MILLIS = 80;
@@ -138,6 +135,8 @@
     private ReservationService.Reservation replacementReservation = () -> {};
 
     private Optional<WorkerExchange> activePrefill = Optional.empty();
+    private Optional<PrefillSlot> prefillSlotRequest = Optional.empty();
+    private ReservationService.Reservation prefillSlot = () -> {};
     private final PrefilledPrompt prompt = new PrefilledPrompt();
     private ByteArrayOutputStream prefillBody = new ByteArrayOutputStream();
     private volatile boolean waiting;
@@ -150,7 +149,12 @@
     private int prefills;
     private int refusedDecodes;
     private boolean hadAmpleMemory;
+
+    /** Whether the worker of the latest prefill had no other tokens as far as known, so that its time shows its speed. */
+    private boolean prefillWorkerWasIdle;
+
     private int possibleExecutions;
+    private long firstEventMillis;
     private long lastEventMillis;
 
     /** Time of the last event, or of the start of the only decode, or of its replacement. */
@@ -300,8 +304,8 @@
         return worker.server().role() != WorkerRole.PREFILL;
     }
 
-    private static long estimatePrefillMillis(int tokens) {
-        return PREFILL_BASE_MILLIS + (long) (PREFILL_MILLIS_PER_TOKEN * tokens);
+    private long estimatePrefillMillis(int tokens) {
+        return (long) context.loadTracker().getSpeeds().getMeanPrefillMillis(service, tokens);
     }
 
     @Override
@@ -335,10 +339,14 @@
     }
 
     private Optional<ListedWorker> choosePrefillWorker(ListedWorker decodeWorker) {
+        return choosePrefillWorker(decodeWorker, Set.of());
+    }
+
+    private Optional<ListedWorker> choosePrefillWorker(ListedWorker decodeWorker, Set<String> asked) {
         boolean prefilled = prompt.findPrefillWorker().isPresent()
                 || prefills >= MAX_PREFILLS
                 || generationSize.promptTokens() == 0;
-        return prefilled ? Optional.empty() : workers.choosePrefill(decodeWorker);
+        return prefilled ? Optional.empty() : workers.choosePrefill(decodeWorker, asked);
     }
 
     private void askForCapacity(CapacityRequest.Candidate first) {
@@ -480,10 +488,30 @@
             startDecode(decodeWorker);
         } else {
             addPlannedLoad(decodeWorker);
-            startPrefill(prefillWorker.get());
+            requestPrefillSlot(decodeWorker, prefillWorker.get());
         }
     }
 
+    /** Waits for a slot of a prefill worker in a fleet whose reports are too old to find a free one. */
+    private void requestPrefillSlot(ListedWorker decodeWorker, ListedWorker first) {
+        if (!context.workerSelector().hasOldReports(now())) {
+            startPrefill(first);
+            return;
+        }
+        prefillSlotRequest = Optional.of(PrefillSlot.request(
+                context,
+                executor,
+                first,
+                estimatePrefillMillis(generationSize.promptTokens()),
+                request,
+                asked -> choosePrefillWorker(decodeWorker, asked),
+                (worker, slot) -> {
+                    prefillSlotRequest = Optional.empty();
+                    prefillSlot = slot;
+                    startPrefill(worker);
+                }));
+    }
+
     private void startPrefill(ListedWorker worker) {
         if (!mayProceed()) {
             return;
@@ -491,7 +519,10 @@
         prefills++;
         prefillBody = new ByteArrayOutputStream();
         int queued = context.loadTracker().countTokens(worker.id(), now());
-        long expectedMillis = estimatePrefillMillis(queued + generationSize.promptTokens());
+        long expectedMillis = (long) context.loadTracker()
+                .getSpeeds()
+                .getPrefillMillis(service, worker.id(), queued + generationSize.promptTokens(), now());
+        prefillWorkerWasIdle = queued == 0;
         logChoice(
                 "prefill",
                 worker,
@@ -511,21 +542,36 @@
         });
     }
 
-    private void handlePrefillFailure(WorkerExchange exchange) {
+    private void endPrefill() {
         activePrefill = Optional.empty();
+        prefillSlot.release();
+    }
+
+    private void handlePrefillFailure(WorkerExchange exchange) {
+        endPrefill();
         excludedWorkers.add(exchange.getWorker().id());
         removePlannedLoad();
         enqueue();
     }
 
     private void handlePrefillEnd(WorkerExchange exchange) {
-        activePrefill = Optional.empty();
+        endPrefill();
         try {
             CacheHandle handle =
                     context.wireFormat().readCacheHandle(exchange.getWorkerRequest(), prefillBody.toByteArray());
             long retentionMillis =
                     workers.findEngine().map(EngineProfile::kvRetentionMillis).orElse(0L);
             prompt.recordPrefill(handle, exchange.getWorker(), now(), retentionMillis);
+            if (prefillWorkerWasIdle) {
+                context.loadTracker()
+                        .getSpeeds()
+                        .recordPrefill(
+                                service,
+                                exchange.getWorker().id(),
+                                generationSize.promptTokens(),
+                                exchange.getAgeMillis(),
+                                now());
+            }
             log(
                     "prefill_done",
                     exchange,
@@ -762,6 +808,7 @@
             context.poisonGuard().recordProgress(features);
         }
         if (!started) {
+            firstEventMillis = lastEventMillis;
             log("first_event", exchange, "millis=" + exchange.getAgeMillis());
             context.metrics().histogram("streams.first_event_millis").update(now() - request.arrivalMillis());
         }
@@ -786,6 +833,7 @@
         stream.setHead(part);
         if (!part.isError()) {
             recordAnswer(exchange);
+            recordDecode(exchange);
         }
         finish(
                 "answered",
@@ -817,6 +865,19 @@
         handleBroken(exchange, reason);
     }
 
+    /** Records the speed of a worker that has written a whole stream. */
+    private void recordDecode(WorkerExchange exchange) {
+        int tokens = generationSize.expectedOutputTokens() - 1;
+        boolean whole = possibleExecutions == 0
+                && exchange.getWorkerRequest().lastEventId().isEmpty();
+        if (whole && tokens >= MIN_MEASURED_TOKENS) {
+            long millis = Math.min(exchange.getBodyMillis(), lastEventMillis - firstEventMillis);
+            context.loadTracker()
+                    .getSpeeds()
+                    .recordDecode(service, exchange.getWorker().id(), tokens, millis, now());
+        }
+    }
+
     private void recordAnswer(WorkerExchange exchange) {
         if (exchange.isDelimited()) {
             context.poisonGuard().recordAnswer(features);
@@ -985,8 +1046,10 @@
     @Override
     void cancelExchanges() {
         stopWaiting();
+        prefillSlotRequest.ifPresent(PrefillSlot::withdraw);
+        prefillSlotRequest = Optional.empty();
         activePrefill.ifPresent(WorkerExchange::cancel);
-        activePrefill = Optional.empty();
+        endPrefill();
         activeDecodes.forEach(WorkerExchange::cancel);
         activeDecodes.clear();
         parts.clear();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
@@ -160,11 +160,12 @@
         return context.workerSelector().chooseDecodeToClaim(two, excluded, now());
     }
 
-    /** Chooses a prefill worker, from whose zone the KV cache is sent to a decode worker. */
-    Optional<ListedWorker> choosePrefill(ListedWorker decodeWorker) {
+    /** Chooses a prefill worker that has not been asked, from whose zone the KV cache is sent to a decode worker. */
+    Optional<ListedWorker> choosePrefill(ListedWorker decodeWorker, Set<String> asked) {
+        Set<String> excluded = new HashSet<>(excludedWorkers);
+        excluded.addAll(asked);
         return context.workerSelector()
-                .choosePrefill(
-                        getPermitted(), excludedWorkers, decodeWorker.server().zone(), now());
+                .choosePrefill(getPermitted(), excluded, decodeWorker.server().zone(), now());
     }
 
     private long now() {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -14,11 +14,13 @@
 import java.util.function.Supplier;
 
 import org.magnoliavane.balance.WorkerLoadTracker;
+import org.magnoliavane.balance.WorkerSpeeds;
 import org.magnoliavane.poison.Refutation;
 import org.magnoliavane.protocol.generated.CrashEvidence;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.WorkerPause;
 import org.magnoliavane.protocol.generated.WorkerShare;
+import org.magnoliavane.protocol.generated.WorkerSpeed;
 import org.magnoliavane.router.dispatch.PoisonGuard;
 import org.magnoliavane.router.store.NodeListing;
 
@@ -46,6 +48,12 @@
     /** Maximum number of workers in a report, so that it fits into one packet. */
     private static final int MAX_WORKER_SHARES = 40;
 
+    /** Maximum number of measured speeds in a report; successive reports go through all workers. */
+    private static final int MAX_SPEEDS = 16;
+
+    /** Maximum number of samples that are read from a report, so that one node does not outweigh all others. */
+    private static final int MAX_SPEED_SAMPLES = 100;
+
     /** Maximum number of features with evidence on crashes in a report. */
     private static final int MAX_EVIDENCE = 64;
 
@@ -175,6 +183,13 @@
                         .setRequests(Math.max(0, e.getValue().requests()))
                         .setTokens(Math.max(0, e.getValue().tokens()))
                         .setFailurePermille((int) (PERMILLE * e.getValue().failureRate()))));
+        loadTracker
+                .getSpeeds()
+                .getNextMeasurements(MAX_SPEEDS, millis.getAsLong())
+                .forEach((worker, m) -> report.addSpeeds(WorkerSpeed.newBuilder()
+                        .setWorker(worker)
+                        .setSpeedPermille((int) (PERMILLE * m.speed()))
+                        .setSamples((int) Math.ceil(m.samples()))));
         poisonGuard.getReport(MAX_EVIDENCE).forEach(e -> report.addCrashEvidence(toMessage(e)));
         return report.build();
     }
@@ -190,6 +205,14 @@
                             share.getRequests(), share.getTokens(), share.getFailurePermille() / PERMILLE));
         }
         loadTracker.updatePeerLoads(report.getNode(), loads, now);
+        Map<String, WorkerSpeeds.Measurement> measurements = new HashMap<>();
+        for (WorkerSpeed speed : report.getSpeedsList()) {
+            measurements.put(
+                    speed.getWorker(),
+                    new WorkerSpeeds.Measurement(
+                            speed.getSpeedPermille() / PERMILLE, Math.min(speed.getSamples(), MAX_SPEED_SAMPLES)));
+        }
+        loadTracker.getSpeeds().updatePeerMeasurements(report.getNode(), measurements, now);
         for (WorkerPause pause : report.getUnreachableList()) {
             if (!loadTracker.isUnhealthy(pause.getWorker(), now)) {
                 LOG.log(
