Admit plain requests by slots of the reservation owners where nodes outnumber the slots

Cause: each node sent plain requests to the worker with the fewest reported requests, whatever the load. In a burst most were late, workers reset connections beyond their cap, and requests that no worker had received got 502 or 504. Refusals are 503 with Retry-After. A node has at most its share of the connections at one worker. A request that was not sent by its deadline is withdrawn and answered 503.

--- a/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
+++ b/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
@@ -46,6 +46,15 @@
     /** Maximum number of waiting requests of a worker, which bounds the cost of a grant. */
     private static final int MAX_WAITING = 256;
 
+    /** Weight of the latest reservation in the mean time for which reservations are held. */
+    private static final double HELD_WEIGHT = 0.1;
+
+    /** Share of a waiting request in the wait of those behind it, since each waits at two workers. */
+    private static final double WAITING_WEIGHT = 0.5;
+
+    /** Factor for the error of an expected wait: a request that waits in vain was better rejected at once. */
+    private static final double WAIT_MARGIN = 1.25;
+
     private static final Comparator<Waiting> OLDEST_FIRST =
             Comparator.<Waiting>comparingLong(w -> w.arrivalMillis).thenComparingLong(w -> w.sequenceNumber);
 
@@ -94,7 +103,7 @@
         Holder holder = new Holder(node, id);
         if (worker.reservations.containsKey(holder)) {
             worker.granted.remove(holder);
-            worker.reservations.put(holder, new Reservation(demand.tokens, nowMillis + leaseMillis));
+            worker.reservations.computeIfPresent(holder, (h, r) -> r.renew(demand.tokens, nowMillis + leaseMillis));
             return Reply.GRANTED;
         }
         Waiting previous = worker.waiting.get(holder);
@@ -110,11 +119,11 @@
         worker.waiting.put(holder, entry);
         grantInOrder(worker, nowMillis);
         if (worker.granted.remove(holder)) {
-            worker.reservations.put(holder, new Reservation(demand.tokens, nowMillis + leaseMillis));
+            worker.reservations.computeIfPresent(holder, (h, r) -> r.renew(demand.tokens, nowMillis + leaseMillis));
             releasedMillis.remove(new Released(demand.worker, holder));
             return Reply.GRANTED;
         }
-        if (!waits) {
+        if (!waits || previous == null && worker.isWaitTooLong(entry, nowMillis)) {
             worker.waiting.remove(holder);
             return Reply.REJECTED;
         }
@@ -169,7 +178,7 @@
             if (next.isEmpty()) {
                 return;
             }
-            worker.grant(next.get(), nowMillis + Math.min(leaseMillis, UNCONFIRMED_LEASE_MILLIS));
+            worker.grant(next.get(), nowMillis, Math.min(leaseMillis, UNCONFIRMED_LEASE_MILLIS));
         }
     }
 
@@ -210,7 +219,10 @@
         }
         WorkerState worker = getState(demand.worker, nowMillis);
         worker.waiting.remove(holder);
-        worker.reservations.put(holder, new Reservation(demand.tokens, nowMillis + leaseMillis));
+        worker.reservations.merge(
+                holder,
+                new Reservation(demand.tokens, nowMillis + leaseMillis, Optional.empty()),
+                (old, renewed) -> old.renew(demand.tokens, nowMillis + leaseMillis));
     }
 
     /**
@@ -225,7 +237,10 @@
     public synchronized void release(String worker, String node, long id, long nowMillis) {
         Holder holder = new Holder(node, id);
         WorkerState state = getState(worker, nowMillis);
-        state.reservations.remove(holder);
+        Reservation reservation = state.reservations.remove(holder);
+        if (reservation != null) {
+            reservation.sinceMillis.ifPresent(since -> state.recordHeld(nowMillis - since));
+        }
         state.waiting.remove(holder);
         state.granted.remove(holder);
         releasedMillis.values().removeIf(m -> nowMillis - m > leaseMillis);
@@ -310,7 +325,12 @@
 
     private record Released(String worker, Holder holder) {}
 
-    private record Reservation(int tokens, long expiryMillis) {}
+    /** A granted reservation; a renewal by which this owner learned of it does not tell when it was granted. */
+    private record Reservation(int tokens, long expiryMillis, Optional<Long> sinceMillis) {
+        Reservation renew(int newTokens, long newExpiryMillis) {
+            return new Reservation(newTokens, newExpiryMillis, sinceMillis);
+        }
+    }
 
     private static final class WorkerState {
         final Map<Holder, Reservation> reservations = new HashMap<>();
@@ -322,6 +342,9 @@
         /** Number of grants to one of several waiting requests. */
         long chosen;
 
+        /** Mean time for which reservations are held; 0 if it is not known. */
+        double heldMillis;
+
         /** Gets the waiting requests in the order in which they are granted. */
         List<Waiting> getOrder(long nowMillis) {
             List<Waiting> onTime = new ArrayList<>();
@@ -339,10 +362,31 @@
             return onTime;
         }
 
-        void grant(Waiting request, long expiryMillis) {
+        /** Records for how long a reservation was held. */
+        void recordHeld(long millis) {
+            heldMillis = heldMillis == 0 ? millis : heldMillis + HELD_WEIGHT * (millis - heldMillis);
+        }
+
+        /**
+         * Returns whether a request for a slot alone would wait for longer than it wants to. Requests for memory need so
+         * different amounts of it that their holders estimate the wait from all workers.
+         */
+        boolean isWaitTooLong(Waiting request, long nowMillis) {
+            if (request.demand.limitTokens > 0) {
+                return false;
+            }
+            int ahead = getOrder(nowMillis).indexOf(request);
+            double expectedMillis =
+                    WAIT_MARGIN * WAITING_WEIGHT * (ahead + 1) * heldMillis / Math.max(1, request.demand.slots);
+            return expectedMillis > request.demand.waitMillis;
+        }
+
+        void grant(Waiting request, long nowMillis, long leaseMillis) {
             chosen += waiting.size() > 1 ? 1 : 0;
             waiting.remove(request.holder);
-            reservations.put(request.holder, new Reservation(request.demand.tokens, expiryMillis));
+            reservations.put(
+                    request.holder,
+                    new Reservation(request.demand.tokens, nowMillis + leaseMillis, Optional.of(nowMillis)));
             granted.add(request.holder);
         }
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CallerResponse.java
@@ -68,6 +68,15 @@
         return true;
     }
 
+    /**
+     * Prevents that the request is sent to a worker, so that it can be answered as not run.
+     *
+     * @return false if it may have been sent already
+     */
+    default boolean withdrawUnsent() {
+        return false;
+    }
+
     /**
      * Returns whether the request was ended because it had passed its limit without a response.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -1,33 +1,42 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.PlainAdmission;
 import org.magnoliavane.budget.BudgetedBuffer;
 import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.budget.ByteBudget.Allocation;
 import org.magnoliavane.http.server.StreamWriter;
+import org.magnoliavane.routing.ServiceProfile;
 
 /**
  * Executes a request for a plain service. A request that did not run is retried at another worker; a request that may have
- * run is retried only if it is idempotent.
+ * run is retried only if it is idempotent. Where many nodes share few workers, each exchange needs a slot from the reservation
+ * owner of its worker.
  *
  * <p>Responses are collected, so that one that breaks off can be replaced by that of another worker. If there is no memory for
  * that, the response is relayed as it is received, unless it is an error or another worker runs the request as well.
  */
-final class PlainExecution extends RequestExecution {
+final class PlainExecution extends RequestExecution implements CapacityRequest.Listener {
     /** Largest number of workers to which a request is sent, including those that do not run it. */
     private static final int MAX_ATTEMPTS = 4;
 
     /** Share of the remaining time after which an idempotent request is also sent to a second worker. */
     private static final double HEDGE_DELAY_SHARE = 0.45;
 
+    /** Number of workers at which a request waits for a slot; plain services have few workers. */
+    private static final int MAX_SLOT_WORKERS = 2;
+
     /** Largest response; a faulty worker may send bytes without end. */
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
 
@@ -36,6 +45,21 @@
 
     private final boolean retryable;
     private final List<Attempt> activeAttempts = new ArrayList<>();
+
+    /** The request for a slot that has no final reply. */
+    private Optional<CapacityRequest> slotRequest = Optional.empty();
+
+    /** Whether the request for a slot waits for it; that of a hedged request does not. */
+    private boolean waitsForSlot;
+
+    private long slotRequestedMillis;
+
+    /** Whether a request has waited for a slot for as long as it may. */
+    private boolean slotRefused;
+
+    /** A slot whose exchange has not been started. */
+    private ReservationService.Reservation unusedSlot = () -> {};
+
     private Optional<Attempt> errorResponse = Optional.empty();
     private int attempts;
     private int possibleExecutions;
@@ -47,7 +71,7 @@
 
     @Override
     void execute() {
-        if (!trySend()) {
+        if (!trySend(true)) {
             failWithoutResponse("no worker of service " + service + " is available", NO_WORKER_RETRY_AFTER_MILLIS);
             return;
         }
@@ -72,42 +96,184 @@
         return worker.server().role() == WorkerRole.PLAIN;
     }
 
-    private boolean trySend() {
-        if (attempts >= MAX_ATTEMPTS || getRemainingMillis() <= 0 || !mayProceed()) {
+    /**
+     * Sends the request to a worker, or asks for a slot first.
+     *
+     * @param waits whether the request waits for a slot
+     * @return false if it cannot be sent
+     */
+    private boolean trySend(boolean waits) {
+        if (attempts >= MAX_ATTEMPTS || slotRefused || getRemainingMillis() <= 0 || !mayProceed()) {
             return false;
         }
-        Optional<ListedWorker> worker = context.workerSelector()
-                .choosePlain(context.routingState().getWorkers(service), excludedWorkers, now());
+        if (slotRequest.isPresent()) {
+            return true;
+        }
+        PlainAdmission admission = getAdmission();
+        if (admission.needsSlots()) {
+            return tryRequestSlot(admission, waits);
+        }
+        Optional<ListedWorker> worker = context.workerSelector().choosePlain(getWorkers(), excludedWorkers, now());
         if (worker.isEmpty() || !tryAcquireExchange()) {
             return false;
         }
+        send(worker.get(), () -> {}, "");
+        return true;
+    }
+
+    private Collection<ListedWorker> getWorkers() {
+        return context.routingState().getWorkers(service);
+    }
+
+    private PlainAdmission getAdmission() {
+        int maxConnections = context.routingState()
+                .getRoutingTable()
+                .flatMap(t -> t.findService(service))
+                .map(ServiceProfile::maxConnections)
+                .orElse(Integer.MAX_VALUE);
+        return PlainAdmission.of(
+                context.loadTracker().countReportingNodes(now()) + 1,
+                getWorkers().stream().filter(this::isEligible).toList(),
+                maxConnections);
+    }
+
+    private boolean tryRequestSlot(PlainAdmission admission, boolean waits) {
+        Optional<CapacityRequest.Candidate> first = chooseCandidate(admission, Set.of());
+        if (first.isEmpty() || exchanges > 0 && !context.retryBudgets().tryAcquire(service)) {
+            return false;
+        }
+        PlainAdmission.Times times = new PlainAdmission.Times(
+                request.arrivalMillis(), request.route().targetMillis(), request.deadlineMillis());
+        CapacityRequest asking = new CapacityRequest(
+                () -> MAX_SLOT_WORKERS,
+                context.reservationService(),
+                executor,
+                asked -> chooseCandidate(admission, asked),
+                c -> admission.createDemand(
+                        c.worker(),
+                        request.urgency(),
+                        times,
+                        getExpectedMillis(c.worker()),
+                        waits,
+                        waits && c.free(),
+                        now()),
+                this);
+        slotRequest = Optional.of(asking);
+        waitsForSlot = waits;
+        slotRequestedMillis = now();
+        asking.ask(first.get());
+        return true;
+    }
+
+    private double getExpectedMillis(ListedWorker worker) {
+        return context.loadTracker().getSpeeds().getPlainMillis(service, worker.id(), now());
+    }
+
+    /**
+     * Chooses a worker at which this node has not used up its share of the connections. Only the first is believed to have a
+     * free slot: a silent owner must not become the way around the others, at which the request waits.
+     */
+    private Optional<CapacityRequest.Candidate> chooseCandidate(PlainAdmission admission, Set<String> asked) {
+        Set<String> excluded = new HashSet<>(excludedWorkers);
+        excluded.addAll(asked);
+        for (ListedWorker worker : getWorkers()) {
+            if (isConnectionShareUsed(admission, worker)) {
+                excluded.add(worker.id());
+            }
+        }
+        return context.workerSelector()
+                .choosePlain(getWorkers(), excluded, now())
+                .map(w -> new CapacityRequest.Candidate(w, asked.isEmpty()));
+    }
+
+    private boolean isConnectionShareUsed(PlainAdmission admission, ListedWorker worker) {
+        return context.loadTracker().countOwnRequests(worker.id()) >= admission.getMaxRequestsPerWorker();
+    }
+
+    @Override
+    public void onGranted(ListedWorker worker, ReservationService.Reservation slot) {
+        slotRequest = Optional.empty();
+        if (ended || !waitsForSlot && !mayHedge() || !mayProceed()) {
+            slot.release();
+            return;
+        }
+        if (isConnectionShareUsed(getAdmission(), worker)) {
+            // Other requests of this node were granted meanwhile.
+            slot.release();
+            retryOrFinish("all connections of this node to the worker are in use");
+            return;
+        }
+        long waitedMillis = now() - slotRequestedMillis;
+        context.metrics().histogram("plain.slot_wait_millis").update(waitedMillis);
+        unusedSlot = slot;
+        send(worker, slot, " slot_millis=" + waitedMillis);
+    }
+
+    @Override
+    public void onWaiting(ListedWorker worker) {
+        context.metrics().counter("plain.slot_waits").inc();
+        log(
+                "slot_waiting",
+                worker,
+                "urgency=" + request.urgency() + " age_millis=" + (now() - request.arrivalMillis())
+                        + " expected_millis=" + (long) getExpectedMillis(worker));
+    }
+
+    @Override
+    public void onRejected(ListedWorker worker, boolean last) {
+        if (!last || ended) {
+            return;
+        }
+        slotRequest = Optional.empty();
+        if (!activeAttempts.isEmpty()) {
+            return;
+        }
+        if (!waitsForSlot) {
+            retryOrFinish("no slot was free for a second exchange");
+            return;
+        }
+        slotRefused = true;
+        context.metrics().counter("plain.slot_refusals").inc();
+        log(
+                "slot_refused",
+                worker,
+                "urgency=" + request.urgency() + " waited_millis=" + (now() - slotRequestedMillis)
+                        + " remaining_millis=" + getRemainingMillis());
+        retryOrFinish(
+                "no worker can serve the request in time",
+                PlainAdmission.computeRetryAfterMillis(
+                        getRemainingMillis(), context.random().getAsDouble()));
+    }
+
+    /** Starts an exchange with a worker, which releases the slot when it ends. */
+    private void send(ListedWorker worker, ReservationService.Reservation slot, String detail) {
         attempts++;
         exchanges++;
-        excludedWorkers.add(worker.get().id());
+        excludedWorkers.add(worker.id());
         logChoice(
                 "plain",
-                worker.get(),
+                worker,
                 "attempt=" + attempts + " requests="
-                        + context.loadTracker().countRequests(worker.get().id(), now()));
-        Attempt attempt = new Attempt(context.budget());
+                        + context.loadTracker().countRequests(worker.id(), now()) + " expected_millis="
+                        + (long) getExpectedMillis(worker) + detail);
+        Attempt attempt = new Attempt(context.budget(), slot);
         response.onComplete(attempt::release);
         attempt.exchange = WorkerExchange.start(
-                context,
-                request,
-                WorkerRequest.forCompleteRequest(worker.get(), getRemainingMillis()),
-                0,
-                executor,
-                this);
+                context, request, WorkerRequest.forCompleteRequest(worker, getRemainingMillis()), 0, executor, this);
         activeAttempts.add(attempt);
-        return true;
+        unusedSlot = () -> {};
     }
 
     private void sendHedge() {
-        if (activeAttempts.size() == 1 && !isRelaying() && isAnotherExecutionAllowed()) {
-            trySend();
+        if (activeAttempts.size() == 1 && mayHedge()) {
+            trySend(false);
         }
     }
 
+    private boolean mayHedge() {
+        return activeAttempts.size() <= 1 && !isRelaying() && isAnotherExecutionAllowed();
+    }
+
     /** Returns whether a part of a response has been sent to the caller, which no other one can replace. */
     private boolean isRelaying() {
         return activeAttempts.stream().anyMatch(a -> a.writer.isPresent());
@@ -178,6 +344,12 @@
         Attempt attempt = removeAttempt(exchange);
         possibleExecutions++;
         mayHaveRun = true;
+        if (attempt.status < 400) {
+            // Errors are often faster than the work.
+            context.loadTracker()
+                    .getSpeeds()
+                    .recordPlain(service, exchange.getWorker().id(), exchange.getAgeMillis(), now());
+        }
         if (exchange.isDelimited()) {
             context.poisonGuard().recordAnswer(features);
         } else {
@@ -226,7 +398,11 @@
     }
 
     private void retryOrFinish(String reason) {
-        if (ended || !activeAttempts.isEmpty() || isAnotherExecutionAllowed() && trySend()) {
+        retryOrFinish(reason, NO_WORKER_RETRY_AFTER_MILLIS);
+    }
+
+    private void retryOrFinish(String reason, long retryAfterMillis) {
+        if (ended || !activeAttempts.isEmpty() || isAnotherExecutionAllowed() && trySend(true)) {
             return;
         }
         if (ended) {
@@ -236,7 +412,7 @@
             sendResponse(errorResponse.get());
             return;
         }
-        failWithoutResponse(reason, NO_WORKER_RETRY_AFTER_MILLIS);
+        failWithoutResponse(reason, retryAfterMillis);
     }
 
     private void sendResponse(Attempt attempt) {
@@ -268,9 +444,13 @@
 
     @Override
     void handleTimeout() {
+        if (!mayHaveRun && response.withdrawUnsent()) {
+            failWithoutResponse("no worker accepted the request in time", NO_WORKER_RETRY_AFTER_MILLIS);
+            return;
+        }
         boolean relaying = isRelaying();
         activeAttempts.forEach(a -> a.exchange.cancelAsUnresponsive());
-        activeAttempts.clear();
+        releaseAttempts();
         if (relaying) {
             abortRelayed("the response was not complete in time");
             return;
@@ -296,7 +476,15 @@
 
     @Override
     void cancelExchanges() {
+        slotRequest.ifPresent(CapacityRequest::withdraw);
+        slotRequest = Optional.empty();
+        unusedSlot.release();
         activeAttempts.forEach(a -> a.exchange.cancel());
+        releaseAttempts();
+    }
+
+    private void releaseAttempts() {
+        activeAttempts.forEach(a -> a.slot.release());
         activeAttempts.clear();
     }
 
@@ -310,6 +498,7 @@
     private Attempt removeAttempt(WorkerExchange exchange) {
         Attempt attempt = getAttempt(exchange);
         activeAttempts.remove(attempt);
+        attempt.slot.release();
         return attempt;
     }
 
@@ -317,13 +506,15 @@
         private final BudgetedBuffer body = BudgetedBuffer.create();
         private final Allocation small;
         private final Allocation large;
+        private final ReservationService.Reservation slot;
         private WorkerExchange exchange;
         private int status;
         private Map<String, String> headers = Map.of();
         private long receivedBytes;
         private Optional<StreamWriter> writer = Optional.empty();
 
-        Attempt(ByteBudget budget) {
+        Attempt(ByteBudget budget, ReservationService.Reservation slot) {
+            this.slot = slot;
             small = budget.open(ByteBudget.Use.RESPONSE);
             large = budget.open(ByteBudget.Use.LARGE_RESPONSE);
         }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PrefillSlot.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PrefillSlot.java
@@ -58,7 +58,7 @@
                 () -> MAX_WORKERS,
                 context.reservationService(),
                 executor,
-                asked -> chooser.apply(asked).map(w -> new CapacityRequest.Candidate(w, true)),
+                asked -> chooser.apply(asked).map(w -> new CapacityRequest.Candidate(w, false)),
                 c -> new Demand(
                         c.worker().id(), 0, 0, 1, request.urgency(), ageMillis, overdueInMillis, maxWaitMillis, true),
                 this);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -297,6 +297,9 @@
                 context.loadTracker().suspend(getWorker().id(), untilMillis);
                 context.onUnreachable().accept(getWorker().id(), untilMillis);
                 listener.onNotRun(this, UNREACHABLE);
+            } else if (!sent) {
+                // The connection broke before it was used.
+                listener.onNotRun(this, UNUSABLE);
             } else {
                 recordBroken(true);
                 listener.onBroken(this, cause.getMessage());
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -315,6 +315,11 @@
         return sending.updateAndGet(s -> s == Sending.NOT_STARTED ? Sending.STARTED : s) == Sending.STARTED;
     }
 
+    @Override
+    public boolean withdrawUnsent() {
+        return sending.updateAndGet(s -> s == Sending.NOT_STARTED ? Sending.WITHDRAWN : s) == Sending.WITHDRAWN;
+    }
+
     /** Answers a request that ended by an internal failure, unless a response was started. */
     void failInternally() {
         fail(Fault.internal(sending.getAndSet(Sending.WITHDRAWN) != Sending.NOT_STARTED));
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -235,6 +235,21 @@
         }
     }
 
+    /** Guards against 504 for a request that no worker has received, and against 503 for one that a worker may have. */
+    @Test
+    public void onlyARequestThatWasNotSentCanBeWithdrawn() throws Exception {
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            assertTrue(exchange.withdrawUnsent());
+            assertFalse(exchange.permitSending());
+        }
+        try (Socket caller = sendRequest()) {
+            FrontendExchange exchange = takeExchange();
+            assertTrue(exchange.permitSending());
+            assertFalse(exchange.withdrawUnsent());
+        }
+    }
+
     @Test
     public void aRequestThatWasSentIsNotAnsweredAsNotRun() throws Exception {
         try (Socket caller = sendRequest()) {
