Save calls to the store of starting nodes and of nodes with an older configuration

Cause: a starting node elects itself until it knows the others, so that each node of a starting deployment claimed the order lease. A node that started after a rollback with an older configuration would read the store about ten times a second, because the others report the newer version, until the operator has published it again. Each call is priced.

Change: the order lease is prepared by a node that has been elected for 2.5 s without a break; a node that takes over knows the end of the log from reports.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -61,6 +61,7 @@
 import org.magnoliavane.router.store.TopicFollower;
 import org.magnoliavane.router.store.TopicListener;
 import org.magnoliavane.router.store.TopicSource;
+import org.magnoliavane.routing.OutdatedConfiguration;
 
 /**
  * Runs a router process: creates and connects its components and stops them in order.
@@ -141,6 +142,7 @@
     private final TopicFollower nodeFollower;
     private final NodeController nodeController;
     private final OwnRecord ownRecord = new OwnRecord();
+    private final OutdatedConfiguration outdatedConfiguration = new OutdatedConfiguration();
     private final PeerChannel peerChannel;
     private final PeerStoreUpdates storeUpdates;
     private final PeerReports peerReports;
@@ -470,8 +472,10 @@
      * error.
      */
     private void refreshOutdatedConfiguration() {
-        if (peerTable.getNewestConfigurationVersion() > getConfigurationVersion()
-                && configurationFollower.getAgeMillis() > TICK_MILLIS) {
+        if (outdatedConfiguration.startRead(
+                getConfigurationVersion(),
+                peerTable.getNewestConfigurationVersion(),
+                configurationFollower.getAgeMillis())) {
             configurationFollower.refresh();
         }
     }
--- a/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
+++ b/router/src/main/java/org/magnoliavane/router/roles/RoleController.java
@@ -30,6 +30,14 @@
      */
     private static final long SETTLE_MILLIS = 10_000;
 
+    /**
+     * Time for which this node must have been elected without a break before it prepares the order lease. A starting node
+     * elects itself until the others have read its listing (1 s) and reported to it (1.25 s at 66 nodes); without the wait,
+     * each node of a starting deployment made a priced call to the store. A node that takes over later knows the end of the log
+     * from reports and needs no preparation.
+     */
+    private static final long PREPARATION_DELAY_MILLIS = 2500;
+
     /** Time allowed for acquiring the order lease and sending the orders. */
     private static final long ORDER_TIMEOUT_MILLIS = 2000;
 
@@ -50,6 +58,8 @@
     private final Map<String, RoleBalancer> balancers = new HashMap<>();
     private final Map<String, Long> pendingChanges = new ConcurrentHashMap<>();
     private boolean leasePrepared;
+    private boolean elected;
+    private long electedMillis;
     private volatile long nextChangeMillis = Long.MIN_VALUE;
 
     /**
@@ -82,13 +92,18 @@
         if (!isElected.getAsBoolean()) {
             balancers.clear();
             leasePrepared = false;
+            elected = false;
             return;
         }
-        if (!leasePrepared) {
+        long now = millis.getAsLong();
+        if (!elected) {
+            elected = true;
+            electedMillis = now;
+        }
+        if (!leasePrepared && now - electedMillis >= PREPARATION_DELAY_MILLIS) {
             leasePrepared = true;
             orderSender.prepareLease();
         }
-        long now = millis.getAsLong();
         for (ServiceProfile service :
                 routingState.getRoutingTable().map(r -> r.getServices()).orElse(List.of())) {
             service.engine().ifPresent(engine -> evaluate(service.name(), engine, now));
--- a/router/src/test/java/org/magnoliavane/router/roles/RoleControllerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/roles/RoleControllerTest.java
@@ -5,6 +5,8 @@
 
 import org.magnoliavane.balance.WorkerLoadTracker;
 import org.magnoliavane.router.RoutingState;
+import org.magnoliavane.router.VirtualTimers;
+import org.magnoliavane.router.store.FakeKeyedStore;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -31,6 +33,30 @@
         assertEquals(returned, List.of(true, true));
     }
 
+    /** Guards against a priced call of each node of a starting deployment, which elects itself until it knows the others. */
+    @Test
+    public void theOrderLeaseIsPreparedOnlyByANodeThatStaysElected() {
+        VirtualTimers timers = new VirtualTimers();
+        FakeKeyedStore store = new FakeKeyedStore(timers);
+        for (int i = 0; i < 66; i++) {
+            // All but the last node learn of a better one within 2.2 s.
+            long electedMillis = i == 65 ? Long.MAX_VALUE : 33L * i;
+            RoleController controller = new RoleController(
+                    () -> timers.now() <= electedMillis,
+                    new RoutingState(),
+                    new WorkerLoadTracker(() -> {}),
+                    new RoleOrderSender("n" + i, store, w -> true, null, null, 3000, timers::now),
+                    timers::now);
+            for (long at = 0; at <= 3000; at += 250) {
+                timers.at(at, controller::evaluateServices);
+            }
+        }
+        timers.runUntil(2400);
+        assertEquals(store.getClaimCount(), 0);
+        timers.runUntil(3000);
+        assertEquals(store.getClaimCount(), 1);
+    }
+
     private static boolean returnsOnAnotherThread(Runnable call) {
         Thread thread = new Thread(call);
         thread.setDaemon(true);
--- a/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
+++ b/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
@@ -29,6 +29,8 @@
     private int lostReads;
     private int calls;
     private long era;
+    private long orderLogEnd;
+    private int claims;
 
     public FakeKeyedStore(VirtualTimers timers) {
         this.timers = timers;
@@ -56,8 +58,8 @@
         return records.size();
     }
 
-    public long getEra() {
-        return era;
+    public int getClaimCount() {
+        return claims;
     }
 
     void setDown(boolean value) {
@@ -176,7 +178,10 @@
 
     @Override
     public CompletionStage<OrderClaimResult> appendOrderClaim(String holder, long expectedEnd) {
-        throw new UnsupportedOperationException();
+        claims++;
+        boolean accepted = expectedEnd == orderLogEnd;
+        orderLogEnd += accepted ? 1 : 0;
+        return CompletableFuture.completedFuture(new OrderClaimResult(accepted, orderLogEnd, era));
     }
 
     private record Waiter(long from, CompletableFuture<RecordBatch> result, long timeoutAtMillis) {}
