Do not end an exchange for want of memory after its caller has left

Cause: the allocation of a stream is closed when its caller leaves, a moment before its execution learns of it. Bytes of the worker in between found no room, and the request was logged as no_room and could be sent to another worker.

Change: a closed allocation counts as room.

The cause was found by reading; no test shows it.

--- a/core/src/test/java/org/magnoliavane/balance/ReservationTableTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/ReservationTableTest.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.balance;
 
+import org.magnoliavane.routing.EngineProfile;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -34,6 +36,39 @@
         assertEquals(granted, 6);
     }
 
+    @DataProvider
+    public Object[][] deployments() {
+        return new Object[][] {{"P", 66, 45_005, 5200, 74}, {"B", 72, 40_036, 5200, 70}};
+    }
+
+    /**
+     * Guards against workers that crash because the requests that they hold exceed their memory: reservations count a part of
+     * the output, and all of it must fit. The loads are those of the two deployments of the hard load milestone.
+     */
+    @Test(dataProvider = "deployments")
+    public void whatAllNodesAreGrantedFitsIntoTheMemoryWithItsWholeOutput(
+            String name, int nodes, int capacity, int promptTokens, int outputTokens) {
+        EngineProfile engine = new EngineProfile(64, capacity, 500);
+        // The mean share of the output that GenerationSize counts.
+        int estimate = promptTokens + (int) (0.6 * outputTokens);
+        int granted = 0;
+        for (int node = 0; node < nodes; node++) {
+            for (int id = 1; id <= 3; id++) {
+                ReservationTable.Request request = new ReservationTable.Request(
+                        "w",
+                        "n" + node,
+                        id,
+                        estimate,
+                        engine.getUsableTokens(),
+                        engine.slots(),
+                        ReservationTable.NO_CLAIM);
+                granted += table.tryReserve(request, 0) ? 1 : 0;
+            }
+        }
+        assertTrue(granted >= 7, name + ": granted " + granted);
+        assertTrue(granted * (promptTokens + outputTokens) <= capacity, name + ": granted " + granted);
+    }
+
     @Test
     public void aRepeatedRequestGetsNoSecondReservation() {
         assertTrue(tryReserve("n1", 1, 5000));
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -132,6 +132,9 @@
 
     private long countedBytes;
 
+    /** Whether the response is complete or the caller has left; set before the execution learns of it. */
+    private volatile boolean buffersClosed;
+
     /** The engine of the service when the request arrived; a later configuration may no longer contain the service. */
     private final Optional<EngineProfile> engineAtArrival;
 
@@ -181,7 +184,10 @@
         this.claimId = context.reservationService().createClaimId();
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
         this.buffers = context.budget().open(ByteBudget.Use.RESPONSE);
-        response.onComplete(buffers::close);
+        response.onComplete(() -> {
+            buffersClosed = true;
+            buffers.close();
+        });
     }
 
     @Override
@@ -738,7 +744,7 @@
                 - UNCOUNTED_BYTES;
         long more = Math.max(0, bytes) - countedBytes;
         if (more > 0 && !buffers.tryGrow(more)) {
-            return false;
+            return buffersClosed;
         }
         buffers.shrink(-more);
         countedBytes += more;
