--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -128,6 +128,9 @@
 
     private long countedBytes;
 
+    /** Whether the response is complete or the caller has left; set before the execution learns of it. */
+    private volatile boolean buffersClosed;
+
     private final StreamWorkers workers;
     private final StreamResponse stream;
 
@@ -183,7 +186,10 @@
                 request.metadata().lastEventId().filter(id -> request.route().resumable()));
         this.generationSize = request.metadata().generation().orElse(new GenerationSize(0, 0, 0));
         this.buffers = context.budget().open(ByteBudget.Use.RESPONSE);
-        response.onComplete(buffers::close);
+        response.onComplete(() -> {
+            buffersClosed = true;
+            buffers.close();
+        });
         this.workers = new StreamWorkers(
                 context, request, service, generationSize, excludedWorkers, () -> exchanges > 0 || stream.hasStarted());
     }
@@ -797,7 +803,7 @@
                 - UNCOUNTED_BYTES;
         long more = Math.max(0, bytes) - countedBytes;
         if (more > 0 && !buffers.tryGrow(more)) {
-            return false;
+            return buffersClosed;
         }
         buffers.shrink(-more);
         countedBytes += more;
