Confirm a grant after a wait also if it overtakes the reply that the request waits

Cause: the holder confirmed only a grant that it received while it knew that it waits; datagrams and threads may change places, and the owner then reclaimed the memory of a running stream after 300 ms until the next renewal. Change: such a grant states both granted and waiting, and is confirmed whenever it arrives. Result: PeerReservationServiceTest, CapacityRequestTest, HopelessStreamTest, AdmissionQueuesTest, ReservationReleaseTest and PeerLoopsTest pass.

--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -146,13 +146,17 @@
             send(channel.createDatagram().setRoomRequest(toMessage(id, demand)), owner);
             return false;
         }
-        handleReply(id, reservationTable.request(self.name(), id, demand, now));
+        handleReply(id, reservationTable.request(self.name(), id, demand, now), false);
         sendGrants(demand.worker());
         return true;
     }
 
-    /** Handles a reply of an owner. A grant that arrives after the release is given back. */
-    private void handleReply(long id, Reply reply) {
+    /**
+     * Handles a reply of an owner. A grant that arrives after the release is given back.
+     *
+     * @param mustConfirm whether the owner granted the request while it waited
+     */
+    private void handleReply(long id, Reply reply, boolean mustConfirm) {
         HeldReservation reservation = held.get(id);
         if (reservation == null) {
             String worker = releasedWorkers.get(id);
@@ -162,13 +166,13 @@
             return;
         }
         reservation.lastReplyMillis = millis.getAsLong();
-        boolean waited = reservation.isWaiting();
+        if (mustConfirm) {
+            confirm(id, reservation);
+        }
         if (!reservation.accept(reply)) {
             return;
         }
-        if (reply == Reply.GRANTED && waited) {
-            confirm(id, reservation);
-        } else if (reply == Reply.REJECTED) {
+        if (reply == Reply.REJECTED) {
             held.remove(id);
         } else if (reply == Reply.WAITING) {
             long waitMillis = reservation.getDemand(millis.getAsLong()).waitMillis();
@@ -302,14 +306,17 @@
             case ROOM_REQUEST -> {
                 ReservationRequest request = datagram.getRoomRequest();
                 requesters.put(datagram.getNode(), sender);
-                sendReply(
-                        request.getId(),
-                        reservationTable.request(
-                                datagram.getNode(), request.getId(), toDemand(request), millis.getAsLong()),
-                        sender);
+                Reply reply = reservationTable.request(
+                        datagram.getNode(), request.getId(), toDemand(request), millis.getAsLong());
+                sendReply(request.getId(), reply == Reply.GRANTED, reply == Reply.WAITING, sender);
                 sendGrants(request.getWorker());
             }
-            case ROOM_ANSWER -> handleReply(datagram.getRoomAnswer().getId(), toReply(datagram.getRoomAnswer()));
+            case ROOM_ANSWER ->
+                handleReply(
+                        datagram.getRoomAnswer().getId(),
+                        toReply(datagram.getRoomAnswer()),
+                        datagram.getRoomAnswer().getGranted()
+                                && datagram.getRoomAnswer().getWaiting());
             case ROOM_RELEASE -> {
                 ReservationRelease release = datagram.getRoomRelease();
                 reservationTable.release(release.getWorker(), datagram.getNode(), release.getId(), millis.getAsLong());
@@ -322,17 +329,20 @@
         }
     }
 
-    private void sendReply(long id, Reply reply, InetSocketAddress to) {
+    private void sendReply(long id, boolean granted, boolean waiting, InetSocketAddress to) {
         messages.increment();
         ReservationReply message = ReservationReply.newBuilder()
                 .setId(id)
-                .setGranted(reply == Reply.GRANTED)
-                .setWaiting(reply == Reply.WAITING)
+                .setGranted(granted)
+                .setWaiting(waiting)
                 .build();
         channel.send(channel.createDatagram().setRoomAnswer(message).build(), to);
     }
 
-    /** Grants waiting requests that fit now. A lost grant is sent again when the request is repeated. */
+    /**
+     * Grants waiting requests that fit now. Such a grant states both granted and waiting, so that the holder confirms it even
+     * if it arrives before the reply that the request waits. A lost grant is sent again when the request is repeated.
+     */
     private void sendGrants(String worker) {
         for (ReservationTable.Holder holder : reservationTable.takeGrants(worker, millis.getAsLong())) {
             lateGrants.increment();
@@ -343,9 +353,9 @@
                     holder.node(),
                     Long.toString(holder.id()));
             if (holder.node().equals(self.name())) {
-                handleReply(holder.id(), Reply.GRANTED);
+                handleReply(holder.id(), Reply.GRANTED, true);
             } else {
-                sendReply(holder.id(), Reply.GRANTED, requesters.get(holder.node()));
+                sendReply(holder.id(), true, true, requesters.get(holder.node()));
             }
         }
     }
