--- a/router/src/test/java/org/magnoliavane/router/peer/PeerReservationServiceTest.java
+++ b/router/src/test/java/org/magnoliavane/router/peer/PeerReservationServiceTest.java
@@ -104,6 +104,8 @@
         Reservation reservation = service.reserve(demand(findWorker(other), 1000, false), replies::add);
         long id = receive(PeerDatagram.BodyCase.ROOM_REQUEST).getRoomRequest().getId();
         reservation.release();
+        // On a busy machine, the time for a reply may have ended before the release.
+        replies.clear();
         assertEquals(
                 receive(PeerDatagram.BodyCase.ROOM_RELEASE).getRoomRelease().getId(), id);
         reply(id, true, false);
