--- a/core/src/main/java/org/magnoliavane/balance/RetryBudget.java
+++ b/core/src/main/java/org/magnoliavane/balance/RetryBudget.java
@@ -17,6 +17,7 @@
     private final double ratio;
     private final double allowance;
     private final long bucketMillis;
+    private final long fullFromMillis;
     private final long[] requests = new long[BUCKETS];
     private final long[] extraRequests = new long[BUCKETS];
     private long newestBucket;
@@ -29,9 +30,28 @@
      * @param windowMillis the length of the window, in milliseconds
      */
     public RetryBudget(double ratio, double allowance, long windowMillis) {
+        this(ratio, allowance, windowMillis, Long.MIN_VALUE);
+    }
+
+    private RetryBudget(double ratio, double allowance, long windowMillis, long fullFromMillis) {
         this.ratio = ratio;
         this.allowance = allowance;
         this.bucketMillis = Math.max(1, windowMillis / BUCKETS);
+        this.fullFromMillis = fullFromMillis;
+    }
+
+    /**
+     * Creates a budget of a process that has just started. An earlier run of its node may have spent its share of the allowance
+     * in the same window, so only the reserve of the allowance may be used until a window has passed.
+     *
+     * @param ratio the number of extra requests that each request of a caller adds to the budget
+     * @param allowance the number of further extra requests in a window, for all nodes together
+     * @param windowMillis the length of the window, in milliseconds
+     * @param startMillis the start time of the process, in milliseconds
+     * @return the budget
+     */
+    public static RetryBudget startedAt(double ratio, double allowance, long windowMillis, long startMillis) {
+        return new RetryBudget(ratio, allowance, windowMillis, startMillis + windowMillis);
     }
 
     /**
@@ -52,7 +72,9 @@
      */
     public synchronized boolean tryAcquire(long nowMillis, int nodes) {
         int bucket = advanceTo(nowMillis);
-        double limit = USABLE_SHARE * (ratio * Arrays.stream(requests).sum() + allowance / Math.max(1, nodes));
+        double allowanceShare = nowMillis < fullFromMillis ? 1 - USABLE_SHARE : USABLE_SHARE;
+        double limit =
+                USABLE_SHARE * ratio * Arrays.stream(requests).sum() + allowanceShare * allowance / Math.max(1, nodes);
         if (Arrays.stream(extraRequests).sum() + 1 > limit) {
             return false;
         }
--- a/core/src/test/java/org/magnoliavane/balance/RetryBudgetTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/RetryBudgetTest.java
@@ -60,4 +60,19 @@
         }
         return acquired;
     }
+
+    /** Guards against a node that is killed in an outage and spends its share of the allowance twice in one window. */
+    @Test
+    public void twoRunsOfANodeInOneWindowStayWithinTheAllowance() {
+        int nodes = 7;
+        RetryBudget killed = new RetryBudget(0, 70, 10_000);
+        RetryBudget restarted = RetryBudget.startedAt(0, 70, 10_000, 100_500);
+        int spent = 0;
+        for (int i = 0; i < 100; i++) {
+            spent += killed.tryAcquire(100_000, nodes) ? 1 : 0;
+            spent += restarted.tryAcquire(101_000, nodes) ? 1 : 0;
+        }
+        assertTrue(spent <= 70 / nodes, "spent " + spent);
+        assertTrue(restarted.tryAcquire(110_600, nodes));
+    }
 }
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -227,8 +227,10 @@
                 loadTracker, settings.zone(), () -> ThreadLocalRandom.current().nextDouble());
         PeerReservationService reservationService = PeerReservationService.open(self, peerTable, peerChannel, millis);
         reservationService.registerMetrics(metrics);
+        long startMillis = millis.getAsLong();
         RetryBudgets retryBudgets = new RetryBudgets(
-                () -> new RetryBudget(settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis()),
+                () -> RetryBudget.startedAt(
+                        settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis(), startMillis),
                 () -> peerTable.countNodes(millis.getAsLong()),
                 millis);
         this.dispatcher = new Dispatcher(new DispatchContext(
