Decline grants of workers that have become unhealthy or full while a request waited

Cause: a worker that has crashed has no reservations left, so its owner granted all requests that waited for it at once. The former way chose among healthy workers only. Change: a node gives such a grant back and tries again, unless no sound worker is listed.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -435,6 +435,13 @@
             handle.release();
             return;
         }
+        if (!workers.mayUseGrant(worker)) {
+            handle.release();
+            log("grant_declined", worker, "reason=\"the worker is unhealthy, full or wants no requests\"");
+            context.metrics().counter("admission.declined_grants").inc();
+            context.admissionQueues().handleReservationResult(service, this, false);
+            return;
+        }
         waiting = false;
         // The request leaves the queue first, because it may have to wait again at once.
         context.admissionQueues().handleReservationResult(service, this, true);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
@@ -90,6 +90,22 @@
         return context.loadTracker().getNotices().isUsable(worker, now());
     }
 
+    /**
+     * Returns whether a worker may still be used when its owner grants capacity after a wait. A worker that has crashed has no
+     * reservations left, so that its owner grants all requests that wait for it at once.
+     */
+    boolean mayUseGrant(ListedWorker worker) {
+        boolean sound = isSound(worker);
+        return sound || getPermitted().stream().noneMatch(w -> isUsable(w) && isSound(w));
+    }
+
+    private boolean isSound(ListedWorker worker) {
+        return context.routingState().isUsable(worker)
+                && isWilling(worker)
+                && !context.loadTracker().isUnhealthy(worker.id(), now())
+                && !context.loadTracker().isFull(worker.id(), now());
+    }
+
     /** Returns whether a worker can end the stream before its deadline. */
     boolean isFastEnough(ListedWorker worker) {
         return context.admissionControl()
