--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
@@ -155,9 +155,11 @@
         if (free.isPresent() || findEngine().isEmpty()) {
             return free;
         }
-        List<ListedWorker> workers = getPermitted().stream()
+        List<ListedWorker> decoding = getPermitted().stream()
                 .filter(w -> w.server().role() == WorkerRole.DECODE && !excluded.contains(w.id()))
                 .toList();
+        List<ListedWorker> sound = decoding.stream().filter(this::isSound).toList();
+        List<ListedWorker> workers = sound.isEmpty() ? decoding : sound;
         return chooseOfTwo(workers, excluded)
                 .or(() -> context.workerSelector().chooseDecodeToClaim(workers, excluded, now()))
                 .map(w -> new CapacityRequest.Candidate(w, false));
