--- a/router/src/test/java/org/magnoliavane/router/dispatch/ReservationReleaseTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/ReservationReleaseTest.java
@@ -1,6 +1,8 @@
 package org.magnoliavane.router.dispatch;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -57,6 +59,30 @@
         assertTrue(released.await(2, TimeUnit.SECONDS), "the reservation is still held");
     }
 
+    /**
+     * Guards against streams that are prefilled for a crashed worker: it has no reservations left, so that its owner grants all
+     * requests that wait for it.
+     */
+    @Test
+    public void aGrantOfAWorkerThatHasBecomeUnhealthyIsGivenBack() throws Exception {
+        List<String> requested = new CopyOnWriteArrayList<>();
+        AtomicInteger released = new AtomicInteger();
+        harness.reservationService = (demand, onReply) -> {
+            requested.add(demand.worker());
+            boolean first = requested.size() == 1;
+            if (first) {
+                harness.loadTracker.suspend(demand.worker(), System.nanoTime() / 1_000_000 + 5000);
+            }
+            onReply.accept(Reply.GRANTED);
+            return first ? released::incrementAndGet : () -> {};
+        };
+        assertEquals(harness.send(WorkerRole.DECODE), "done");
+        assertTrue(released.get() > 0, "the reservation is still held");
+        assertTrue(requested.stream().distinct().count() > 1, "no other worker was asked: " + requested);
+        assertTrue(harness.getWorkers().stream()
+                .noneMatch(w -> w.listed.id().equals(requested.get(0)) && !w.requests.isEmpty()));
+    }
+
     private static void delay() {
         try {
             Thread.sleep(DELAY_MILLIS);
