Index the loads that other nodes report by worker

Cause: each question about a worker went through the reports of all nodes, and a choice asks four of them about each worker. The combination of the measured speeds computed each decay three times. Change: WorkerLoadTracker keeps the reported loads by worker and node; one sum with a weight by age replaces two copies, and one method tells whether a report is current. WorkerSpeeds adds weights in place. What is chosen is unchanged.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
@@ -1,11 +1,14 @@
 package org.magnoliavane.balance;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.DoubleUnaryOperator;
 import java.util.function.ToDoubleFunction;
 
 import org.magnoliavane.routing.EngineProfile;
@@ -35,6 +38,9 @@
     private final Map<String, WorkerState> states = new ConcurrentHashMap<>();
     private final Map<String, PeerReport> peerReports = new ConcurrentHashMap<>();
 
+    /** What other nodes have reported, by worker and node: a choice asks about all workers, each of which few nodes use. */
+    private final Map<String, Map<String, PeerLoad>> peerLoads = new ConcurrentHashMap<>();
+
     /**
      * Creates a tracker without workers.
      *
@@ -177,8 +183,16 @@
      * @param loads the load that the node causes, by worker id
      * @param nowMillis the current time, in milliseconds
      */
-    public void updatePeerLoads(String node, Map<String, Load> loads, long nowMillis) {
-        peerReports.put(node, new PeerReport(Map.copyOf(loads), nowMillis));
+    public synchronized void updatePeerLoads(String node, Map<String, Load> loads, long nowMillis) {
+        PeerReport before = peerReports.put(node, new PeerReport(Set.copyOf(loads.keySet()), nowMillis));
+        loads.forEach((worker, load) -> peerLoads
+                .computeIfAbsent(worker, w -> new ConcurrentHashMap<>())
+                .put(node, new PeerLoad(load, nowMillis)));
+        if (before != null) {
+            before.workers.stream()
+                    .filter(worker -> !loads.containsKey(worker))
+                    .forEach(worker -> peerLoads.get(worker).remove(node));
+        }
     }
 
     /**
@@ -258,15 +272,7 @@
 
     private double sumRemainingLoads(
             String worker, double durationMillis, long nowMillis, ToDoubleFunction<Load> value) {
-        double sum = 0;
-        for (PeerReport report : peerReports.values()) {
-            Load load = report.loads.get(worker);
-            long ageMillis = nowMillis - report.atMillis;
-            if (load != null && ageMillis < PEER_REPORT_MAX_AGE_MILLIS) {
-                sum += value.applyAsDouble(load) * Math.exp(-ageMillis / durationMillis);
-            }
-        }
-        return sum;
+        return sumPeerLoads(worker, nowMillis, value, ageMillis -> Math.exp(-ageMillis / durationMillis));
     }
 
     /**
@@ -278,7 +284,7 @@
     public int countReportingNodes(long nowMillis) {
         int nodes = 0;
         for (PeerReport report : peerReports.values()) {
-            nodes += nowMillis - report.atMillis < PEER_REPORT_MAX_AGE_MILLIS ? 1 : 0;
+            nodes += isCurrent(report.atMillis, nowMillis) ? 1 : 0;
         }
         return nodes;
     }
@@ -306,10 +312,9 @@
      */
     public double getFailureRate(String worker, long nowMillis) {
         double rate = getState(worker).health.get().getRate(nowMillis);
-        for (PeerReport report : peerReports.values()) {
-            Load load = report.loads.get(worker);
-            if (load != null && nowMillis - report.atMillis < PEER_REPORT_MAX_AGE_MILLIS) {
-                rate = Math.max(rate, load.failureRate());
+        for (PeerLoad peer : getPeerLoads(worker)) {
+            if (isCurrent(peer.atMillis, nowMillis)) {
+                rate = Math.max(rate, peer.load.failureRate());
             }
         }
         return rate;
@@ -328,16 +333,29 @@
     }
 
     private double sumPeerLoads(String worker, long nowMillis, ToDoubleFunction<Load> value) {
+        return sumPeerLoads(worker, nowMillis, value, ageMillis -> 1);
+    }
+
+    /** Sums what other nodes have reported of a worker, weighted by the age of each report in milliseconds. */
+    private double sumPeerLoads(
+            String worker, long nowMillis, ToDoubleFunction<Load> value, DoubleUnaryOperator weight) {
         double sum = 0;
-        for (PeerReport report : peerReports.values()) {
-            Load load = report.loads.get(worker);
-            if (load != null && nowMillis - report.atMillis < PEER_REPORT_MAX_AGE_MILLIS) {
-                sum += value.applyAsDouble(load);
+        for (PeerLoad peer : getPeerLoads(worker)) {
+            if (isCurrent(peer.atMillis, nowMillis)) {
+                sum += value.applyAsDouble(peer.load) * weight.applyAsDouble(nowMillis - peer.atMillis);
             }
         }
         return sum;
     }
 
+    private Collection<PeerLoad> getPeerLoads(String worker) {
+        return peerLoads.getOrDefault(worker, Map.of()).values();
+    }
+
+    private static boolean isCurrent(long atMillis, long nowMillis) {
+        return nowMillis - atMillis < PEER_REPORT_MAX_AGE_MILLIS;
+    }
+
     private WorkerState getState(String worker) {
         return states.computeIfAbsent(worker, w -> new WorkerState());
     }
@@ -351,7 +369,9 @@
      */
     public record Load(int requests, int tokens, double failureRate) {}
 
-    private record PeerReport(Map<String, Load> loads, long atMillis) {}
+    private record PeerReport(Set<String> workers, long atMillis) {}
+
+    private record PeerLoad(Load load, long atMillis) {}
 
     private record Health(double rate, long atMillis) {
         static final Health HEALTHY = new Health(0, 0);
--- a/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
@@ -60,7 +60,7 @@
     private final Map<Work, Mean> means = new HashMap<>();
     private final TreeMap<String, Sample> own = new TreeMap<>();
     private final Map<String, Map<String, Sample>> peers = new HashMap<>();
-    private Map<String, Sample> combined = Map.of();
+    private Map<String, Combined> combined = Map.of();
     private long combinedMillis = Long.MIN_VALUE / 2;
     private String lastReported = "";
 
@@ -130,26 +130,26 @@
             combined = combine(nowMillis);
             combinedMillis = nowMillis;
         }
-        Sample sample = combined.get(worker);
-        if (sample == null) {
-            return 1;
-        }
-        return (PRIOR_SAMPLES + sample.samples) / (PRIOR_SAMPLES + sample.samples * sample.slowness);
+        Combined sum = combined.get(worker);
+        return sum == null ? 1 : (PRIOR_SAMPLES + sum.samples) / (PRIOR_SAMPLES + sum.weightedSlowness);
     }
 
-    private Map<String, Sample> combine(long nowMillis) {
-        Map<String, Sample> sums = new HashMap<>();
+    private Map<String, Combined> combine(long nowMillis) {
+        Map<String, Combined> sums = new HashMap<>();
         own.values().removeIf(s -> s.getSamples(nowMillis) < MIN_REPORTED_SAMPLES / 10);
-        own.forEach((worker, sample) -> sums.merge(worker, sample.decay(nowMillis), (a, b) -> a.add(b, nowMillis)));
+        own.forEach((worker, sample) -> add(sums, worker, sample, nowMillis));
         for (Map<String, Sample> samples : peers.values()) {
             samples.values().removeIf(s -> nowMillis - s.atMillis > PEER_MAX_AGE_MILLIS);
-            samples.forEach(
-                    (worker, sample) -> sums.merge(worker, sample.decay(nowMillis), (a, b) -> a.add(b, nowMillis)));
+            samples.forEach((worker, sample) -> add(sums, worker, sample, nowMillis));
         }
         peers.values().removeIf(Map::isEmpty);
         return sums;
     }
 
+    private static void add(Map<String, Combined> sums, String worker, Sample sample, long nowMillis) {
+        sums.computeIfAbsent(worker, w -> new Combined()).add(sample.slowness, sample.getSamples(nowMillis));
+    }
+
     /**
      * Gets the expected duration of a prefill.
      *
@@ -287,12 +287,19 @@
                     (slowness * before + latest.slowness * added) / (before + added), before + added, nowMillis);
         }
 
-        Sample decay(long nowMillis) {
-            return new Sample(slowness, getSamples(nowMillis), nowMillis);
-        }
-
         double getSamples(long nowMillis) {
             return samples * Math.pow(0.5, (nowMillis - atMillis) / HALF_LIFE_MILLIS);
         }
     }
+
+    /** The sum of the measurements of all nodes at one worker. */
+    private static final class Combined {
+        private double samples;
+        private double weightedSlowness;
+
+        void add(double slowness, double weight) {
+            samples += weight;
+            weightedSlowness += weight * slowness;
+        }
+    }
 }
