Find owners among the live nodes in one place

Cause: reservations, usage caps and the election of the node that changes roles each collected the live nodes with this node and hashed over them; a renewal collected them once for each reservation. Change: LiveNodes collects them and finds owners for all three; a renewal collects them once. UsageLimiter creates a request once, so that a pending one no longer changes.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,7 +30,6 @@
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.OwnRecord;
-import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.ServiceBacklog;
@@ -49,6 +47,7 @@
 import org.magnoliavane.router.front.FrontendServer;
 import org.magnoliavane.router.front.GracefulShutdown;
 import org.magnoliavane.router.front.StateRefresher;
+import org.magnoliavane.router.peer.LiveNodes;
 import org.magnoliavane.router.peer.PeerChannel;
 import org.magnoliavane.router.peer.PeerReports;
 import org.magnoliavane.router.peer.PeerReservationService;
@@ -524,11 +523,9 @@
     }
 
     private boolean isOwner(String name) {
-        List<NodeListing> nodes = new ArrayList<>(peerTable.getLiveListings(millis.getAsLong()));
-        nodes.add(self);
-        return RendezvousHashing.findOwner(name, nodes, NodeListing::name)
-                .filter(self::equals)
-                .isPresent();
+        return LiveNodes.collect(self, peerTable, millis.getAsLong())
+                .findOwner(name)
+                .equals(self);
     }
 
     private void onRoleChanged(String worker) {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReservationService.java
@@ -3,7 +3,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -22,7 +21,6 @@
 import org.magnoliavane.balance.ReservationTable;
 import org.magnoliavane.balance.ReservationTable.Demand;
 import org.magnoliavane.balance.ReservationTable.Reply;
-import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.protocol.generated.PeerDatagram;
 import org.magnoliavane.protocol.generated.ReservationRelease;
 import org.magnoliavane.protocol.generated.ReservationRenewal;
@@ -259,16 +257,20 @@
     }
 
     private NodeListing findOwner(String worker) {
-        List<NodeListing> nodes = new ArrayList<>(peerTable.getLiveListings(millis.getAsLong()));
-        nodes.add(self);
-        return RendezvousHashing.findOwner(worker, nodes, NodeListing::name).orElse(self);
+        return getLiveNodes().findOwner(worker);
+    }
+
+    private LiveNodes getLiveNodes() {
+        return LiveNodes.collect(self, peerTable, millis.getAsLong());
     }
 
     private void renew() {
+        LiveNodes nodes = getLiveNodes();
         Map<NodeListing, ReservationRenewal.Builder> byOwner = new HashMap<>();
         held.forEach((id, reservation) -> {
             if (reservation.isGranted()) {
-                byOwner.computeIfAbsent(findOwner(reservation.demand.worker()), o -> ReservationRenewal.newBuilder())
+                byOwner.computeIfAbsent(
+                                nodes.findOwner(reservation.demand.worker()), o -> ReservationRenewal.newBuilder())
                         .addRooms(toRenewal(id, reservation));
             }
         });
--- a/router/src/main/java/org/magnoliavane/router/peer/UsageLimiter.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/UsageLimiter.java
@@ -1,7 +1,6 @@
 package org.magnoliavane.router.peer;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +14,6 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.protocol.generated.PeerDatagram;
 import org.magnoliavane.protocol.generated.UsageReply;
 import org.magnoliavane.protocol.generated.UsageRequest;
@@ -133,23 +131,23 @@
         Fleet current = getFleet(now);
         NodeUsage usage = used.computeIfAbsent(name, n -> NodeUsage.create(cap, current.listed, getPosition(n), now));
         usage.setLimits(cap, current.listed, now);
-        NodeListing owner = current.findOwner(name);
+        NodeListing owner = current.live.findOwner(name);
+        boolean decides = owner.equals(self);
+        boolean usesAhead = !decides && usage.tryUseAhead(units, now);
         UsageRequest request = UsageRequest.newBuilder()
                 .setId(lastId.incrementAndGet())
                 .setOrganisation(name)
                 .setUnits(units)
+                .setAheadUnits(decides || usesAhead ? 0 : usage.getAheadToRequest(units, now))
                 .build();
         Pending waiting = new Pending(request, usage, owner.name(), now, onDecision);
-        if (owner.equals(self)) {
+        if (decides) {
             UsageGrant grant =
                     owned.decide(toOwnerRequest(request, self.name(), self.run()), cap, current.getShare(), now);
             complete(waiting, grant, Source.OWNER);
-        } else if (usage.tryUseAhead(units, now)) {
+        } else if (usesAhead) {
             complete(waiting, new UsageGrant(units, 0), Source.AHEAD);
         } else {
-            waiting.request = request.toBuilder()
-                    .setAheadUnits(usage.getAheadToRequest(units, now))
-                    .build();
             pending.put(request.getId(), waiting);
             ask(waiting);
             channel.getExecutor().schedule(() -> ask(waiting), REPEAT_MILLIS, TimeUnit.MILLISECONDS);
@@ -324,15 +322,16 @@
     }
 
     private NodeListing findOwner(String organisation, long now) {
-        return getFleet(now).findOwner(organisation);
+        return getFleet(now).live.findOwner(organisation);
     }
 
     private Fleet getFleet(long now) {
         Fleet known = fleet;
         if (known == null || now - known.sinceMillis >= FLEET_MILLIS) {
-            List<NodeListing> live = new ArrayList<>(peerTable.getLiveListings(now));
-            live.add(self);
-            known = new Fleet(live, 1 + peerTable.getListings().size(), now);
+            known = new Fleet(
+                    LiveNodes.collect(self, peerTable, now),
+                    1 + peerTable.getListings().size(),
+                    now);
             fleet = known;
         }
         return known;
@@ -347,27 +346,22 @@
     }
 
     /** The nodes at a time: those that this node hears, with itself, and the number of those that are listed. */
-    private record Fleet(List<NodeListing> live, int listed, long sinceMillis) {
-        NodeListing findOwner(String organisation) {
-            return RendezvousHashing.findOwner(organisation, live, NodeListing::name)
-                    .orElseThrow();
-        }
-
+    private record Fleet(LiveNodes live, int listed, long sinceMillis) {
         /** Gets the share of a cap that this node may grant; the rest belongs to the nodes that it does not hear. */
         double getShare() {
-            return Math.min(1, (double) live.size() / listed);
+            return Math.min(1, (double) live.count() / listed);
         }
     }
 
     /** A request that waits for the decision of the owner, or has been decided without it. */
     private static final class Pending {
+        private final UsageRequest request;
         private final NodeUsage usage;
         private final String owner;
         private final long sinceMillis;
         private final Consumer<UsageDecision> onDecision;
         private final AtomicBoolean decided = new AtomicBoolean();
         private volatile boolean admitted;
-        private volatile UsageRequest request;
 
         Pending(
                 UsageRequest request,
