--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -130,7 +130,7 @@
      * @param nowMillis the current time, in milliseconds
      * @return the worker; empty if no worker is eligible
      */
-    public Optional<ListedWorker> chooseDecodeToClaim(
+    public Optional<ListedWorker> chooseDecodeToWaitFor(
             Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
         return choose(
                 workers,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
@@ -161,7 +161,7 @@
         List<ListedWorker> sound = decoding.stream().filter(this::isSound).toList();
         List<ListedWorker> workers = sound.isEmpty() ? decoding : sound;
         return chooseOfTwo(workers, excluded)
-                .or(() -> context.workerSelector().chooseDecodeToClaim(workers, excluded, now()))
+                .or(() -> context.workerSelector().chooseDecodeToWaitFor(workers, excluded, now()))
                 .map(w -> new CapacityRequest.Candidate(w, false));
     }
 
@@ -175,7 +175,7 @@
                 .limit(2)
                 .distinct()
                 .toList();
-        return context.workerSelector().chooseDecodeToClaim(two, excluded, now());
+        return context.workerSelector().chooseDecodeToWaitFor(two, excluded, now());
     }
 
     /** Chooses a prefill worker that has not been asked, from whose zone the KV cache is sent to a decode worker. */
