Read bearer keys in one place, and state shared constants once

Change: ApiKeyDigest.ofAuthorization serves the daemon and the router. The share of grants to the oldest request and the share of its time for which a caller waits each stood in two classes. Behaviour is unchanged. Result: tests of router (499), balance and routing (154), node.http (86), OrganisationRequestTest and UsageCapTest (14) pass.

--- a/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
@@ -25,8 +25,8 @@
     /** Weight of the latest reservation in the means. */
     private static final double SAMPLE_WEIGHT = 0.05;
 
-    /** Share of the grants that goes to the oldest request whatever its urgency, see {@link ReservationTable}. */
-    private static final double OLDEST_SHARE = 0.25;
+    /** Share of the grants that goes to the oldest request whatever its urgency. */
+    private static final double OLDEST_SHARE = 1.0 / ReservationTable.GRANTS_PER_OLDEST;
 
     /** Factor by which waits are underestimated, since more urgent requests that arrive later precede. */
     private static final double WAIT_MARGIN = 2;
@@ -38,7 +38,7 @@
     private static final long MAX_RETRY_AFTER_MILLIS = 2500;
 
     /** Callers wait for at most this share of their remaining time before they retry, and give up otherwise. */
-    private static final double MAX_WAIT_SHARE = 1 / 3.0;
+    static final double MAX_WAIT_SHARE = 1 / 3.0;
 
     /** Relative width of the random spread of the times after which callers retry. */
     private static final double JITTER = 0.5;
--- a/core/src/main/java/org/magnoliavane/balance/PlainAdmission.java
+++ b/core/src/main/java/org/magnoliavane/balance/PlainAdmission.java
@@ -28,14 +28,9 @@
     /** Share of the time limit that must remain when a request is sent that cannot be on time. */
     private static final double MIN_REMAINING_SHARE = 0.25;
 
-    /**
-     * Bounds of the time after which the caller of a refused request may retry, as a share of its remaining time. Callers wait
-     * at most a third of it.
-     */
+    /** Smallest time after which the caller of a refused request may retry, as a share of its remaining time. */
     private static final double MIN_RETRY_SHARE = 1.0 / 6;
 
-    private static final double MAX_RETRY_SHARE = 1.0 / 3;
-
     /**
      * Describes a service.
      *
@@ -116,7 +111,7 @@
      * @return the time in milliseconds
      */
     public static long computeRetryAfterMillis(long remainingMillis, double random) {
-        double share = MIN_RETRY_SHARE + (MAX_RETRY_SHARE - MIN_RETRY_SHARE) * random;
+        double share = MIN_RETRY_SHARE + (AdmissionForecast.MAX_WAIT_SHARE - MIN_RETRY_SHARE) * random;
         return (long) (share * Math.max(0, remainingMillis));
     }
 
--- a/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
+++ b/core/src/main/java/org/magnoliavane/balance/ReservationTable.java
@@ -41,7 +41,7 @@
     private static final long MAX_PROTECTION_MILLIS = 2500;
 
     /** One of this many grants to waiting requests goes to the oldest on-time request. */
-    private static final int OLDEST_SHARE = 4;
+    static final int GRANTS_PER_OLDEST = 4;
 
     /** Maximum number of waiting requests of a worker, which bounds the cost of a grant. */
     private static final int MAX_WAITING = 256;
@@ -352,7 +352,7 @@
             waiting.values().forEach(w -> (w.isOverdue(nowMillis) ? overdue : onTime).add(w));
             onTime.sort(MOST_URGENT_FIRST);
             overdue.sort(MOST_URGENT_FIRST);
-            if (chosen % OLDEST_SHARE == OLDEST_SHARE - 1) {
+            if (chosen % GRANTS_PER_OLDEST == GRANTS_PER_OLDEST - 1) {
                 onTime.stream().min(OLDEST_FIRST).ifPresent(oldest -> {
                     onTime.remove(oldest);
                     onTime.add(0, oldest);
--- a/core/src/main/java/org/magnoliavane/routing/ApiKeyDigest.java
+++ b/core/src/main/java/org/magnoliavane/routing/ApiKeyDigest.java
@@ -4,11 +4,26 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.Optional;
 
 /** Computes the digests by which API keys are kept and compared, so that no key stays in memory or appears in a log. */
 public final class ApiKeyDigest {
+    private static final String SCHEME = "bearer ";
+
     private ApiKeyDigest() {}
 
+    /**
+     * Computes the digest of the key in a header {@code Authorization}.
+     *
+     * @param authorization the value of the header
+     * @return the digest; empty if the header has no bearer key
+     */
+    public static Optional<String> ofAuthorization(String authorization) {
+        return authorization.regionMatches(true, 0, SCHEME, 0, SCHEME.length())
+                ? Optional.of(compute(authorization.substring(SCHEME.length()).trim()))
+                : Optional.empty();
+    }
+
     /**
      * Computes the digest of a key.
      *
--- a/node/src/main/java/org/magnoliavane/node/http/AuthenticationFilter.java
+++ b/node/src/main/java/org/magnoliavane/node/http/AuthenticationFilter.java
@@ -14,8 +14,6 @@
 
 /** Authenticates the caller by its bearer key. */
 final class AuthenticationFilter implements RequestFilter {
-    private static final String SCHEME = "bearer ";
-
     private final AtomicReference<CallerIndex> index = new AtomicReference<>();
 
     @Override
@@ -34,11 +32,8 @@
     }
 
     private Optional<Caller> authenticate(String header, Configuration configuration) {
-        if (!header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
-            return Optional.empty();
-        }
-        String hash = ApiKeyDigest.compute(header.substring(SCHEME.length()).trim());
-        return Optional.ofNullable(getIndex(configuration).byKeyHash().get(hash));
+        return ApiKeyDigest.ofAuthorization(header)
+                .map(digest -> getIndex(configuration).byKeyHash().get(digest));
     }
 
     private CallerIndex getIndex(Configuration configuration) {
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -63,7 +63,6 @@
     private static final int STREAM_BUFFER_BYTES = 1 << 20;
 
     private static final String AUTHORIZATION = "authorization";
-    private static final String BEARER = "bearer ";
 
     private final Request request;
     private final Response response;
@@ -190,9 +189,8 @@
      */
     Optional<String> takeApiKeyDigest() {
         String authorization = headers.remove(AUTHORIZATION);
-        if (authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
-            keyDigest = Optional.of(ApiKeyDigest.compute(
-                    authorization.substring(BEARER.length()).trim()));
+        if (authorization != null) {
+            keyDigest = ApiKeyDigest.ofAuthorization(authorization);
         }
         return keyDigest;
     }
