Give nodes their full share of the retry allowance at the first start of the system

Change: the settings tell the first start of the system (node.first_start, filled in by the platform); only later starts are limited.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -228,10 +228,7 @@
         reservationService.registerMetrics(metrics);
         long startMillis = millis.getAsLong();
         RetryBudgets retryBudgets = new RetryBudgets(
-                () -> RetryBudget.startedAt(
-                        settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis(), startMillis),
-                () -> peerTable.countNodes(millis.getAsLong()),
-                millis);
+                () -> createRetryBudget(settings, startMillis), () -> peerTable.countNodes(millis.getAsLong()), millis);
         this.dispatcher = new Dispatcher(new DispatchContext(
                 routingState,
                 workerFollower::getAgeMillis,
@@ -639,4 +636,13 @@
                         workerFollower.refresh().toCompletableFuture().copy())
                 .completeOnTimeout(null, timeoutMillis, TimeUnit.MILLISECONDS);
     }
+
+    private static RetryBudget createRetryBudget(RouterSettings settings, long startMillis) {
+        double ratio = settings.retryRatio();
+        double allowance = settings.retryAllowance();
+        long windowMillis = settings.retryWindowMillis();
+        return settings.firstStart()
+                ? new RetryBudget(ratio, allowance, windowMillis)
+                : RetryBudget.startedAt(ratio, allowance, windowMillis, startMillis);
+    }
 }
--- a/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
+++ b/router/src/main/java/org/magnoliavane/router/settings/RouterSettings.java
@@ -18,6 +18,8 @@
  *
  * @param name the name of this node
  * @param zone the availability zone of this node
+ * @param firstStart whether the whole system starts for the first time, so that no earlier run of this node can have used
+ *     its shares of what all nodes share; false if unknown
  * @param callers the address at which callers are served
  * @param readiness the address of the readiness endpoint
  * @param directory the address at which callers look up the addresses of nodes
@@ -42,6 +44,7 @@
 public record RouterSettings(
         String name,
         String zone,
+        boolean firstStart,
         HostPort callers,
         HostPort readiness,
         HostPort directory,
@@ -97,6 +100,7 @@
         return new RouterSettings(
                 node.getString("name", NAME, NAME_SYNTAX),
                 node.getString("zone", NAME, NAME_SYNTAX),
+                node.getBoolean("first_start", false),
                 readAddress(listen, "callers"),
                 readAddress(listen, "readiness"),
                 readAddress(listen, "directory"),
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -314,6 +314,7 @@
         return new RouterSettings(
                 "node-1",
                 "z",
+                true,
                 findAddress(),
                 findAddress(),
                 findAddress(),
--- a/router/src/test/java/org/magnoliavane/router/settings/RouterSettingsTest.java
+++ b/router/src/test/java/org/magnoliavane/router/settings/RouterSettingsTest.java
@@ -7,6 +7,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class RouterSettingsTest {
@@ -29,6 +30,15 @@
         assertEquals(settings.contactMillis(), 3000);
         assertEquals(settings.listingGraceMillis(), 2000);
         assertEquals(settings.listingRenewalMillis(), 1200);
+        assertFalse(settings.firstStart());
+    }
+
+    /** Guards against a node whose retries are limited for a window although no earlier run of it can have sent any. */
+    @Test
+    public void theFirstStartOfTheSystemIsRead() {
+        assertTrue(RouterSettings.parse(VALID.replace("[node]\n", "[node]\nfirst_start = true\n"))
+                .get()
+                .firstStart());
     }
 
     @Test
