Suspend a worker at all nodes when another one has its address

Change: the suspension lasts 4 s and is sent to the other nodes, as for a worker that accepts no connection. A new listing ends it at once.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -24,8 +24,8 @@
  * @param reservationService reserves capacity at model workers
  * @param retryBudgets the limits on retries and hedged requests
  * @param poisonGuard keeps requests that crash workers away from them
- * @param onUnreachable receives the id of a worker that accepted no connection, and the time in milliseconds until which it
- *     is suspended
+ * @param onUnreachable receives the id of a worker that accepted no connection or whose address another worker has, and the
+ *     time in milliseconds until which it is suspended
  * @param client sends requests to workers
  * @param wireFormat encodes and decodes requests and responses
  * @param budget bounds the bytes that are buffered
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -29,6 +29,12 @@
     /** Time for which a worker that accepts no connection is suspended. */
     private static final long UNREACHABLE_SUSPEND_MILLIS = 1500;
 
+    /**
+     * Time for which a worker is suspended whose address answers for another one. It has ended or changed its role, and is
+     * suspended until it is listed anew or, while the list cannot be read, for longer than its listing would last.
+     */
+    private static final long MISDIRECTED_SUSPEND_MILLIS = 4000;
+
     /** Weight of a refusal in the failure rate; low because a full worker is not faulty. */
     private static final double REFUSAL_FAILURE_WEIGHT = 0.25;
 
@@ -293,9 +299,7 @@
             }
             recordOutcome(1);
             if (cause instanceof ConnectException) {
-                long untilMillis = context.clockMillis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS;
-                context.loadTracker().suspend(getWorker().id(), untilMillis);
-                context.onUnreachable().accept(getWorker().id(), untilMillis);
+                suspendAtAllNodes(UNREACHABLE_SUSPEND_MILLIS);
                 listener.onNotRun(this, UNREACHABLE);
             } else if (!sent) {
                 // The connection broke before it was used.
@@ -377,8 +381,7 @@
                         this, findClosedMillis(responseStatus, headers).isPresent() ? REFUSED_FOR_SOME_TIME : REFUSED);
                 break;
             case WRONG_WORKER:
-                context.loadTracker()
-                        .suspend(getWorker().id(), context.clockMillis().getAsLong() + UNREACHABLE_SUSPEND_MILLIS);
+                suspendAtAllNodes(MISDIRECTED_SUSPEND_MILLIS);
                 closeWithOutcome(1);
                 listener.onNotRun(this, "another worker has the address");
                 break;
@@ -392,6 +395,13 @@
         }
     }
 
+    /** Suspends the worker here and at the other nodes, before each of them loses a request to it. */
+    private void suspendAtAllNodes(long millis) {
+        long untilMillis = context.clockMillis().getAsLong() + millis;
+        context.loadTracker().suspend(getWorker().id(), untilMillis);
+        context.onUnreachable().accept(getWorker().id(), untilMillis);
+    }
+
     private void closeWithOutcome(double failure) {
         recordOutcome(failure);
         cancel();
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -58,6 +59,9 @@
 
     int promptTokens = 1000;
 
+    /** Receives the workers that are reported to other nodes, and until when they are suspended. */
+    BiConsumer<String, Long> onUnreachable = (worker, until) -> {};
+
     ReservationService reservationService = new GrantingReservations();
     StepTimes stepTimes = StepTimes.UNKNOWN;
     double retryAllowance = 10;
@@ -126,7 +130,7 @@
                         timers,
                         millis,
                         () -> {}),
-                (worker, until) -> {},
+                onUnreachable,
                 client,
                 new PlainFormat(),
                 ByteBudget.ofHeap(),
