Split the execution of streamed requests into classes of one responsibility

Cause: StreamExecution had 1,141 lines for the queue, the prefill, the decode with hedges and replacements, the relay of events and the accounting of buffers; the exchanges distinguished prefill from decode by a flag in each callback. Change: CapacityWait waits for capacity, PrefillExchange runs the prefill, DecodeExchanges runs the decode with hedges and replacements, StreamParts checks and relays what its workers write; StreamExecution joins them. Each reports to a listener and owns its state. RequestContext holds what they share (clock, timers, log lines); RelayedStream, ResponseBuffers and WorkerRefusals are small parts. Behaviour, log lines (with the name of the logger) and metrics are unchanged, and so are all tests. String literals and constants of the old and new classes are the same.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -27,7 +27,7 @@
  * <p>Responses are collected, so that one that breaks off can be replaced by that of another worker. If there is no memory for
  * that, the response is relayed as it is received, unless it is an error or another worker runs the request as well.
  */
-final class PlainExecution extends RequestExecution implements CapacityRequest.Listener {
+final class PlainExecution extends RequestExecution implements WorkerExchange.Listener, CapacityRequest.Listener {
     /** Largest number of workers to which a request is sent, including those that do not run it. */
     private static final int MAX_ATTEMPTS = 4;
 
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -22,7 +22,7 @@
  *
  * <p>Not thread-safe, except for {@link #start}. Everything else runs on the executor of the request.
  */
-abstract class RequestExecution implements WorkerExchange.Listener {
+abstract class RequestExecution {
     /** Time after which a caller may retry if no worker is listed or reachable. */
     static final long NO_WORKER_RETRY_AFTER_MILLIS = 700;
 
@@ -54,6 +54,10 @@
 
     boolean ended;
     final RequestFeatures features;
+
+    /** What other classes that execute the request need of it. */
+    final RequestContext scope;
+
     private volatile boolean trial;
     private Future<?> deadlineTimer;
 
@@ -63,6 +67,7 @@
         this.service = service;
         this.response = response;
         this.features = PoisonGuard.getFeatures(request);
+        this.scope = new RequestContext(context, request, service, features, executor, excludedWorkers, () -> ended);
     }
 
     /** Starts the execution of the request. */
@@ -95,7 +100,7 @@
      * Fails the request and returns false if it has a feature that crashes workers. Called before each exchange, since the
      * feature may be convicted while the request waits.
      */
-    final boolean mayProceed() {
+    public final boolean mayProceed() {
         if (trial || !context.poisonGuard().isConvicted(features)) {
             return !ended;
         }
@@ -115,7 +120,7 @@
         return !ended;
     }
 
-    @Override
+    /** Returns whether the request may still be sent to a worker; called on any thread. */
     public final boolean maySend() {
         return (trial || !context.poisonGuard().isConvicted(features)) && response.permitSending();
     }
@@ -154,11 +159,11 @@
     abstract void cancelExchanges();
 
     final long now() {
-        return context.clockMillis().getAsLong();
+        return scope.now();
     }
 
     final long getRemainingMillis() {
-        return request.deadlineMillis() - now();
+        return scope.getRemainingMillis();
     }
 
     /** Acquires an exchange from the retry budget; the first exchange is not limited. */
@@ -167,15 +172,7 @@
     }
 
     final void schedule(long millis, Runnable task) {
-        context.timers()
-                .schedule(
-                        () -> executor.execute(() -> {
-                            if (!ended) {
-                                task.run();
-                            }
-                        }),
-                        Math.max(0, millis),
-                        TimeUnit.MILLISECONDS);
+        scope.schedule(millis, task);
     }
 
     /** Gets the time after which a caller may retry: when the first worker is open again, if all are closed. */
@@ -266,21 +263,16 @@
     }
 
     final void log(String event, WorkerExchange exchange, String detail) {
-        log(event, exchange.getWorker(), detail);
+        scope.log(event, exchange, detail);
     }
 
     final void log(String event, ListedWorker worker, String detail) {
-        LOG.log(Level.INFO, "event={0} request={1} worker={2} {3}", event, request.getId(), worker.id(), detail);
+        scope.log(event, worker, detail);
     }
 
     /** Logs the choice of a worker with its measured speed and the age of the list from which it was chosen. */
     final void logChoice(String event, ListedWorker worker, String detail) {
-        log(
-                event,
-                worker,
-                detail + " speed_percent="
-                        + Math.round(100 * context.loadTracker().getSpeeds().getSpeed(worker.id(), now()))
-                        + " list_millis=" + context.workerListAgeMillis().getAsLong());
+        scope.logChoice(event, worker, detail);
     }
 
     /** Logs that the request is refused at once because it could not be served in time. */
