--- a/http/src/main/java/org/magnoliavane/http/DaemonTimers.java
+++ b/http/src/main/java/org/magnoliavane/http/DaemonTimers.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.http;
 
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 
 /**
  * Creates timer executors whose daemon threads do not keep the process alive.
@@ -10,7 +11,8 @@
 
     /**
      * Opens an executor. Cancelled tasks are removed immediately, because most request timers are cancelled before they
-     * run.
+     * run. A task that is scheduled after the shutdown is discarded, like those that were waiting for it: requests still end
+     * while a node stops, and must not fail with an error of the node instead.
      *
      * @param name the name of the threads
      * @param threads the number of threads
@@ -23,6 +25,7 @@
             return thread;
         });
         executor.setRemoveOnCancelPolicy(true);
+        executor.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
         return executor;
     }
 }
