Score workers with reasons before one is chosen

Operators ask why a worker gets a request or none, and the selector kept neither its costs nor the reasons for which it left workers out.

WorkerSelector.score... returns the workers of a role with their cost or the reason for which they may not be chosen, and choose picks from that result. The random part is now drawn only for workers that may be chosen.

--- a/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionForecast.java
@@ -103,6 +103,20 @@
         return OptionalLong.of((long) Math.min(byUrgency, byAge));
     }
 
+    /**
+     * Counts the requests that wait at all nodes, as far as known.
+     *
+     * @param service the name of the service
+     * @param own the backlogs of this node
+     * @param nowMillis the current time, in milliseconds
+     * @return the number of requests
+     */
+    public int countWaiting(String service, Collection<Backlog> own, long nowMillis) {
+        return getBacklogs(service, own, nowMillis).stream()
+                .mapToInt(Backlog::requests)
+                .sum();
+    }
+
     private Collection<Backlog> getBacklogs(String service, Collection<Backlog> own, long nowMillis) {
         Stream<Backlog> others = peers.values().stream()
                 .filter(p -> nowMillis - p.atMillis < REPORT_MAX_AGE_MILLIS)
--- a/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
+++ b/core/src/main/java/org/magnoliavane/balance/AdmissionQueue.java
@@ -95,6 +95,19 @@
         return !onTime.isEmpty();
     }
 
+    /**
+     * Counts the requests that precede a new on-time request. The queue is not changed.
+     *
+     * @param urgency the urgency of the new request
+     * @param nowMillis the current time, in milliseconds
+     * @return the number of on-time requests of the same or a higher urgency
+     */
+    public int countAhead(int urgency, long nowMillis) {
+        return (int) onTime.stream()
+                .filter(e -> e.urgency() <= urgency && !e.isOverdue(nowMillis))
+                .count();
+    }
+
     private void moveOverdue(long nowMillis) {
         for (Iterator<Entry<T>> i = onTime.iterator(); i.hasNext(); ) {
             Entry<T> entry = i.next();
--- a/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerLoadTracker.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -223,6 +224,47 @@
         return getState(worker).requests.get();
     }
 
+    /**
+     * Counts the tokens of the active requests of this node at a worker.
+     *
+     * @param worker the id of the worker
+     * @return the number of tokens
+     */
+    public int countOwnTokens(String worker) {
+        return getState(worker).tokens.get();
+    }
+
+    /**
+     * Gets the load that other nodes have reported of a worker.
+     *
+     * @param worker the id of the worker
+     * @param nowMillis the current time, in milliseconds
+     * @return the sum of the current reports
+     */
+    public ReportedLoad getReportedLoad(String worker, long nowMillis) {
+        OptionalLong newestMillis = getPeerLoads(worker).stream()
+                .filter(p -> isCurrent(p.atMillis, nowMillis))
+                .mapToLong(p -> p.atMillis)
+                .max();
+        return new ReportedLoad(
+                (int) sumPeerLoads(worker, nowMillis, Load::requests),
+                (int) sumPeerLoads(worker, nowMillis, Load::tokens),
+                newestMillis.isPresent()
+                        ? OptionalLong.of(nowMillis - newestMillis.getAsLong())
+                        : OptionalLong.empty());
+    }
+
+    /**
+     * Gets the time for which a worker is still suspended.
+     *
+     * @param worker the id of the worker
+     * @param nowMillis the current time, in milliseconds
+     * @return the time in milliseconds; 0 if it is not suspended
+     */
+    public long getSuspendedMillis(String worker, long nowMillis) {
+        return Math.max(0, getState(worker).suspendedUntilMillis.get() - nowMillis);
+    }
+
     /**
      * Counts the active requests at a worker.
      *
@@ -369,6 +411,15 @@
      */
     public record Load(int requests, int tokens, double failureRate) {}
 
+    /**
+     * The load of a worker that other nodes have reported.
+     *
+     * @param requests the number of active requests
+     * @param tokens the number of tokens that the requests occupy
+     * @param newestAgeMillis the age of the newest report, in milliseconds; empty if no node reports the worker
+     */
+    public record ReportedLoad(int requests, int tokens, OptionalLong newestAgeMillis) {}
+
     private record PeerReport(Set<String> workers, long atMillis) {}
 
     private record PeerLoad(Load load, long atMillis) {}
--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -7,9 +7,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
 
 import org.magnoliavane.WorkerRole;
+import org.magnoliavane.balance.ScoredWorkers.Scored;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -54,6 +56,8 @@
      */
     private static final double MAX_RANDOM_COST = 0.05;
 
+    private static final Function<ListedWorker, Optional<Exclusion>> NO_LIMIT = worker -> Optional.empty();
+
     private final WorkerLoadTracker loadTracker;
     private final String zone;
     private final DoubleSupplier random;
@@ -80,7 +84,19 @@
      * @return the worker; empty if no worker is eligible
      */
     public Optional<ListedWorker> choosePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.PLAIN, nowMillis, w -> getPlainCost(w, nowMillis));
+        return choose(scorePlain(workers, excluded, nowMillis));
+    }
+
+    /**
+     * Scores the workers of a plain service as {@link #choosePlain} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the plain workers among them
+     */
+    public ScoredWorkers scorePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+        return score(workers, excluded, WorkerRole.PLAIN, nowMillis, NO_LIMIT, w -> getPlainCost(w, nowMillis));
     }
 
     /**
@@ -94,7 +110,21 @@
      */
     public Optional<ListedWorker> choosePrefill(
             Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.PREFILL, nowMillis, w -> {
+        return choose(scorePrefill(workers, excluded, decodeZone, nowMillis));
+    }
+
+    /**
+     * Scores prefill workers as {@link #choosePrefill} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param decodeZone the availability zone of the decode worker, to which the KV cache will be transferred
+     * @param nowMillis the current time, in milliseconds
+     * @return the prefill workers among them
+     */
+    public ScoredWorkers scorePrefill(
+            Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
+        return score(workers, excluded, WorkerRole.PREFILL, nowMillis, NO_LIMIT, w -> {
             double transferCost = w.server().zone().equals(decodeZone) ? 0 : REMOTE_TRANSFER_COST;
             return getPrefillCost(w, nowMillis) + transferCost;
         });
@@ -112,13 +142,43 @@
      */
     public Optional<ListedWorker> chooseDecode(
             Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.DECODE, nowMillis, w -> {
-            int requests = loadTracker.countRequests(w.id(), nowMillis);
-            double totalTokens = loadTracker.countTokens(w.id(), nowMillis) + tokens;
-            boolean fits = requests == 0 || requests < engine.slots() && totalTokens <= engine.getUsableTokens();
-            boolean hasCapacity = fits && !loadTracker.isFull(w.id(), nowMillis);
-            return hasCapacity ? (requests + 0.5) / getSpeed(w, nowMillis) : Double.POSITIVE_INFINITY;
-        });
+        return choose(scoreDecode(workers, engine, tokens, excluded, nowMillis));
+    }
+
+    /**
+     * Scores decode workers as {@link #chooseDecode} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param engine the profile of the engines of the service
+     * @param tokens the KV cache memory that the request will occupy, in tokens
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the decode workers among them
+     */
+    public ScoredWorkers scoreDecode(
+            Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
+        return score(
+                workers,
+                excluded,
+                WorkerRole.DECODE,
+                nowMillis,
+                w -> findFullness(w, engine, tokens, nowMillis),
+                w -> (loadTracker.countRequests(w.id(), nowMillis) + 0.5) / getSpeed(w, nowMillis));
+    }
+
+    private Optional<Exclusion> findFullness(ListedWorker worker, EngineProfile engine, int tokens, long nowMillis) {
+        if (loadTracker.isFull(worker.id(), nowMillis)) {
+            return Optional.of(Exclusion.MARKED_FULL);
+        }
+        int requests = loadTracker.countRequests(worker.id(), nowMillis);
+        if (requests == 0) {
+            return Optional.empty();
+        }
+        if (requests >= engine.slots()) {
+            return Optional.of(Exclusion.NO_FREE_SLOT);
+        }
+        double totalTokens = loadTracker.countTokens(worker.id(), nowMillis) + tokens;
+        return totalTokens <= engine.getUsableTokens() ? Optional.empty() : Optional.of(Exclusion.NO_FREE_MEMORY);
     }
 
     /**
@@ -132,37 +192,90 @@
      */
     public Optional<ListedWorker> chooseDecodeToWaitFor(
             Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(
+        return choose(scoreDecodeToWaitFor(workers, excluded, nowMillis));
+    }
+
+    /**
+     * Scores decode workers as {@link #chooseDecodeToWaitFor} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the decode workers among them
+     */
+    public ScoredWorkers scoreDecodeToWaitFor(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+        return score(
                 workers,
                 excluded,
                 WorkerRole.DECODE,
                 nowMillis,
-                w -> loadTracker.isFull(w.id(), nowMillis)
-                        ? Double.POSITIVE_INFINITY
-                        : loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5);
+                w -> loadTracker.isFull(w.id(), nowMillis) ? Optional.of(Exclusion.MARKED_FULL) : Optional.empty(),
+                w -> loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5);
     }
 
-    private Optional<ListedWorker> choose(
+    /**
+     * Scores the workers of one role.
+     *
+     * @param capacity finds the reason why a usable worker has no capacity for the request
+     * @param load computes the load of a usable worker
+     */
+    private ScoredWorkers score(
             Collection<ListedWorker> workers,
             Set<String> excluded,
             WorkerRole role,
             long nowMillis,
+            Function<ListedWorker, Optional<Exclusion>> capacity,
             ToDoubleFunction<ListedWorker> load) {
-        List<ListedWorker> usable = workers.stream()
-                .filter(w -> w.server().role() == role && !w.server().leaving() && !excluded.contains(w.id()))
-                .filter(w -> loadTracker.getNotices().isUsable(w, nowMillis))
-                .toList();
-        List<ListedWorker> healthy = usable.stream()
-                .filter(w -> !loadTracker.isUnhealthy(w.id(), nowMillis))
+        List<Scored> scored = workers.stream()
+                .filter(w -> w.server().role() == role)
+                .map(w -> new Scored(w, findExclusion(w, excluded, nowMillis), Double.NaN, Double.NaN))
                 .toList();
         // Requests wait for a full but healthy worker. Unhealthy workers are used only if no worker is healthy.
-        List<Scored> candidates = (healthy.isEmpty() ? usable : healthy)
-                .stream()
-                        .map(w ->
-                                new Scored(w, computeCost(w, load.applyAsDouble(w), nowMillis), getSpeed(w, nowMillis)))
-                        .filter(s -> s.cost < Double.POSITIVE_INFINITY)
-                        .toList();
-        return (hasOldReports(nowMillis) ? draw(candidates) : candidates)
+        boolean anyHealthy = scored.stream().anyMatch(s -> s.exclusion().isEmpty());
+        List<Scored> all = scored.stream()
+                .map(s -> {
+                    boolean usable = s.exclusion().isEmpty()
+                            || !anyHealthy && s.exclusion().get() == Exclusion.UNHEALTHY;
+                    ListedWorker w = s.worker();
+                    return usable
+                            ? new Scored(
+                                    w,
+                                    capacity.apply(w),
+                                    computeCost(w, load.applyAsDouble(w), nowMillis),
+                                    getSpeed(w, nowMillis))
+                            : s;
+                })
+                .toList();
+        return new ScoredWorkers(all, hasOldReports(nowMillis), MAX_RANDOM_COST);
+    }
+
+    private Optional<Exclusion> findExclusion(ListedWorker worker, Set<String> excluded, long nowMillis) {
+        if (worker.server().leaving()) {
+            return Optional.of(Exclusion.DRAINING);
+        }
+        if (loadTracker.getNotices().isLeaving(worker, nowMillis)) {
+            return Optional.of(Exclusion.LEAVING);
+        }
+        if (loadTracker.getNotices().isClosed(worker, nowMillis)) {
+            return Optional.of(Exclusion.CLOSED);
+        }
+        if (excluded.contains(worker.id())) {
+            return Optional.of(Exclusion.ALREADY_TRIED);
+        }
+        return loadTracker.isUnhealthy(worker.id(), nowMillis) ? Optional.of(Exclusion.UNHEALTHY) : Optional.empty();
+    }
+
+    /**
+     * Chooses a worker.
+     *
+     * @param scored the workers with their costs
+     * @return the worker; empty if none may be chosen
+     */
+    public Optional<ListedWorker> choose(ScoredWorkers scored) {
+        List<Scored> candidates = scored.getCandidates().stream()
+                .map(s -> s.withAddedCost(scored.maxRandomCost() * random.getAsDouble()))
+                .toList();
+        return (scored.drawn() ? draw(candidates) : candidates)
                 .stream().min(Comparator.comparingDouble(Scored::cost)).map(Scored::worker);
     }
 
@@ -184,8 +297,9 @@
             double position = random.getAsDouble()
                     * remaining.stream().mapToDouble(Scored::speed).sum();
             int index = 0;
-            while (index < remaining.size() - 1 && position >= remaining.get(index).speed) {
-                position -= remaining.get(index).speed;
+            while (index < remaining.size() - 1
+                    && position >= remaining.get(index).speed()) {
+                position -= remaining.get(index).speed();
                 index++;
             }
             drawn.add(remaining.remove(index));
@@ -196,8 +310,7 @@
     private double computeCost(ListedWorker worker, double load, long nowMillis) {
         double failureRate = loadTracker.getFailureRate(worker.id(), nowMillis);
         double cost = load * (1 + FAILURE_PENALTY * failureRate);
-        cost += worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
-        return cost + MAX_RANDOM_COST * random.getAsDouble();
+        return cost + (worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST);
     }
 
     private double getSpeed(ListedWorker worker, long nowMillis) {
@@ -219,6 +332,4 @@
         double requests = loadTracker.estimateRequests(worker.id(), activeMillis, nowMillis);
         return (requests / Math.max(1, worker.slots()) + 0.5) / getSpeed(worker, nowMillis);
     }
-
-    private record Scored(ListedWorker worker, double cost, double speed) {}
 }
--- a/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
+++ b/core/src/main/java/org/magnoliavane/routing/RoutingTable.java
@@ -164,6 +164,18 @@
         return Optional.ofNullable(organisationsByKey.get(keyDigest));
     }
 
+    /**
+     * Finds an organisation that holds at least one API key.
+     *
+     * @param name the name of the organisation
+     * @return the organisation; empty if the configuration does not contain it
+     */
+    public Optional<Organisation> findOrganisationByName(String name) {
+        return organisationsByKey.values().stream()
+                .filter(o -> o.name().equals(name))
+                .findFirst();
+    }
+
     /**
      * Finds the usage cap of an organisation.
      *
