Explain at the metrics port where a request would be sent now

GET /explain previews the choice for a request by the classes that execute requests: StreamWorkers, AdmissionControl and AdmissionQueues for streams, PlainWorkers (extracted from PlainExecution) for plain requests. It sends nothing, draws no reservation and touches no counter.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -43,6 +43,8 @@
 import org.magnoliavane.router.dispatch.RetryBudgets;
 import org.magnoliavane.router.dispatch.WireFormat;
 import org.magnoliavane.router.dispatch.WorkerEndDetector;
+import org.magnoliavane.router.explain.ExplainContext;
+import org.magnoliavane.router.explain.RequestExplainer;
 import org.magnoliavane.router.front.FrontendContext;
 import org.magnoliavane.router.front.FrontendServer;
 import org.magnoliavane.router.front.GracefulShutdown;
@@ -263,6 +265,18 @@
                 routingState,
                 wire,
                 dispatcher,
+                new RequestExplainer(new ExplainContext(
+                        self.name(),
+                        routingState,
+                        loadTracker,
+                        dispatcher,
+                        wire::toStatus,
+                        configurationFollower::getAgeMillis,
+                        workerFollower::getAgeMillis,
+                        settings.drainMillis(),
+                        this::getLiveNodes,
+                        shutdown::canAccept,
+                        millis)),
                 this,
                 this::getCallerAddresses,
                 this::isReady,
@@ -520,9 +534,11 @@
     }
 
     private boolean isOwner(String name) {
-        return LiveNodes.collect(self, peerTable, millis.getAsLong())
-                .findOwner(name)
-                .equals(self);
+        return getLiveNodes().findOwner(name).equals(self);
+    }
+
+    private LiveNodes getLiveNodes() {
+        return LiveNodes.collect(self, peerTable, millis.getAsLong());
     }
 
     private void onRoleChanged(String worker) {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionControl.java
@@ -85,13 +85,7 @@
                     "workers=" + usable.size() + " remaining_millis=" + remainingMillis,
                     RequestExecution.NO_WORKER_RETRY_AFTER_MILLIS));
         }
-        long decoding = usable.stream()
-                .filter(w -> w.server().role() == WorkerRole.DECODE)
-                .count();
-        OptionalLong wait = workers.findEngine()
-                .map(e ->
-                        forecast.estimateWaitMillis(service, urgency, own, e, (int) decoding, clockMillis.getAsLong()))
-                .orElse(OptionalLong.empty());
+        OptionalLong wait = estimateWaitMillis(workers, usable, own, service, urgency);
         if (wait.isEmpty() || !AdmissionForecast.isHopeless(wait.getAsLong(), latestStartInMillis)) {
             return Optional.empty();
         }
@@ -105,6 +99,27 @@
                 retryAfterMillis));
     }
 
+    /** Estimates how long a request waits for memory; empty if nothing is known. */
+    OptionalLong estimateWaitMillis(
+            StreamWorkers workers,
+            Collection<ListedWorker> usable,
+            Collection<Backlog> own,
+            String service,
+            int urgency) {
+        long decoding = usable.stream()
+                .filter(w -> w.server().role() == WorkerRole.DECODE)
+                .count();
+        return workers.findEngine()
+                .map(e ->
+                        forecast.estimateWaitMillis(service, urgency, own, e, (int) decoding, clockMillis.getAsLong()))
+                .orElse(OptionalLong.empty());
+    }
+
+    /** Counts the requests that wait at all nodes, as far as known. */
+    int countWaiting(Collection<Backlog> own, String service) {
+        return forecast.countWaiting(service, own, clockMillis.getAsLong());
+    }
+
     /**
      * Why a request is refused.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -159,6 +159,17 @@
         return backlogs;
     }
 
+    /** Returns whether a new on-time request would be among those that ask for capacity at once. */
+    boolean wouldAsk(String service, int urgency) {
+        ServiceQueue queue = queues.get(service);
+        if (queue == null) {
+            return true;
+        }
+        synchronized (queue) {
+            return queue.waiting.countAhead(urgency, clockMillis.getAsLong()) < MAX_ASKING;
+        }
+    }
+
     /** Admits waiting requests of a service; called when capacity may have become free. */
     void handleCapacityFreed(String service) {
         ServiceQueue queue = queues.get(service);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/Dispatcher.java
@@ -33,6 +33,17 @@
         execution.start();
     }
 
+    /**
+     * Finds out what would happen to a request for one of the services of its route. Nothing is sent or changed.
+     *
+     * @param request the request
+     * @param service the name of the service
+     * @return the choice that would be made now
+     */
+    public ChoicePreview preview(CallerRequest request, String service) {
+        return new RequestPreviewer(context).preview(request, service);
+    }
+
     /** Answers all requests that have no response yet, because the process is about to end. Streams that have started go on. */
     public void answerAll() {
         context.poisonGuard().forEachActive(RequestExecution::answerBeforeExit);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -1,7 +1,6 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +16,6 @@
 import org.magnoliavane.budget.ByteBudget;
 import org.magnoliavane.budget.ByteBudget.Allocation;
 import org.magnoliavane.http.server.StreamWriter;
-import org.magnoliavane.routing.ServiceProfile;
 
 /**
  * Executes a request for a plain service. A request that did not run is retried at another worker; a request that may have
@@ -43,6 +41,7 @@
     /** Size up to which responses have a share of the budget of their own. */
     private static final int SMALL_RESPONSE_BYTES = 64 * 1024;
 
+    private final PlainWorkers workers;
     private final boolean retryable;
     private final List<Attempt> activeAttempts = new ArrayList<>();
 
@@ -66,6 +65,7 @@
 
     PlainExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         super(context, request, service, response);
+        this.workers = new PlainWorkers(context, service);
         this.retryable = request.route().isRetryable();
     }
 
@@ -109,11 +109,11 @@
         if (slotRequest.isPresent()) {
             return true;
         }
-        PlainAdmission admission = getAdmission();
+        PlainAdmission admission = workers.getAdmission();
         if (admission.needsSlots()) {
             return tryRequestSlot(admission, waits);
         }
-        Optional<ListedWorker> worker = context.workerSelector().choosePlain(getWorkers(), excludedWorkers, now());
+        Optional<ListedWorker> worker = context.workerSelector().choose(workers.score(excludedWorkers));
         if (worker.isEmpty() || !tryAcquireExchange()) {
             return false;
         }
@@ -121,22 +121,6 @@
         return true;
     }
 
-    private Collection<ListedWorker> getWorkers() {
-        return context.routingState().getWorkers(service);
-    }
-
-    private PlainAdmission getAdmission() {
-        int maxConnections = context.routingState()
-                .getRoutingTable()
-                .flatMap(t -> t.findService(service))
-                .map(ServiceProfile::maxConnections)
-                .orElse(Integer.MAX_VALUE);
-        return PlainAdmission.of(
-                context.loadTracker().countReportingNodes(now()) + 1,
-                getWorkers().stream().filter(this::isEligible).toList(),
-                maxConnections);
-    }
-
     private boolean tryRequestSlot(PlainAdmission admission, boolean waits) {
         Optional<CapacityRequest.Candidate> first = chooseCandidate(admission, Set.of());
         if (first.isEmpty() || exchanges > 0 && !context.retryBudgets().tryAcquire(service)) {
@@ -176,20 +160,11 @@
     private Optional<CapacityRequest.Candidate> chooseCandidate(PlainAdmission admission, Set<String> asked) {
         Set<String> excluded = new HashSet<>(excludedWorkers);
         excluded.addAll(asked);
-        for (ListedWorker worker : getWorkers()) {
-            if (isConnectionShareUsed(admission, worker)) {
-                excluded.add(worker.id());
-            }
-        }
         return context.workerSelector()
-                .choosePlain(getWorkers(), excluded, now())
+                .choose(workers.scoreForSlot(admission, excluded))
                 .map(w -> new CapacityRequest.Candidate(w, asked.isEmpty()));
     }
 
-    private boolean isConnectionShareUsed(PlainAdmission admission, ListedWorker worker) {
-        return context.loadTracker().countOwnRequests(worker.id()) >= admission.getMaxRequestsPerWorker();
-    }
-
     @Override
     public void onGranted(ListedWorker worker, ReservationService.Reservation slot) {
         slotRequest = Optional.empty();
@@ -197,7 +172,7 @@
             slot.release();
             return;
         }
-        if (isConnectionShareUsed(getAdmission(), worker)) {
+        if (workers.isConnectionShareUsed(workers.getAdmission(), worker)) {
             // Other requests of this node were granted meanwhile.
             slot.release();
             retryOrFinish("all connections of this node to the worker are in use");
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.magnoliavane.Fault;
 import org.magnoliavane.FaultKind;
@@ -178,15 +179,20 @@
                         TimeUnit.MILLISECONDS);
     }
 
+    private long getRetryAfterMillis(long defaultMillis) {
+        return getRetryAfterMillis(context, service, this::isEligible, defaultMillis);
+    }
+
     /** Gets the time after which a caller may retry: when the first worker is open again, if all are closed. */
-    final long getRetryAfterMillis(long defaultMillis) {
+    static long getRetryAfterMillis(
+            DispatchContext context, String service, Predicate<ListedWorker> eligible, long defaultMillis) {
         OptionalLong closedMillis = context.loadTracker()
                 .getNotices()
                 .findAllClosedMillis(
                         context.routingState().getWorkers(service).stream()
-                                .filter(this::isEligible)
+                                .filter(eligible)
                                 .toList(),
-                        now());
+                        context.clockMillis().getAsLong());
         return closedMillis.isPresent()
                 ? closedMillis.getAsLong()
                         + (long) (RETRY_SPREAD_MILLIS * context.random().getAsDouble())
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestMetadata.java
@@ -5,6 +5,8 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
+import org.magnoliavane.routing.Route;
+
 /**
  * Holds the values from the headers of a caller's request, except for method, path and host.
  *
@@ -24,6 +26,19 @@
         Optional<String> lastEventId,
         List<Long> sharedParts) {
 
+    /** Part of a caller's timeout that is reserved for the transfer of the response to the caller. */
+    private static final long RESPONSE_MARGIN_MILLIS = 30;
+
+    /**
+     * Gets the time within which the request must be answered.
+     *
+     * @param route the route of the request
+     * @return the time from its arrival, in milliseconds
+     */
+    public long getLimitMillis(Route route) {
+        return Math.min(timeoutMillis.orElse(route.timeoutMillis()) - RESPONSE_MARGIN_MILLIS, route.timeoutMillis());
+    }
+
     /**
      * Finds the number of tokens that count for the usage of an organisation.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamWorkers.java
@@ -9,7 +9,9 @@
 import java.util.stream.Stream;
 
 import org.magnoliavane.WorkerRole;
+import org.magnoliavane.balance.Exclusion;
 import org.magnoliavane.balance.ListedWorker;
+import org.magnoliavane.balance.ScoredWorkers;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -138,12 +140,28 @@
     }
 
     private Optional<ListedWorker> chooseDecode(Set<String> excluded) {
+        return context.workerSelector().choose(scoreDecode(excluded));
+    }
+
+    private ScoredWorkers scoreDecode(Set<String> excluded) {
         Optional<EngineProfile> engine = findEngine();
         return engine.isPresent()
                 ? context.workerSelector()
-                        .chooseDecode(
+                        .scoreDecode(
                                 getPermitted(), engine.get(), generationSize.estimateMemoryTokens(), excluded, now())
-                : context.workerSelector().choosePlain(getPermitted(), excluded, now());
+                : context.workerSelector().scorePlain(getPermitted(), excluded, now());
+    }
+
+    /** Scores the workers for decode, including those that are too slow for the deadline. */
+    ScoredWorkers scoreDecode() {
+        Set<ListedWorker> permitted = Set.copyOf(getPermitted());
+        WorkerRole role = findEngine().isPresent() ? WorkerRole.DECODE : WorkerRole.PLAIN;
+        return scoreDecode(excludedWorkers)
+                .withExcluded(
+                        getAll().stream()
+                                .filter(w -> w.server().role() == role && !permitted.contains(w))
+                                .toList(),
+                        Exclusion.TOO_SLOW);
     }
 
     /** Chooses a decode worker to ask for capacity: one with free capacity, or the better one of two at random. */
@@ -155,14 +173,25 @@
         if (free.isPresent() || findEngine().isEmpty()) {
             return free;
         }
+        List<ListedWorker> workers = getWorkersToWaitFor(excluded);
+        return chooseOfTwo(workers, excluded)
+                .or(() -> context.workerSelector().chooseDecodeToWaitFor(workers, excluded, now()))
+                .map(w -> new CapacityRequest.Candidate(w, false));
+    }
+
+    /** Gets the decode workers among which a request that fits into none chooses. */
+    private List<ListedWorker> getWorkersToWaitFor(Set<String> excluded) {
         List<ListedWorker> decoding = getPermitted().stream()
                 .filter(w -> w.server().role() == WorkerRole.DECODE && !excluded.contains(w.id()))
                 .toList();
         List<ListedWorker> sound = decoding.stream().filter(this::isSound).toList();
-        List<ListedWorker> workers = sound.isEmpty() ? decoding : sound;
-        return chooseOfTwo(workers, excluded)
-                .or(() -> context.workerSelector().chooseDecodeToWaitFor(workers, excluded, now()))
-                .map(w -> new CapacityRequest.Candidate(w, false));
+        return sound.isEmpty() ? decoding : sound;
+    }
+
+    /** Scores the decode workers for which a request may wait that fits into none. */
+    ScoredWorkers scoreToWaitFor() {
+        return context.workerSelector()
+                .scoreDecodeToWaitFor(getWorkersToWaitFor(excludedWorkers), excludedWorkers, now());
     }
 
     /** Chooses at random, because all nodes know about the same loads and would wait for the same worker. */
@@ -186,6 +215,11 @@
                 .choosePrefill(getPermitted(), excluded, decodeWorker.server().zone(), now());
     }
 
+    /** Scores the prefill workers for a decode worker in a zone. */
+    ScoredWorkers scorePrefill(String decodeZone) {
+        return context.workerSelector().scorePrefill(getPermitted(), excludedWorkers, decodeZone, now());
+    }
+
     private long now() {
         return context.clockMillis().getAsLong();
     }
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendContext.java
@@ -9,6 +9,7 @@
 import org.magnoliavane.router.RoutingState;
 import org.magnoliavane.router.dispatch.Dispatcher;
 import org.magnoliavane.router.dispatch.WireFormat;
+import org.magnoliavane.router.explain.RequestExplainer;
 import org.magnoliavane.router.peer.UsageLimiter;
 import org.magnoliavane.router.settings.RouterSettings;
 
@@ -19,6 +20,7 @@
  * @param routingState the configuration and the workers
  * @param wire translates requests and responses
  * @param dispatcher executes requests
+ * @param explainer explains where requests would be sent
  * @param refresher refreshes the configuration and the workers
  * @param directory lists the addresses for callers
  * @param ready returns whether this node is ready for requests
@@ -34,6 +36,7 @@
         RoutingState routingState,
         WireFormat wire,
         Dispatcher dispatcher,
+        RequestExplainer explainer,
         StateRefresher refresher,
         NodeDirectory directory,
         BooleanSupplier ready,
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -47,9 +47,6 @@
     /** Retry delay for callers of a request that expired before it was sent to a worker. */
     private static final long EXPIRED_RETRY_MILLIS = 700;
 
-    /** Part of a caller's timeout that is reserved for the transfer of the response to the caller. */
-    private static final long RESPONSE_MARGIN_MILLIS = 30;
-
     /** Maximum time for receiving a body, also when the caller states a longer timeout. */
     static final long MAX_BODY_WAIT_MILLIS = 30_000;
 
@@ -167,6 +164,11 @@
         return query == null || query.isEmpty() ? getPath() : getPath() + "?" + query;
     }
 
+    /** Gets the query of the target; empty if it has none. */
+    String getQuery() {
+        return Optional.ofNullable(request.getRequest().getQueryString()).orElse("");
+    }
+
     RequestMetadata getMetadata() {
         return metadata;
     }
@@ -224,8 +226,7 @@
 
     /** Gets the time at which the request must be answered. The route must have been set. */
     long getDeadlineMillis() {
-        long timeoutMillis = metadata.timeoutMillis().orElse(route.timeoutMillis()) - RESPONSE_MARGIN_MILLIS;
-        return arrivalMillis + Math.min(timeoutMillis, route.timeoutMillis());
+        return arrivalMillis + metadata.getLimitMillis(route);
     }
 
     /** Creates the input of the dispatcher. The route and the body must have been set. */
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -33,6 +33,7 @@
 import org.magnoliavane.http.server.ReadGate;
 import org.magnoliavane.http.server.SingleRequestFilter;
 import org.magnoliavane.json.Json;
+import org.magnoliavane.router.explain.RequestExplainer;
 import org.magnoliavane.router.peer.UsageDecision;
 import org.magnoliavane.router.settings.RouterSettings;
 import org.magnoliavane.routing.Organisation;
@@ -51,6 +52,9 @@
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int MAX_HEADERS = 100;
 
+    /** Path of explanations at the port of the metrics. */
+    private static final String EXPLAIN_PATH = "/explain";
+
     /** Maximum size of a body before a configuration is known; equals the limit of the platform. */
     private static final int DEFAULT_MAX_BODY_BYTES = 4_194_304;
 
@@ -479,6 +483,15 @@
         exchange.sendJson(ready ? 200 : 503, Json.write(Json.object().put("status", ready ? "ready" : "not ready")));
     }
 
+    private void sendExplanation(FrontendExchange exchange) {
+        if (!exchange.getMethod().equals("GET")) {
+            exchange.send(405, Map.of("Allow", "GET"), new byte[0]);
+            return;
+        }
+        RequestExplainer.Explanation explanation = context.explainer().explain(exchange.getQuery());
+        exchange.sendJson(explanation.status(), Json.write(explanation.body()));
+    }
+
     /** Handles the requests of all ports. */
     private final class RequestHandler extends HttpHandler {
         @Override
@@ -510,6 +523,8 @@
                 sendReadiness(exchange);
             } else if (port == settings.directory().port()) {
                 sendAddresses(exchange);
+            } else if (exchange.getPath().equals(EXPLAIN_PATH)) {
+                sendExplanation(exchange);
             } else {
                 exchange.send(
                         200,
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -299,6 +299,7 @@
                 state,
                 wire,
                 dispatcher,
+                null,
                 new FaultyRefresher(),
                 List::of,
                 () -> true,
