--- a/node/src/main/java/org/magnoliavane/cli/ExplainCommand.java
+++ b/node/src/main/java/org/magnoliavane/cli/ExplainCommand.java
@@ -20,13 +20,16 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/** Prints the decisions of nodes about a request, or its events from the logs of routers. */
-@Parameters(commandDescription = "Print the decisions of all nodes about a request, in order of time")
+/**
+ * Prints the decisions of nodes about a request, or its events from the logs of routers, or where a router would send a request
+ * now.
+ */
+@Parameters(commandDescription = "Print the decisions of all nodes about a request, or where one would be sent now")
 final class ExplainCommand extends OperatorCommand {
     private static final String STANDARD_INPUT = "-";
     private static final Pattern REQUEST = Pattern.compile("[0-9a-f]{32}(-[0-9]+)?");
 
-    @Parameter(description = "REQUEST", required = true)
+    @Parameter(description = "REQUEST")
     private String request;
 
     @Parameter(
@@ -35,6 +38,9 @@
                     "Log of a router to read instead of querying nodes; may be given several times, - is standard input")
     private List<String> logs = new ArrayList<>();
 
+    @ParametersDelegate
+    private final ExplainNowOptions nowOptions = new ExplainNowOptions();
+
     @ParametersDelegate
     private final NodeOptions nodes = new NodeOptions();
 
@@ -42,12 +48,34 @@
     String[] getExamples() {
         return new String[] {
             "0123456789abcdef0123456789abcdef --vm-list http://192.0.2.8:7071",
-            "4e8d3f2a1b0c9d8e --router-log edge-1.log --router-log edge-2.log"
+            "4e8d3f2a1b0c9d8e --router-log edge-1.log --router-log edge-2.log",
+            "--now --router http://192.0.2.7:9464 --host llm.example --path /v1/chat --prompt-tokens 900"
         };
     }
 
     @Override
     Report run() throws CommandException {
+        if (nowOptions.isNow() == (request != null)) {
+            return Report.failure(
+                    ExitStatus.USAGE,
+                    nowOptions.isNow() ? "--now takes no REQUEST" : "no REQUEST is named",
+                    "Give either the id of a request, or --now and what the request would be.");
+        }
+        if (nowOptions.isNow() && (!logs.isEmpty() || nodes.isGiven())) {
+            return Report.failure(
+                    ExitStatus.USAGE,
+                    "--now takes no --router-log, --node or --vm-list",
+                    "Name the router with --router.");
+        }
+        if (nowOptions.isNow()) {
+            return nowOptions.explain();
+        }
+        if (nowOptions.hasOptionsOfNow()) {
+            return Report.failure(
+                    ExitStatus.USAGE,
+                    "an option is given that needs --now",
+                    "Add --now and leave out REQUEST, or leave out the option.");
+        }
         if (!logs.isEmpty()) {
             return explainFromLogs();
         }
--- a/node/src/main/java/org/magnoliavane/cli/NodeOptions.java
+++ b/node/src/main/java/org/magnoliavane/cli/NodeOptions.java
@@ -34,6 +34,11 @@
             description = "VM list that names all nodes, as http://<IP address>:<port>")
     private HttpEndpoint vmList;
 
+    /** Returns whether a node or the VM list is named. */
+    boolean isGiven() {
+        return !nodes.isEmpty() || vmList != null;
+    }
+
     /** Queries all nodes concurrently; a node without a usable response maps to an empty result. */
     Map<String, Optional<JsonNode>> queryNodes(String path) throws CommandException {
         try (HttpClient client = HttpClient.open("operator")) {
--- a/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
+++ b/node/src/test/java/org/magnoliavane/cli/CommandLineTest.java
@@ -87,6 +87,53 @@
         }
     }
 
+    /** Guards against an explanation of another request than the options describe, and against a wrong exit status. */
+    @Test
+    public void explainNowAsksTheRouterAndReportsItsErrors() throws IOException {
+        HttpServer router = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        String url = "http://127.0.0.1:" + router.getAddress().getPort();
+        router.createContext("/explain", exchange -> {
+            String query = exchange.getRequestURI().getRawQuery();
+            int status = query.contains("prompt_tokens=many") ? 400 : query.contains("host=early") ? 503 : 200;
+            String key = status == 200 ? "asked" : "error";
+            byte[] body = "{\"route\":null,\"%s\":\"%s\"}".formatted(key, query).getBytes();
+            exchange.sendResponseHeaders(status, body.length);
+            exchange.getResponseBody().write(body);
+            exchange.close();
+        });
+        router.start();
+        try {
+            int status = run(
+                    "explain",
+                    "--now",
+                    "--router",
+                    url,
+                    "--host",
+                    "h",
+                    "--path",
+                    "/a b",
+                    "--organisation",
+                    "x&y",
+                    "--json");
+            assertEquals(status, ExitStatus.OK);
+            assertEquals(json().get("asked").asText(), "host=h&path=%2Fa+b&organisation=x%26y");
+            assertEquals(run("explain", "--now", "--router", url, "--host", "h", "--path", "/"), ExitStatus.OK);
+            assertTrue(out.contains("no route matches"), out);
+            String[] invalid = {
+                "explain", "--now", "--router", url, "--host", "h", "--path", "/", "--prompt-tokens", "many"
+            };
+            assertEquals(run(invalid), ExitStatus.USAGE);
+            assertEquals(run("explain", "--now", "--router", url, "--host", "early", "--path", "/"), ExitStatus.FAILED);
+            assertEquals(run("explain", "--now", "--router", url, "--host", "h"), ExitStatus.USAGE);
+            assertEquals(run("explain", "--now", "ab12", "--router", url), ExitStatus.USAGE);
+            assertEquals(run("explain"), ExitStatus.USAGE);
+        } finally {
+            router.stop(0);
+        }
+        int status = run("explain", "--now", "--router", url, "--host", "h", "--path", "/");
+        assertEquals(status, ExitStatus.UNREACHABLE);
+    }
+
     /** Guards against overwriting a change that another operator published in the meantime. */
     @Test
     public void aTextOnAnOldBaseIsRejectedAndTheReportNamesThePublicationThatCameFirst() throws IOException {
