--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.Function;
-import java.util.function.ToDoubleFunction;
 
 import org.magnoliavane.WorkerRole;
 import org.magnoliavane.balance.ScoredWorkers.Scored;
@@ -56,8 +54,6 @@
      */
     private static final double MAX_RANDOM_COST = 0.05;
 
-    private static final Function<ListedWorker, Optional<Exclusion>> NO_LIMIT = worker -> Optional.empty();
-
     private final WorkerLoadTracker loadTracker;
     private final String zone;
     private final DoubleSupplier random;
@@ -96,7 +92,12 @@
      * @return the plain workers among them
      */
     public ScoredWorkers scorePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return score(workers, excluded, WorkerRole.PLAIN, nowMillis, NO_LIMIT, w -> getPlainCost(w, nowMillis));
+        return score(
+                workers,
+                excluded,
+                WorkerRole.PLAIN,
+                nowMillis,
+                (w, speed) -> Load.of(getPlainCost(w, speed, nowMillis)));
     }
 
     /**
@@ -124,9 +125,9 @@
      */
     public ScoredWorkers scorePrefill(
             Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
-        return score(workers, excluded, WorkerRole.PREFILL, nowMillis, NO_LIMIT, w -> {
+        return score(workers, excluded, WorkerRole.PREFILL, nowMillis, (w, speed) -> {
             double transferCost = w.server().zone().equals(decodeZone) ? 0 : REMOTE_TRANSFER_COST;
-            return getPrefillCost(w, nowMillis) + transferCost;
+            return Load.of(getPrefillCost(w, speed, nowMillis) + transferCost);
         });
     }
 
@@ -157,20 +158,17 @@
      */
     public ScoredWorkers scoreDecode(
             Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
-        return score(
-                workers,
-                excluded,
-                WorkerRole.DECODE,
-                nowMillis,
-                w -> findFullness(w, engine, tokens, nowMillis),
-                w -> (loadTracker.countRequests(w.id(), nowMillis) + 0.5) / getSpeed(w, nowMillis));
+        return score(workers, excluded, WorkerRole.DECODE, nowMillis, (w, speed) -> {
+            int requests = loadTracker.countRequests(w.id(), nowMillis);
+            return new Load((requests + 0.5) / speed, findFullness(w, requests, engine, tokens, nowMillis));
+        });
     }
 
-    private Optional<Exclusion> findFullness(ListedWorker worker, EngineProfile engine, int tokens, long nowMillis) {
+    private Optional<Exclusion> findFullness(
+            ListedWorker worker, int requests, EngineProfile engine, int tokens, long nowMillis) {
         if (loadTracker.isFull(worker.id(), nowMillis)) {
             return Optional.of(Exclusion.MARKED_FULL);
         }
-        int requests = loadTracker.countRequests(worker.id(), nowMillis);
         if (requests == 0) {
             return Optional.empty();
         }
@@ -204,49 +202,37 @@
      * @return the decode workers among them
      */
     public ScoredWorkers scoreDecodeToWaitFor(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return score(
-                workers,
-                excluded,
-                WorkerRole.DECODE,
-                nowMillis,
-                w -> loadTracker.isFull(w.id(), nowMillis) ? Optional.of(Exclusion.MARKED_FULL) : Optional.empty(),
-                w -> loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5);
+        return score(workers, excluded, WorkerRole.DECODE, nowMillis, (w, speed) -> {
+            double load = loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5;
+            boolean full = loadTracker.isFull(w.id(), nowMillis);
+            return new Load(load, full ? Optional.of(Exclusion.MARKED_FULL) : Optional.empty());
+        });
     }
 
-    /**
-     * Scores the workers of one role.
-     *
-     * @param capacity finds the reason why a usable worker has no capacity for the request
-     * @param load computes the load of a usable worker
-     */
     private ScoredWorkers score(
-            Collection<ListedWorker> workers,
-            Set<String> excluded,
-            WorkerRole role,
-            long nowMillis,
-            Function<ListedWorker, Optional<Exclusion>> capacity,
-            ToDoubleFunction<ListedWorker> load) {
-        List<Scored> scored = workers.stream()
-                .filter(w -> w.server().role() == role)
-                .map(w -> new Scored(w, findExclusion(w, excluded, nowMillis), Double.NaN, Double.NaN))
-                .toList();
+            Collection<ListedWorker> workers, Set<String> excluded, WorkerRole role, long nowMillis, Loads loads) {
+        List<Scored> scored = new ArrayList<>(workers.size());
+        boolean anyHealthy = false;
+        for (ListedWorker worker : workers) {
+            if (worker.server().role() == role) {
+                Optional<Exclusion> exclusion = findExclusion(worker, excluded, nowMillis);
+                anyHealthy |= exclusion.isEmpty();
+                scored.add(new Scored(worker, exclusion, Double.NaN, Double.NaN));
+            }
+        }
         // Requests wait for a full but healthy worker. Unhealthy workers are used only if no worker is healthy.
-        boolean anyHealthy = scored.stream().anyMatch(s -> s.exclusion().isEmpty());
-        List<Scored> all = scored.stream()
-                .map(s -> {
-                    boolean usable = s.exclusion().isEmpty()
-                            || !anyHealthy && s.exclusion().get() == Exclusion.UNHEALTHY;
-                    ListedWorker w = s.worker();
-                    return usable
-                            ? new Scored(
-                                    w,
-                                    capacity.apply(w),
-                                    computeCost(w, load.applyAsDouble(w), nowMillis),
-                                    getSpeed(w, nowMillis))
-                            : s;
-                })
-                .toList();
-        return new ScoredWorkers(all, hasOldReports(nowMillis), MAX_RANDOM_COST);
+        boolean useUnhealthy = !anyHealthy;
+        scored.replaceAll(s -> {
+            boolean unhealthy = s.exclusion().isPresent() && s.exclusion().get() == Exclusion.UNHEALTHY;
+            return s.exclusion().isEmpty() || useUnhealthy && unhealthy ? scoreUsable(s.worker(), nowMillis, loads) : s;
+        });
+        return new ScoredWorkers(List.copyOf(scored), hasOldReports(nowMillis), MAX_RANDOM_COST);
+    }
+
+    private Scored scoreUsable(ListedWorker worker, long nowMillis, Loads loads) {
+        double speed = getSpeed(worker, nowMillis);
+        Load load = loads.getLoad(worker, speed);
+        return new Scored(worker, load.exclusion, computeCost(worker, load.value, nowMillis), speed);
     }
 
     private Optional<Exclusion> findExclusion(ListedWorker worker, Set<String> excluded, long nowMillis) {
@@ -272,9 +258,12 @@
      * @return the worker; empty if none may be chosen
      */
     public Optional<ListedWorker> choose(ScoredWorkers scored) {
-        List<Scored> candidates = scored.getCandidates().stream()
-                .map(s -> s.withAddedCost(scored.maxRandomCost() * random.getAsDouble()))
-                .toList();
+        List<Scored> candidates = new ArrayList<>(scored.workers().size());
+        for (Scored worker : scored.workers()) {
+            if (worker.exclusion().isEmpty()) {
+                candidates.add(worker.withAddedCost(scored.maxRandomCost() * random.getAsDouble()));
+            }
+        }
         return (scored.drawn() ? draw(candidates) : candidates)
                 .stream().min(Comparator.comparingDouble(Scored::cost)).map(Scored::worker);
     }
@@ -317,19 +306,32 @@
         return loadTracker.getSpeeds().getSpeed(worker.id(), nowMillis);
     }
 
-    private double getPrefillCost(ListedWorker worker, long nowMillis) {
+    private double getPrefillCost(ListedWorker worker, double speed, long nowMillis) {
         double activeMillis = ACTIVE_TIME_FACTOR
                 * loadTracker
                         .getSpeeds()
                         .getPrefillMillis(worker.server().service(), worker.id(), (int) TOKENS_PER_REQUEST, nowMillis);
         double queued = loadTracker.estimateTokens(worker.id(), activeMillis, nowMillis) / TOKENS_PER_REQUEST;
-        return (queued + 0.5) / getSpeed(worker, nowMillis);
+        return (queued + 0.5) / speed;
     }
 
-    private double getPlainCost(ListedWorker worker, long nowMillis) {
+    private double getPlainCost(ListedWorker worker, double speed, long nowMillis) {
         double activeMillis = ACTIVE_TIME_FACTOR
                 * loadTracker.getSpeeds().getPlainMillis(worker.server().service(), worker.id(), nowMillis);
         double requests = loadTracker.estimateRequests(worker.id(), activeMillis, nowMillis);
-        return (requests / Math.max(1, worker.slots()) + 0.5) / getSpeed(worker, nowMillis);
+        return (requests / Math.max(1, worker.slots()) + 0.5) / speed;
+    }
+
+    /** Computes the load of a usable worker from its speed. */
+    @FunctionalInterface
+    private interface Loads {
+        Load getLoad(ListedWorker worker, double speed);
+    }
+
+    /** The load of a worker, and the reason why it has no capacity for the request. */
+    private record Load(double value, Optional<Exclusion> exclusion) {
+        static Load of(double value) {
+            return new Load(value, Optional.empty());
+        }
     }
 }
