--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -7,9 +7,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.ToDoubleFunction;
 
 import org.magnoliavane.WorkerRole;
+import org.magnoliavane.balance.ScoredWorkers.Scored;
 import org.magnoliavane.routing.EngineProfile;
 
 /**
@@ -80,7 +80,24 @@
      * @return the worker; empty if no worker is eligible
      */
     public Optional<ListedWorker> choosePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.PLAIN, nowMillis, w -> getPlainCost(w, nowMillis));
+        return choose(scorePlain(workers, excluded, nowMillis));
+    }
+
+    /**
+     * Scores the workers of a plain service as {@link #choosePlain} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the plain workers among them
+     */
+    public ScoredWorkers scorePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+        return score(
+                workers,
+                excluded,
+                WorkerRole.PLAIN,
+                nowMillis,
+                (w, speed) -> Load.of(getPlainCost(w, speed, nowMillis)));
     }
 
     /**
@@ -94,9 +111,23 @@
      */
     public Optional<ListedWorker> choosePrefill(
             Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.PREFILL, nowMillis, w -> {
+        return choose(scorePrefill(workers, excluded, decodeZone, nowMillis));
+    }
+
+    /**
+     * Scores prefill workers as {@link #choosePrefill} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param decodeZone the availability zone of the decode worker, to which the KV cache will be transferred
+     * @param nowMillis the current time, in milliseconds
+     * @return the prefill workers among them
+     */
+    public ScoredWorkers scorePrefill(
+            Collection<ListedWorker> workers, Set<String> excluded, String decodeZone, long nowMillis) {
+        return score(workers, excluded, WorkerRole.PREFILL, nowMillis, (w, speed) -> {
             double transferCost = w.server().zone().equals(decodeZone) ? 0 : REMOTE_TRANSFER_COST;
-            return getPrefillCost(w, nowMillis) + transferCost;
+            return Load.of(getPrefillCost(w, speed, nowMillis) + transferCost);
         });
     }
 
@@ -112,15 +143,42 @@
      */
     public Optional<ListedWorker> chooseDecode(
             Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
-        return choose(workers, excluded, WorkerRole.DECODE, nowMillis, w -> {
+        return choose(scoreDecode(workers, engine, tokens, excluded, nowMillis));
+    }
+
+    /**
+     * Scores decode workers as {@link #chooseDecode} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param engine the profile of the engines of the service
+     * @param tokens the KV cache memory that the request will occupy, in tokens
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the decode workers among them
+     */
+    public ScoredWorkers scoreDecode(
+            Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
+        return score(workers, excluded, WorkerRole.DECODE, nowMillis, (w, speed) -> {
             int requests = loadTracker.countRequests(w.id(), nowMillis);
-            double totalTokens = loadTracker.countTokens(w.id(), nowMillis) + tokens;
-            boolean fits = requests == 0 || requests < engine.slots() && totalTokens <= engine.getUsableTokens();
-            boolean hasCapacity = fits && !loadTracker.isFull(w.id(), nowMillis);
-            return hasCapacity ? (requests + 0.5) / getSpeed(w, nowMillis) : Double.POSITIVE_INFINITY;
+            return new Load((requests + 0.5) / speed, findFullness(w, requests, engine, tokens, nowMillis));
         });
     }
 
+    private Optional<Exclusion> findFullness(
+            ListedWorker worker, int requests, EngineProfile engine, int tokens, long nowMillis) {
+        if (loadTracker.isFull(worker.id(), nowMillis)) {
+            return Optional.of(Exclusion.MARKED_FULL);
+        }
+        if (requests == 0) {
+            return Optional.empty();
+        }
+        if (requests >= engine.slots()) {
+            return Optional.of(Exclusion.NO_FREE_SLOT);
+        }
+        double totalTokens = loadTracker.countTokens(worker.id(), nowMillis) + tokens;
+        return totalTokens <= engine.getUsableTokens() ? Optional.empty() : Optional.of(Exclusion.NO_FREE_MEMORY);
+    }
+
     /**
      * Chooses the decode worker with the fewest tokens in use, for a request that fits into none. A worker that is marked
      * as full is not chosen.
@@ -132,37 +190,81 @@
      */
     public Optional<ListedWorker> chooseDecodeToWaitFor(
             Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(
-                workers,
-                excluded,
-                WorkerRole.DECODE,
-                nowMillis,
-                w -> loadTracker.isFull(w.id(), nowMillis)
-                        ? Double.POSITIVE_INFINITY
-                        : loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5);
-    }
-
-    private Optional<ListedWorker> choose(
-            Collection<ListedWorker> workers,
-            Set<String> excluded,
-            WorkerRole role,
-            long nowMillis,
-            ToDoubleFunction<ListedWorker> load) {
-        List<ListedWorker> usable = workers.stream()
-                .filter(w -> w.server().role() == role && !w.server().leaving() && !excluded.contains(w.id()))
-                .filter(w -> loadTracker.getNotices().isUsable(w, nowMillis))
-                .toList();
-        List<ListedWorker> healthy = usable.stream()
-                .filter(w -> !loadTracker.isUnhealthy(w.id(), nowMillis))
-                .toList();
+        return choose(scoreDecodeToWaitFor(workers, excluded, nowMillis));
+    }
+
+    /**
+     * Scores decode workers as {@link #chooseDecodeToWaitFor} does.
+     *
+     * @param workers the candidate workers of the service
+     * @param excluded the ids of workers that must not be chosen
+     * @param nowMillis the current time, in milliseconds
+     * @return the decode workers among them
+     */
+    public ScoredWorkers scoreDecodeToWaitFor(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
+        return score(workers, excluded, WorkerRole.DECODE, nowMillis, (w, speed) -> {
+            double load = loadTracker.countTokens(w.id(), nowMillis) / TOKENS_PER_REQUEST + 0.5;
+            boolean full = loadTracker.isFull(w.id(), nowMillis);
+            return new Load(load, full ? Optional.of(Exclusion.MARKED_FULL) : Optional.empty());
+        });
+    }
+
+    private ScoredWorkers score(
+            Collection<ListedWorker> workers, Set<String> excluded, WorkerRole role, long nowMillis, Loads loads) {
+        List<Scored> scored = new ArrayList<>(workers.size());
+        boolean anyHealthy = false;
+        for (ListedWorker worker : workers) {
+            if (worker.server().role() == role) {
+                Optional<Exclusion> exclusion = findExclusion(worker, excluded, nowMillis);
+                anyHealthy |= exclusion.isEmpty();
+                scored.add(new Scored(worker, exclusion, Double.NaN, Double.NaN));
+            }
+        }
         // Requests wait for a full but healthy worker. Unhealthy workers are used only if no worker is healthy.
-        List<Scored> candidates = (healthy.isEmpty() ? usable : healthy)
-                .stream()
-                        .map(w ->
-                                new Scored(w, computeCost(w, load.applyAsDouble(w), nowMillis), getSpeed(w, nowMillis)))
-                        .filter(s -> s.cost < Double.POSITIVE_INFINITY)
-                        .toList();
-        return (hasOldReports(nowMillis) ? draw(candidates) : candidates)
+        boolean useUnhealthy = !anyHealthy;
+        scored.replaceAll(s -> {
+            boolean unhealthy = s.exclusion().isPresent() && s.exclusion().get() == Exclusion.UNHEALTHY;
+            return s.exclusion().isEmpty() || useUnhealthy && unhealthy ? scoreUsable(s.worker(), nowMillis, loads) : s;
+        });
+        return new ScoredWorkers(List.copyOf(scored), hasOldReports(nowMillis), MAX_RANDOM_COST);
+    }
+
+    private Scored scoreUsable(ListedWorker worker, long nowMillis, Loads loads) {
+        double speed = getSpeed(worker, nowMillis);
+        Load load = loads.getLoad(worker, speed);
+        return new Scored(worker, load.exclusion, computeCost(worker, load.value, nowMillis), speed);
+    }
+
+    private Optional<Exclusion> findExclusion(ListedWorker worker, Set<String> excluded, long nowMillis) {
+        if (worker.server().leaving()) {
+            return Optional.of(Exclusion.DRAINING);
+        }
+        if (loadTracker.getNotices().isLeaving(worker, nowMillis)) {
+            return Optional.of(Exclusion.LEAVING);
+        }
+        if (loadTracker.getNotices().isClosed(worker, nowMillis)) {
+            return Optional.of(Exclusion.CLOSED);
+        }
+        if (excluded.contains(worker.id())) {
+            return Optional.of(Exclusion.ALREADY_TRIED);
+        }
+        return loadTracker.isUnhealthy(worker.id(), nowMillis) ? Optional.of(Exclusion.UNHEALTHY) : Optional.empty();
+    }
+
+    /**
+     * Chooses a worker.
+     *
+     * @param scored the workers with their costs
+     * @return the worker; empty if none may be chosen
+     */
+    public Optional<ListedWorker> choose(ScoredWorkers scored) {
+        List<Scored> candidates = new ArrayList<>(scored.workers().size());
+        for (Scored worker : scored.workers()) {
+            if (worker.exclusion().isEmpty()) {
+                candidates.add(worker.withAddedCost(scored.maxRandomCost() * random.getAsDouble()));
+            }
+        }
+        return (scored.drawn() ? draw(candidates) : candidates)
                 .stream().min(Comparator.comparingDouble(Scored::cost)).map(Scored::worker);
     }
 
@@ -184,8 +286,9 @@
             double position = random.getAsDouble()
                     * remaining.stream().mapToDouble(Scored::speed).sum();
             int index = 0;
-            while (index < remaining.size() - 1 && position >= remaining.get(index).speed) {
-                position -= remaining.get(index).speed;
+            while (index < remaining.size() - 1
+                    && position >= remaining.get(index).speed()) {
+                position -= remaining.get(index).speed();
                 index++;
             }
             drawn.add(remaining.remove(index));
@@ -196,29 +299,39 @@
     private double computeCost(ListedWorker worker, double load, long nowMillis) {
         double failureRate = loadTracker.getFailureRate(worker.id(), nowMillis);
         double cost = load * (1 + FAILURE_PENALTY * failureRate);
-        cost += worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST;
-        return cost + MAX_RANDOM_COST * random.getAsDouble();
+        return cost + (worker.server().zone().equals(zone) ? 0 : REMOTE_ZONE_COST);
     }
 
     private double getSpeed(ListedWorker worker, long nowMillis) {
         return loadTracker.getSpeeds().getSpeed(worker.id(), nowMillis);
     }
 
-    private double getPrefillCost(ListedWorker worker, long nowMillis) {
+    private double getPrefillCost(ListedWorker worker, double speed, long nowMillis) {
         double activeMillis = ACTIVE_TIME_FACTOR
                 * loadTracker
                         .getSpeeds()
                         .getPrefillMillis(worker.server().service(), worker.id(), (int) TOKENS_PER_REQUEST, nowMillis);
         double queued = loadTracker.estimateTokens(worker.id(), activeMillis, nowMillis) / TOKENS_PER_REQUEST;
-        return (queued + 0.5) / getSpeed(worker, nowMillis);
+        return (queued + 0.5) / speed;
     }
 
-    private double getPlainCost(ListedWorker worker, long nowMillis) {
+    private double getPlainCost(ListedWorker worker, double speed, long nowMillis) {
         double activeMillis = ACTIVE_TIME_FACTOR
                 * loadTracker.getSpeeds().getPlainMillis(worker.server().service(), worker.id(), nowMillis);
         double requests = loadTracker.estimateRequests(worker.id(), activeMillis, nowMillis);
-        return (requests / Math.max(1, worker.slots()) + 0.5) / getSpeed(worker, nowMillis);
+        return (requests / Math.max(1, worker.slots()) + 0.5) / speed;
     }
 
-    private record Scored(ListedWorker worker, double cost, double speed) {}
+    /** Computes the load of a usable worker from its speed. */
+    @FunctionalInterface
+    private interface Loads {
+        Load getLoad(ListedWorker worker, double speed);
+    }
+
+    /** The load of a worker, and the reason why it has no capacity for the request. */
+    private record Load(double value, Optional<Exclusion> exclusion) {
+        static Load of(double value) {
+            return new Load(value, Optional.empty());
+        }
+    }
 }
