--- a/router/src/main/java/org/magnoliavane/router/dispatch/PrefillExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PrefillExchange.java
@@ -23,9 +23,6 @@
     /** Additional time for a prefill, because requests of other nodes may not be known yet. */
     private static final long PREFILL_TIMEOUT_MARGIN_MILLIS = 600;
 
-    /** Largest number of queued tokens at a prefill worker; limited because decode memory stays reserved meanwhile. */
-    private static final int MAX_QUEUED_TOKENS = 16_000;
-
     /** Largest number of prefills of a request; after that the decode worker runs the prefill itself. */
     private static final int MAX_PREFILLS = 2;
 
@@ -119,7 +116,7 @@
     boolean mustQueue(ListedWorker decodeWorker) {
         Optional<ListedWorker> worker = chooseWorker(decodeWorker);
         return worker.isPresent()
-                && context.loadTracker().countTokens(worker.get().id(), scope.now()) > MAX_QUEUED_TOKENS;
+                && context.loadTracker().countTokens(worker.get().id(), scope.now()) > StreamTimes.MAX_QUEUED_TOKENS;
     }
 
     /** Chooses a worker for the prefill; empty if none is needed, or if the decode worker has to run it itself. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -17,12 +17,6 @@
  */
 final class StreamExecution extends RequestExecution
         implements CapacityWait.Listener, PrefillExchange.Listener, DecodeExchanges.Listener {
-    /** Time from the end of a prefill to the first event, including a margin. */
-    private static final long FIRST_EVENT_MILLIS = 80;
-
-    /** Time that remains to send an error response when a request leaves the queue. */
-    private static final long RESPONSE_MARGIN_MILLIS = 150;
-
     /**
      * Bounds of the time after which a caller may retry if all workers are full. The time is random, so that few callers
      * retry at the same time.
@@ -137,7 +131,7 @@
                         : request.arrivalMillis()
                                 + request.route().targetMillis()
                                 - prefill.estimateMillis()
-                                - FIRST_EVENT_MILLIS;
+                                - StreamTimes.FIRST_EVENT_MILLIS;
         capacityWait.start(onTimeStartMillis);
     }
 
@@ -150,12 +144,8 @@
     @Override
     public long getLatestStartMillis() {
         long lastEventOrArrivalMillis = stream.hasStarted() ? stream.getLastEventMillis() : request.arrivalMillis();
-        long callerTimeoutMillis = lastEventOrArrivalMillis + request.route().getEventTimeoutMillis();
         long remainingPrefillMillis = prompt.findPrefillWorker().isPresent() ? 0 : prefill.estimateMillis();
-        return Math.min(callerTimeoutMillis, request.deadlineMillis())
-                - remainingPrefillMillis
-                - FIRST_EVENT_MILLIS
-                - RESPONSE_MARGIN_MILLIS;
+        return StreamTimes.getLatestStartMillis(request, lastEventOrArrivalMillis, remainingPrefillMillis);
     }
 
     /** Fails a waiting request in time for the caller to receive the time after which it may retry. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamTimes.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamTimes.java
@@ -6,7 +6,7 @@
     static final long FIRST_EVENT_MILLIS = 80;
 
     /** Time that remains to send an error response when a request leaves the queue. */
-    static final long RESPONSE_MARGIN_MILLIS = 150;
+    private static final long RESPONSE_MARGIN_MILLIS = 150;
 
     /** Largest number of queued tokens at a prefill worker; limited because decode memory stays reserved meanwhile. */
     static final int MAX_QUEUED_TOKENS = 16_000;
