Count the write queue of a stream's connection as buffered, and keep it short

Cause: BufferedBytesTest.streamsThatNobodyReadsDoNotTakeTheMemoryOfOthers failed because the heap was full. Grizzly's write queue of a connection accepts four times the send buffer of the socket, 10 MB on loopback, before StreamWriter keeps bytes itself, and these bytes were not counted. In the heap dump of a failed run 90 of 112 MB were in buffers of 1,390 queued writes, and the collector ran 188 times in 4 s; requests failed with OutOfMemoryError (500), 503 or late. no_room named 0 unread bytes in each line. No thread waited for a caller's window (13 thread dumps).

Change: a connection with a stream accepts the next write when its write queue is empty, and getBufferedBytes contains the queue, so that the budget of responses covers it.

Result: in FrontendExchangeTest 20.9 of 33.5 MB were counted without the change.

--- a/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
+++ b/http/src/main/java/org/magnoliavane/http/server/StreamWriter.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.nio.NIOConnection;
 import org.magnoliavane.http.SerialExecutor;
 
 /**
@@ -21,6 +23,14 @@
     /** Number of buffered bytes above which a source should stop. */
     private static final long HIGH_WATER_BYTES = 64 * 1024;
 
+    /**
+     * Number of bytes in the write queue of a connection from which it accepts no more: the next write waits until the queue is
+     * empty. Grizzly's default is four times the send buffer of the socket, 10 MB on loopback, so that the streams of callers
+     * that do not read filled the heap.
+     */
+    private static final int MAX_QUEUED_BYTES = 1;
+
+    private final NIOConnection connection;
     private final NIOOutputStream out;
     private final Runnable onComplete;
     private final Runnable onFailure;
@@ -38,14 +48,18 @@
     private volatile long lastProgressNanos = System.nanoTime();
 
     /**
-     * Creates a writer.
+     * Creates a writer, and limits the write queue of the connection.
      *
+     * @param connection the connection of the response, which must serve no other response afterwards
      * @param out the output of the response
      * @param limitBytes the size limit of the buffer in bytes
      * @param onComplete called once, after the last byte was written, or after a failure or an abort
      * @param onFailure called before {@code onComplete} if the caller has disconnected or reads too slowly
      */
-    public StreamWriter(NIOOutputStream out, long limitBytes, Runnable onComplete, Runnable onFailure) {
+    public StreamWriter(
+            Connection<?> connection, NIOOutputStream out, long limitBytes, Runnable onComplete, Runnable onFailure) {
+        this.connection = (NIOConnection) connection;
+        this.connection.setMaxAsyncWriteQueueSize(MAX_QUEUED_BYTES);
         this.out = out;
         this.limitBytes = new AtomicLong(limitBytes);
         this.onComplete = onComplete;
@@ -87,12 +101,13 @@
     }
 
     /**
-     * Gets the number of bytes that the connection has not accepted yet.
+     * Gets the number of bytes that are in the memory of this process: those that the connection has not accepted yet, and those
+     * in its write queue.
      *
      * @return the number of buffered bytes
      */
     public long getBufferedBytes() {
-        return bufferedBytes.get();
+        return bufferedBytes.get() + connection.getAsyncWriteQueue().spaceInBytes();
     }
 
     /**
--- a/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
+++ b/node/src/main/java/org/magnoliavane/node/http/CallerExchange.java
@@ -247,7 +247,7 @@
         }
         startResponse(200, responseHeaders);
         return Optional.of(new StreamWriter(
-                response.getNIOOutputStream(), bufferBytes, () -> complete(200), this::handleDisconnect));
+                connection, response.getNIOOutputStream(), bufferBytes, () -> complete(200), this::handleDisconnect));
     }
 
     private void startResponse(int status, Map<String, String> responseHeaders) {
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendExchange.java
@@ -396,7 +396,11 @@
         try {
             startHead(status, responseHeaders);
             stream = Optional.of(new StreamWriter(
-                    response.getNIOOutputStream(), STREAM_BUFFER_BYTES, this::complete, this::handleDisconnect));
+                    connection,
+                    response.getNIOOutputStream(),
+                    STREAM_BUFFER_BYTES,
+                    this::complete,
+                    this::handleDisconnect));
             return stream;
         } catch (RuntimeException | Error e) {
             withdrawHead();
--- a/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/FrontendExchangeTest.java
@@ -54,6 +54,9 @@
     /** Parts of 1 MB of a stream that the buffers of a connection cannot hold. */
     private static final int STREAM_PARTS = 32;
 
+    /** More than the socket buffers of a connection on loopback hold of a stream that nobody reads. */
+    private static final int MAX_SOCKET_BYTES = 9 << 20;
+
     private static final long IDLE_MILLIS = 300;
     private static final Route ROUTE = new Route(
             "r", "h", "/", RequestKind.STREAM, 700, 300, 300, 1, List.of(new WeightedService("s", 1)), 1, false, false);
@@ -201,6 +204,22 @@
         }
     }
 
+    /** Guards against streams that nobody reads and that fill the heap, because the write queue was not counted. */
+    @Test
+    public void whatACallerHasNotReadIsCountedAsBuffered() throws Exception {
+        try (Socket caller = sendRequest()) {
+            StreamWriter writer = takeExchange().beginStream(200, Map.of()).orElseThrow();
+            byte[] part = new byte[1 << 20];
+            for (int i = 0; i < STREAM_PARTS; i++) {
+                writer.writeReplayed(part);
+            }
+            long writtenBytes = (long) STREAM_PARTS * part.length;
+            long buffered = writer.getBufferedBytes();
+            assertTrue(buffered > writtenBytes - MAX_SOCKET_BYTES, buffered + " of " + writtenBytes);
+            assertFalse(caller.isClosed());
+        }
+    }
+
     /** Guards against a stream that stays open until its limit, because the code that was to end it has failed. */
     @Test
     public void aStreamThatNobodyEndsIsClosedWhenItsExecutionFails() throws Exception {
