Hedge late reads of the workers, and ask other nodes for what they have read

Cause: a read of the workers without a response was given up 0.15 of the drain time after its wait, and the second and third were given up one after the other. After three lost reads a node knew nothing new for up to 3.5 s by its schedule, while the store served, and sent requests to workers that had left (OutdatedListTest, LeavingWorkerSoakTest). A node that was cut off from the store had no other source: readers ignored each other's updates.

Change: a read that is late by 0.05 of the drain time, and by twice the last response time, gets up to three hedged reads beside it; the first response ends the round, and later ones are dropped. While its own reads are late a node also sends its position to three random nodes. One whose own position is not too old replies with the changes since. A position that is too old to rely on is the request, so that the format of the datagrams stays, and older versions ignore it. Readers do not send such positions to their zone any more.

Reads answered within 4 to 90 ms cause no further calls in 60 s, those within 140 and 250 ms at most one.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -405,7 +405,13 @@
 
     private TopicFollower createFollower(Topic topic, TopicListener listener, ReadSchedule schedule) {
         return new TopicFollower(
-                new TopicSource(store, topic, schedule), listener, timers, millis, storeUpdates::send, failures);
+                new TopicSource(store, topic, schedule),
+                listener,
+                timers,
+                millis,
+                storeUpdates::send,
+                storeUpdates::ask,
+                failures);
     }
 
     private Optional<UsageCap> findUsageCap(String organisation) {
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerStoreUpdates.java
@@ -1,12 +1,16 @@
 package org.magnoliavane.router.peer;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 
 import org.magnoliavane.membership.RendezvousHashing;
+import org.magnoliavane.protocol.generated.PeerDatagram;
 import org.magnoliavane.protocol.generated.StoreUpdate;
 import org.magnoliavane.protocol.generated.TopicChanges;
 import org.magnoliavane.protocol.generated.TopicRecord;
@@ -18,8 +22,9 @@
 
 /**
  * Shares reads of the store within an availability zone. Two nodes of each zone, chosen by rendezvous hashing among the
- * live ones, read the store and send what has changed to the others, which read only when updates are missing. The calls
- * to the store thus grow with the number of zones and not with the number of nodes.
+ * live ones, read the store and send what has changed to the others, which read only when updates are missing. Of the two, each
+ * uses the updates of the other one while its own reads are late. A node whose position is too old to rely on asks nodes of all
+ * zones by sending it to them; they reply with what they have read since. The calls to the store thus grow with the number of zones and not with the number of nodes.
  *
  * <p>Thread-safe.
  */
@@ -32,6 +37,9 @@
     /** Interval at which readers send their positions, so that the others know that they still read. */
     private static final long POSITION_INTERVAL_MILLIS = 500;
 
+    /** Number of nodes that a node asks whose own reads are late; some may be cut off from the store as well. */
+    private static final int ASKED_NODES = 3;
+
     /** Largest size of the compressed records in a datagram. Nodes that need larger records read the store. */
     private static final int MAX_RECORD_BYTES = 8000;
 
@@ -70,8 +78,9 @@
     public void start(Map<Topic, TopicFollower> topicFollowers) {
         followers.putAll(topicFollowers);
         channel.addListener((datagram, sender) -> {
-            if (datagram.hasStoreUpdate() && !isReader()) {
-                datagram.getStoreUpdate().getTopicsList().forEach(this::apply);
+            if (datagram.hasStoreUpdate()) {
+                boolean reader = isReader();
+                datagram.getStoreUpdate().getTopicsList().forEach(t -> handle(t, reader, sender));
             }
         });
         channel.repeat("positions", POSITION_INTERVAL_MILLIS, this::sendPositions);
@@ -91,7 +100,7 @@
     private void sendPositions() {
         if (isReader()) {
             send(followers.values().stream()
-                    .flatMap(f -> f.findPosition().stream())
+                    .flatMap(f -> f.findCurrentPosition().stream())
                     .toList());
         }
     }
@@ -99,12 +108,28 @@
     private void send(List<TopicUpdate> updates) {
         List<NodeListing> others = getZone();
         others.remove(self);
-        if (others.isEmpty() || updates.isEmpty()) {
-            return;
+        if (!others.isEmpty() && !updates.isEmpty()) {
+            channel.send(createDatagram(updates), others);
         }
+    }
+
+    /**
+     * Asks other nodes for what they have read since the position of this node.
+     *
+     * @param position the position, which must be too old to rely on
+     */
+    public void ask(TopicUpdate position) {
+        List<NodeListing> others = new ArrayList<>(peerTable.getLiveListings(millis.getAsLong()));
+        Collections.shuffle(others, ThreadLocalRandom.current());
+        channel.send(
+                createDatagram(List.of(position)),
+                others.stream().limit(ASKED_NODES).toList());
+    }
+
+    private PeerDatagram createDatagram(List<TopicUpdate> updates) {
         StoreUpdate.Builder body = StoreUpdate.newBuilder();
         updates.forEach(u -> body.addTopics(toMessage(u)));
-        channel.send(channel.createDatagram().setStoreUpdate(body).build(), others);
+        return channel.createDatagram().setStoreUpdate(body).build();
     }
 
     /** Returns whether this node reads the store, which it also does as long as it knows no other node of its zone. */
@@ -121,11 +146,18 @@
         return zone;
     }
 
-    /** Applies the update of a topic. A topic that only newer nodes know is ignored. */
-    private void apply(TopicChanges message) {
-        if (message.getTopic() != TopicChanges.Topic.UNRECOGNIZED) {
-            TopicUpdate update = fromMessage(message);
-            followers.get(update.topic()).applyUpdate(update);
+    /** Applies the update of a topic, or replies to a position that is too old. A topic that only newer nodes know is ignored. */
+    private void handle(TopicChanges message, boolean reader, InetSocketAddress sender) {
+        if (message.getTopic() == TopicChanges.Topic.UNRECOGNIZED) {
+            return;
+        }
+        TopicUpdate update = fromMessage(message);
+        TopicFollower follower = followers.get(update.topic());
+        follower.findUpdateFor(update).ifPresent(u -> channel.send(createDatagram(List.of(u)), sender));
+        if (reader) {
+            follower.applyUpdateIfLate(update);
+        } else {
+            follower.applyUpdate(update);
         }
     }
 
--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -31,9 +33,16 @@
  * force until a snapshot of the new epoch has been read, and the listener compares its entries with that state. A response
  * of an older epoch is dropped.
  *
+ * <p>A read without a response in time gets hedged reads beside it, each on its own connection; the first response counts.
+ * They are not held open. There are none while the store is known to be slow or to fail.
+ *
  * <p>While another node passes on what it reads ({@link #applyUpdate}), the follower does not read itself, so that the
  * calls to the store do not grow with the number of nodes. It reads again when an update is missing, or when no recent
- * one has arrived.
+ * one has arrived. A node that reads for others applies their updates only while its own reads are late ({@link
+ * #applyUpdateIfLate}).
+ *
+ * <p>While the own reads of a topic with hedged reads are late, the follower also asks other nodes for what they have read
+ * since ({@link #findUpdateFor}).
  *
  * <p>The listener is called without the lock of the follower, in the order of the results and one call at a time.
  *
@@ -49,6 +58,18 @@
     /** Number of failed reads in a row after which the store may be slow and gets more time to respond. */
     private static final int SLOW_STORE_FAILURES = 2;
 
+    /** Number of hedged reads beside one that is late. With three, a node that has lost three reads in a row is still in time. */
+    private static final int MAX_HEDGED_READS = 3;
+
+    /** Factor of the last response time within which a read is not late, so that a slower store gets no more calls. */
+    private static final int USUAL_RESPONSE_FACTOR = 2;
+
+    /** Interval at which a node whose own reads are late asks others; with the age of what they know, it is less than the bound. */
+    private static final long REQUEST_INTERVAL_MILLIS = 400;
+
+    /** Number of changes that are kept for nodes whose own reads are late. Renewals of entries are no changes. */
+    private static final int MAX_RECENT_CHANGES = 256;
+
     private final KeyedStore store;
     private final Topic topic;
     private final TopicListener listener;
@@ -56,6 +77,7 @@
     private final LongSupplier millis;
     private final ReadSchedule schedule;
     private final Consumer<TopicUpdate> onRead;
+    private final Consumer<TopicUpdate> onLate;
     private final LoopFailures failures;
     private final String loop;
 
@@ -68,6 +90,26 @@
     private CompletableFuture<Void> nextRefresh = new CompletableFuture<>();
     private long nextOffset = -1;
     private long generation;
+
+    /** Distinguishes a read and the hedged ones beside it from earlier reads, whose results are dropped. */
+    private long round;
+
+    /** Number of reads of the round without a result. */
+    private int pendingReads;
+
+    /** Whether the store has not responded in time since the last successful read of this node. */
+    private boolean late;
+
+    private boolean asking;
+
+    /** The changes from {@link #recentFrom} on, for other nodes. */
+    private final Deque<KeyedRecord> recentChanges = new ArrayDeque<>();
+
+    private long recentFrom;
+
+    /** Time in milliseconds beyond its wait that the last successful read of changes took. */
+    private long usualResponseMillis;
+
     private long retryMillis;
     private int failedReads;
     private boolean slowStore;
@@ -102,6 +144,28 @@
             LongSupplier millis,
             Consumer<TopicUpdate> onRead,
             LoopFailures failures) {
+        this(source, listener, timers, millis, onRead, position -> {}, failures);
+    }
+
+    /**
+     * Creates a follower that asks other nodes while its own reads are late.
+     *
+     * @param source the topic and the times of its reads
+     * @param listener receives the changes
+     * @param timers schedules the reads and retries
+     * @param millis a monotonic clock in milliseconds
+     * @param onRead receives what each read of changes returned
+     * @param onLate receives the position of this follower at intervals while its own reads are late
+     * @param failures records what could not be applied
+     */
+    public TopicFollower(
+            TopicSource source,
+            TopicListener listener,
+            ScheduledExecutorService timers,
+            LongSupplier millis,
+            Consumer<TopicUpdate> onRead,
+            Consumer<TopicUpdate> onLate,
+            LoopFailures failures) {
         this.store = source.store();
         this.topic = source.topic();
         this.listener = listener;
@@ -110,6 +174,7 @@
         this.schedule = source.schedule();
         this.retryMillis = schedule.retryMillis();
         this.onRead = onRead;
+        this.onLate = onLate;
         this.failures = failures;
         this.loop = "store." + topic.name().toLowerCase(Locale.ROOT);
     }
@@ -173,6 +238,37 @@
                 : Optional.empty();
     }
 
+    /**
+     * Gets the position of this follower unless it is too old for others to rely on.
+     *
+     * @return the position
+     */
+    public Optional<TopicUpdate> findCurrentPosition() {
+        return findPosition().filter(p -> p.ageMillis() <= schedule.overdueMillis());
+    }
+
+    /**
+     * Finds what a node needs whose position is too old.
+     *
+     * @param position the position of the other node
+     * @return the changes since; empty if the position is not too old, or this node knows nothing newer or not all changes since
+     */
+    public synchronized Optional<TopicUpdate> findUpdateFor(TopicUpdate position) {
+        long from = position.to();
+        boolean needed = position.ageMillis() > schedule.overdueMillis() && position.era() == era;
+        if (!needed || from < recentFrom || from > nextOffset) {
+            return Optional.empty();
+        }
+        return findCurrentPosition()
+                .map(own -> new TopicUpdate(
+                        topic,
+                        from,
+                        own.to(),
+                        recentChanges.stream().filter(c -> c.offset() >= from).toList(),
+                        own.ageMillis(),
+                        era));
+    }
+
     /**
      * Reads a snapshot at once if the epoch of the store is newer than the known one and was not heard of before.
      *
@@ -219,10 +315,29 @@
      */
     public void applyUpdate(TopicUpdate update) {
         long received = millis.getAsLong();
-        results.execute(failures.guard(loop, () -> applyUpdate(update, received)));
+        results.execute(failures.guard(loop, () -> applyUpdate(update, received, true)));
+    }
+
+    /**
+     * Applies what another node has read if the own reads of this node are late, and goes on reading. Does nothing if records
+     * are missing in between.
+     *
+     * @param update the update
+     */
+    public void applyUpdateIfLate(TopicUpdate update) {
+        long received = millis.getAsLong();
+        results.execute(failures.guard(loop, () -> {
+            if (isLate()) {
+                applyUpdate(update, received, false);
+            }
+        }));
+    }
+
+    private synchronized boolean isLate() {
+        return late;
     }
 
-    private void applyUpdate(TopicUpdate update, long received) {
+    private void applyUpdate(TopicUpdate update, long received, boolean relies) {
         if (update.era() > getEra()) {
             observeEra(update.era());
             return;
@@ -232,13 +347,18 @@
         }
         boolean isGap;
         synchronized (this) {
-            if (!snapshotKnown || refreshing || catchingUp || update.ageMillis() > schedule.overdueMillis()) {
+            if (!snapshotKnown
+                    || relies && (refreshing || catchingUp)
+                    || update.ageMillis() > schedule.overdueMillis()) {
                 return;
             }
             if (update.era() < era || newerEra) {
                 return;
             }
             isGap = update.from() > nextOffset;
+            if (isGap && !relies) {
+                return;
+            }
             if (isGap) {
                 LOG.log(
                         Level.INFO,
@@ -254,10 +374,15 @@
             sendRead(0);
             return;
         }
-        applyRecords(update.records(), update.to(), ReadGap.Source.PEER);
+        List<KeyedRecord> changes = applyRecords(update.records(), update.to(), ReadGap.Source.PEER);
         synchronized (this) {
+            keepChanges(changes);
             nextOffset = Math.max(nextOffset, update.to());
             lastSuccessMillis = Math.max(lastSuccessMillis, received - update.ageMillis());
+            if (!relies) {
+                return;
+            }
+            late = false;
             if (updatedUntilMillis < received) {
                 LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
             }
@@ -267,6 +392,18 @@
         }
     }
 
+    /** Keeps changes of a topic with hedged reads, whose followers may ask for them. */
+    private void keepChanges(List<KeyedRecord> changes) {
+        if (!schedule.isHedged()) {
+            recentFrom = Long.MAX_VALUE;
+            return;
+        }
+        recentChanges.addAll(changes);
+        while (recentChanges.size() > MAX_RECENT_CHANGES) {
+            recentFrom = Math.max(recentFrom, recentChanges.remove().offset() + 1);
+        }
+    }
+
     /** Gets the time for which the follower relies on the updates of other nodes; 0 if it must read itself. */
     private long getUpdatedMillis() {
         long now = millis.getAsLong();
@@ -276,14 +413,29 @@
 
     private void sendRead(long wait) {
         long current;
+        long newRound;
+        synchronized (this) {
+            current = generation;
+            newRound = ++round;
+            pendingReads = 0;
+        }
+        sendRead(current, newRound, wait, 0);
+    }
+
+    private void sendRead(long current, long ofRound, long wait, int hedgedReads) {
         long from;
         long responseMillis;
+        Optional<Long> hedgeMillis;
         synchronized (this) {
-            current = generation;
+            if (current != generation || ofRound != round) {
+                return;
+            }
+            pendingReads++;
             from = nextOffset;
             responseMillis = slowStore || failedReads >= SLOW_STORE_FAILURES
                     ? schedule.slowResponseMillis()
                     : schedule.responseMillis();
+            hedgeMillis = hedgedReads < MAX_HEDGED_READS ? findHedgeMillis() : Optional.empty();
         }
         boolean isSnapshot = from < 0;
         long start = millis.getAsLong();
@@ -294,22 +446,79 @@
             long received = millis.getAsLong();
             results.execute(() -> {
                 if (failure != null) {
-                    handleFailure(current, Failures.unwrap(failure));
+                    handleReadFailure(current, ofRound, Failures.unwrap(failure));
                 } else if (!failures.run(
-                        loop, () -> apply(current, result, isSnapshot, wait, received - start, received))) {
+                        loop, () -> apply(current, ofRound, result, isSnapshot, wait, received - start, received))) {
                     handleFailure(current, new IllegalStateException("the result could not be applied"));
                 }
             });
         });
+        hedgeMillis.ifPresent(m -> timers.schedule(
+                () -> sendHedgedRead(current, ofRound, hedgedReads + 1), wait + m, TimeUnit.MILLISECONDS));
+    }
+
+    /** Finds the time beyond its wait after which a read that is sent now is late; empty if no other is sent beside it. */
+    private Optional<Long> findHedgeMillis() {
+        long delay = Math.max(schedule.hedgeMillis(), USUAL_RESPONSE_FACTOR * usualResponseMillis);
+        boolean hedged = nextOffset >= 0 && failedReads == 0 && !slowStore && delay < schedule.responseMillis();
+        return hedged ? Optional.of(delay) : Optional.empty();
+    }
+
+    private void sendHedgedRead(long current, long ofRound, int hedgedRead) {
+        synchronized (this) {
+            if (current != generation || ofRound != round) {
+                return;
+            }
+        }
+        LOG.log(
+                Level.INFO,
+                "event=store_read_late topic={0} hedged_read={1} age_millis={2}",
+                topic,
+                hedgedRead,
+                Long.toString(getAgeMillis()));
+        handleLate();
+        sendRead(current, ofRound, 0, hedgedRead);
+    }
+
+    private void handleLate() {
+        boolean asks;
+        synchronized (this) {
+            late = true;
+            asks = schedule.isHedged() && !asking;
+            asking |= asks;
+        }
+        if (asks) {
+            askOthers();
+        }
+    }
+
+    /** Tells other nodes of the position until this node has read itself or relies on others. */
+    private void askOthers() {
+        synchronized (this) {
+            asking = late;
+            if (!asking) {
+                return;
+            }
+        }
+        failures.run(loop, () -> findPosition().ifPresent(onLate));
+        boolean goesOn = failures.run(
+                loop, () -> timers.schedule(this::askOthers, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+        if (!goesOn) {
+            // The next late read asks again.
+            synchronized (this) {
+                asking = false;
+            }
+        }
     }
 
     /** Applies the result of a read. Runs as a task of {@link #results}, without the lock while listeners are called. */
-    private void apply(long current, RecordBatch batch, boolean isSnapshot, long wait, long elapsed, long received) {
+    private void apply(
+            long current, long ofRound, RecordBatch batch, boolean isSnapshot, long wait, long elapsed, long received) {
         long from;
         boolean isRollback;
         boolean isOlderEra;
         synchronized (this) {
-            if (current != generation) {
+            if (current != generation || ofRound != round) {
                 return;
             }
             from = nextOffset;
@@ -324,7 +533,7 @@
             }
         }
         if (isOlderEra) {
-            handleFailure(current, new IOException("a response of the older epoch " + batch.era()));
+            handleReadFailure(current, ofRound, new IOException("a response of the older epoch " + batch.era()));
             return;
         }
         if (isRollback && !isSnapshot) {
@@ -346,6 +555,11 @@
         TopicUpdate update;
         synchronized (this) {
             nextOffset = Math.max(nextOffset, batch.nextOffset());
+            if (isSnapshot) {
+                recentChanges.clear();
+                recentFrom = nextOffset;
+            }
+            keepChanges(changes);
             // The age counts from the response, because the listener may have taken time.
             lastSuccessMillis = Math.max(lastSuccessMillis, received);
             snapshotKnown = true;
@@ -356,6 +570,11 @@
             }
             retryMillis = schedule.retryMillis();
             failedReads = 0;
+            late = false;
+            round++;
+            if (!isSnapshot && elapsed >= wait) {
+                usualResponseMillis = elapsed - wait;
+            }
             slowStore = !isSnapshot && elapsed > wait + schedule.responseMillis();
             refreshing = false;
             catchingUp = false;
@@ -438,12 +657,28 @@
         return offsets.values().stream().mapToLong(o -> o).max().orElse(-1);
     }
 
+    /** Handles a read without a result. Those of the same round may still have one. */
+    private void handleReadFailure(long current, long ofRound, Throwable failure) {
+        synchronized (this) {
+            if (current != generation || ofRound != round) {
+                return;
+            }
+            pendingReads--;
+            if (pendingReads > 0 && !(failure instanceof HistoryLostException)) {
+                failedReads++;
+                return;
+            }
+        }
+        handleFailure(current, failure);
+    }
+
     private void handleFailure(long current, Throwable failure) {
         long delay;
         synchronized (this) {
             if (current != generation) {
                 return;
             }
+            round++;
             if (failure instanceof HistoryLostException) {
                 LOG.log(Level.INFO, "event=history_lost topic={0} offset={1}", topic, Long.toString(nextOffset));
                 nextOffset = -1;
@@ -459,6 +694,9 @@
                 retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
             }
         }
+        if (!(failure instanceof HistoryLostException)) {
+            handleLate();
+        }
         scheduleRead(current, delay);
     }
 
--- a/router/src/test/java/org/magnoliavane/router/LeavingWorkerListTest.java
+++ b/router/src/test/java/org/magnoliavane/router/LeavingWorkerListTest.java
@@ -147,6 +147,16 @@
         assertFalse(isUsed(LEAVING));
     }
 
+    /** Guards against a removal that is learned too late because several reads in a row got no response. */
+    @Test(dataProvider = "phases")
+    public void aRemovalTakesEffectWithinTheDrainTimeThoughThreeReadsInARowGetNoResponse(long phase) {
+        timers.runUntil(10_000 + phase);
+        store.loseReads(3);
+        remove(LEAVING);
+        timers.runUntil(timers.now() + DRAIN_MILLIS);
+        assertFalse(isUsed(LEAVING));
+    }
+
     /** Guards against requests to a worker whose notice cannot be read. */
     @Test
     public void aWorkerWhoseEntryCannotBeReadIsNotUsedUntilItCanBeReadAgain() {
--- a/router/src/test/java/org/magnoliavane/router/peer/PeerLoopsTest.java
+++ b/router/src/test/java/org/magnoliavane/router/peer/PeerLoopsTest.java
@@ -8,6 +8,7 @@
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +26,7 @@
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.PeerDatagram;
 import org.magnoliavane.protocol.generated.PeerDatagram.BodyCase;
+import org.magnoliavane.protocol.generated.StoreUpdate;
 import org.magnoliavane.router.LoopFailures;
 import org.magnoliavane.router.VirtualTimers;
 import org.magnoliavane.router.dispatch.PoisonGuard;
@@ -38,10 +40,12 @@
 import org.magnoliavane.router.store.TopicFollower;
 import org.magnoliavane.router.store.TopicListener;
 import org.magnoliavane.router.store.TopicSource;
+import org.magnoliavane.router.store.TopicUpdate;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /** Lets the rounds of the loops between nodes fail for a while. */
@@ -50,6 +54,7 @@
     private static final long FAILING_MILLIS = 1500;
     private static final int TIMEOUT_MILLIS = 5000;
     private static final int DRAIN_MILLIS = 1;
+    private static final int SILENCE_MILLIS = 300;
     private static final int MAX_BYTES = 16 << 10;
     private static final Set<BodyCase> LOOPS =
             EnumSet.of(BodyCase.REPORT, BodyCase.STORE_UPDATE, BodyCase.ROOM_RENEWAL);
@@ -107,6 +112,43 @@
         }
     }
 
+    /** Guards against a node that is cut off from the store and gets no reply from those that are not. */
+    @Test
+    public void aPositionThatIsTooOldIsAnsweredAndACurrentOneIsNot() throws Exception {
+        try (DatagramSocket peer = openSocket();
+                PeerChannel channel = PeerChannel.open(list("n1", 0), LoopFailures.create(new MetricRegistry()))) {
+            NodeListing self = list("n1", 1);
+            // Sends nothing by itself, since it knows no other node.
+            PeerStoreUpdates updates = PeerStoreUpdates.create(self, new PeerTable(), channel, () -> NOW_MILLIS);
+            VirtualTimers timers = new VirtualTimers();
+            FakeKeyedStore store = new FakeKeyedStore(timers);
+            TopicFollower follower = createFollower(timers, store);
+            store.put("w1", "");
+            timers.runUntil(600);
+            updates.start(Map.of(Topic.WORKERS, follower));
+            peer.setSoTimeout(TIMEOUT_MILLIS);
+            channel.send(channel.createDatagram().build(), new InetSocketAddress("127.0.0.1", peer.getLocalPort()));
+            DatagramPacket first = receive(peer);
+            for (int ageMillis : new int[] {1400, 1401}) {
+                TopicUpdate position = new TopicUpdate(Topic.WORKERS, 0, 0, List.of(), ageMillis, 0);
+                byte[] bytes = PeerDatagram.newBuilder()
+                        .setNode("n2")
+                        .setStoreUpdate(StoreUpdate.newBuilder().addTopics(PeerStoreUpdates.toMessage(position)))
+                        .build()
+                        .toByteArray();
+                peer.send(new DatagramPacket(bytes, bytes.length, first.getSocketAddress()));
+            }
+            DatagramPacket reply = receive(peer);
+            TopicUpdate update = PeerStoreUpdates.fromMessage(
+                    PeerDatagram.parseFrom(Arrays.copyOf(reply.getData(), reply.getLength()))
+                            .getStoreUpdate()
+                            .getTopics(0));
+            assertEquals(List.of(update.from(), update.to()), List.of(0L, 1L));
+            peer.setSoTimeout(SILENCE_MILLIS);
+            assertThrows(SocketTimeoutException.class, () -> receive(peer));
+        }
+    }
+
     private void startLoops(
             PeerChannel channel, PeerTable peerTable, HttpClient client, ScheduledExecutorService timers)
             throws InterruptedException {
@@ -139,8 +181,12 @@
 
     private static TopicFollower createFollower() {
         VirtualTimers timers = new VirtualTimers();
+        return createFollower(timers, new FakeKeyedStore(timers));
+    }
+
+    private static TopicFollower createFollower(VirtualTimers timers, FakeKeyedStore store) {
         TopicFollower follower = new TopicFollower(
-                new TopicSource(new FakeKeyedStore(timers), Topic.WORKERS, ReadSchedule.within(2000)),
+                new TopicSource(store, Topic.WORKERS, ReadSchedule.within(2000)),
                 new NoListener(),
                 timers,
                 timers::now,
--- a/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
+++ b/router/src/test/java/org/magnoliavane/router/store/FakeKeyedStore.java
@@ -88,7 +88,12 @@
 
     /** Lets the read that is held open, or else the next one, get no response, although the store serves the later ones. */
     public void loseRead() {
-        lostReads = waiters.isEmpty() ? 1 : 0;
+        loseReads(1);
+    }
+
+    /** Lets as many reads get no response, from the one that is held open. */
+    public void loseReads(int count) {
+        lostReads = count - waiters.size();
         loseWaitingReads();
     }
 
--- a/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/store/TopicFollowerTest.java
@@ -171,6 +171,101 @@
         assertEquals(node.roles.get("w7"), "role-b");
     }
 
+    @DataProvider
+    public Object[][] responseTimes() {
+        return new Object[][] {{4, 0}, {90, 0}, {140, 1}, {250, 1}};
+    }
+
+    /** Guards against calls that cost money although nothing is lost. */
+    @Test(dataProvider = "responseTimes")
+    public void aStoreThatRespondsInItsUsualTimeGetsNoHedgedReads(long responseMillis, int hedgedReads) {
+        heartbeats = false;
+        schedule = ReadSchedule.within(2000);
+        startNodes(1);
+        timers.runUntil(5000);
+        store.setResponseMillis(responseMillis);
+        int before = store.getCallCount();
+        timers.runUntil(65_000);
+        int calls = store.getCallCount() - before;
+        // Each read is held open for 1000 ms.
+        assertTrue(calls <= 60_000 / (1000 + responseMillis) + 1 + hedgedReads, calls + " calls");
+    }
+
+    /** Guards against a store that is called more often because it is down. */
+    @Test
+    public void aStoreThatDoesNotRespondGetsHedgedReadsOnce() {
+        heartbeats = false;
+        schedule = ReadSchedule.within(2000);
+        startNodes(1);
+        timers.runUntil(5000);
+        store.setUnresponsive(true);
+        int before = store.getCallCount();
+        timers.runUntil(35_000);
+        int calls = store.getCallCount() - before;
+        // The read with its three hedged ones, and retries that take 1200 ms and follow after up to 1000 ms.
+        assertTrue(calls <= 4 + 30_000 / 2200 + 4, calls + " calls");
+    }
+
+    /** Guards against an old list at a node that reads for others while another node of its zone knows a newer one. */
+    @Test
+    public void aReaderUsesTheUpdatesOfOthersOnlyWhileItsOwnReadsAreLate() {
+        heartbeats = false;
+        schedule = ReadSchedule.within(2000);
+        startNodes(1);
+        Node node = nodes.get(0);
+        timers.runUntil(5000);
+        long end = store.getEnd();
+        TopicUpdate update =
+                new TopicUpdate(Topic.WORKERS, end, end + 1, List.of(new KeyedRecord("w7", new byte[0], end)), 0, 0);
+        node.follower.applyUpdateIfLate(update);
+        assertTrue(node.roles.containsKey("w7"));
+        store.setUnresponsive(true);
+        timers.runUntil(timers.now() + 1500);
+        node.follower.applyUpdateIfLate(update);
+        assertTrue(!node.roles.containsKey("w7"));
+        assertEquals(node.follower.getAgeMillis(), 0);
+        int before = store.getCallCount();
+        timers.runUntil(timers.now() + 3000);
+        assertTrue(store.getCallCount() > before, "the node has stopped reading");
+    }
+
+    /**
+     * Guards against requests to a worker that has left, because the node was cut off from the store and no other node of its zone
+     * told it.
+     */
+    @Test(dataProvider = "phases")
+    public void aNodeThatIsCutOffLearnsOfARemovalInTimeFromANodeThatItAsks(long phase) {
+        long targetMillis = 2000;
+        heartbeats = false;
+        schedule = ReadSchedule.within(targetMillis);
+        startNodes(1);
+        Node connected = nodes.get(0);
+        FakeKeyedStore reached = store;
+        store = new FakeKeyedStore(timers);
+        for (int i = 0; i < WORKERS; i++) {
+            store.put("w" + i, "role-a 0");
+        }
+        List<TopicFollower> self = new ArrayList<>();
+        Node cutOff = new Node(
+                true,
+                position -> connected
+                        .follower
+                        .findUpdateFor(position)
+                        .ifPresent(u -> self.get(0).applyUpdateIfLate(u)));
+        self.add(cutOff.follower);
+        cutOff.follower.refresh();
+        timers.runUntil(10_000 + phase);
+        store.setUnresponsive(true);
+        for (int i = 0; i < 3; i++) {
+            String worker = "w" + i;
+            reached.put(worker, "");
+            store.put(worker, "");
+            timers.runUntil(timers.now() + targetMillis);
+            assertTrue(!cutOff.roles.containsKey(worker), worker);
+        }
+        assertEquals(cutOff.roles.size(), WORKERS - 3);
+    }
+
     @DataProvider
     public Object[][] silencePhases() {
         return IntStream.range(0, 100)
@@ -420,12 +515,18 @@
     }
 
     private TopicFollower createFollower(TopicListener listener, Consumer<TopicUpdate> onRead) {
+        return createFollower(listener, onRead, position -> {});
+    }
+
+    private TopicFollower createFollower(
+            TopicListener listener, Consumer<TopicUpdate> onRead, Consumer<TopicUpdate> onLate) {
         return new TopicFollower(
                 new TopicSource(store, Topic.WORKERS, schedule),
                 listener,
                 timers,
                 timers::now,
                 onRead,
+                onLate,
                 LoopFailures.create(new MetricRegistry()));
     }
 
@@ -463,8 +564,12 @@
         private ReadGap lastGap = new ReadGap(0, ReadGap.Source.STORE);
 
         Node(boolean reader) {
+            this(reader, position -> {});
+        }
+
+        Node(boolean reader, Consumer<TopicUpdate> onLate) {
             this.reader = reader;
-            follower = createFollower(this, this::send);
+            follower = createFollower(this, this::send, onLate);
             if (reader) {
                 timers.schedule(this::sendPosition, POSITION_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             }
