--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.lang.System.Logger.Level;
 import java.lang.reflect.Proxy;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -20,6 +21,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -73,6 +75,10 @@
     /** Time after the limit of a request within which its response must have arrived. */
     private static final long MAX_LATE_MILLIS = 250;
 
+    private static final int FIRST_PORT = 18_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int MAX_PORT_ATTEMPTS = 50;
+
     private final Map<String, Supplier<?>> faults = new HashMap<>();
     private final CountDownLatch timersReleased = new CountDownLatch(1);
     private ScheduledExecutorService timers;
@@ -337,9 +343,16 @@
     }
 
     private static HostPort findAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return new HostPort(HOST, socket.getLocalPort());
+        // Connections of other processes take ports above this range at any moment.
+        for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+            int candidate = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket socket = new ServerSocket(candidate, 1, InetAddress.getByName(HOST))) {
+                return new HostPort(HOST, socket.getLocalPort());
+            } catch (BindException e) {
+                continue;
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
     }
 
     private WireFormat createWireFormat() {
