--- a/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
@@ -218,6 +218,9 @@
      */
     public synchronized Map<String, Measurement> getNextMeasurements(int max, long nowMillis) {
         Map<String, Measurement> next = new LinkedHashMap<>();
+        if (own.isEmpty()) {
+            return next;
+        }
         List<String> workers = new ArrayList<>(own.tailMap(lastReported, false).keySet());
         workers.addAll(own.headMap(lastReported, true).keySet());
         for (String worker : workers) {
--- a/router/src/main/java/org/magnoliavane/router/RoutingState.java
+++ b/router/src/main/java/org/magnoliavane/router/RoutingState.java
@@ -82,7 +82,11 @@
      * @return the number of workers, including those that are draining
      */
     public int countWorkers() {
-        return workers.get().values().stream().mapToInt(List::size).sum();
+        int count = 0;
+        for (List<ListedWorker> ofService : workers.get().values()) {
+            count += ofService.size();
+        }
+        return count;
     }
 
     /**
