--- a/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerChannel.java
@@ -52,7 +52,8 @@
 
     /**
      * Allocates the buffers of datagrams. Netty's default allocator registers events with the flight recorder at its first
-     * use, which loads more than 50 classes that a router does not use otherwise.
+     * use, which loads more than 50 classes that a router does not use otherwise. With an allocator that does not pool, Netty
+     * leaves it to the JDK to copy what is sent into a direct buffer, which the JDK keeps for each thread.
      */
     private static final ByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(true, true);
 
@@ -140,16 +141,10 @@
         return address;
     }
 
-    /** Writes a datagram from one direct buffer, which Netty would otherwise fill for each receiver. */
     private void write(PeerDatagram datagram, List<InetSocketAddress> addresses) {
         byte[] bytes = datagram.toByteArray();
-        ByteBuf content = BUFFERS.directBuffer(bytes.length).writeBytes(bytes);
-        try {
-            for (InetSocketAddress address : addresses) {
-                channel.write(new DatagramPacket(content.retainedDuplicate(), address));
-            }
-        } finally {
-            content.release();
+        for (InetSocketAddress address : addresses) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address));
         }
         channel.flush();
     }
