--- a/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSpeeds.java
@@ -231,6 +231,9 @@
      */
     public synchronized Map<String, Measurement> getNextMeasurements(int max, long nowMillis) {
         Map<String, Measurement> next = new LinkedHashMap<>();
+        if (own.isEmpty()) {
+            return next;
+        }
         List<String> workers = new ArrayList<>(own.tailMap(lastReported, false).keySet());
         workers.addAll(own.headMap(lastReported, true).keySet());
         for (String worker : workers) {
@@ -255,6 +258,9 @@
      */
     public synchronized void updatePeerMeasurements(
             String node, Map<String, Measurement> measurements, long nowMillis) {
+        if (measurements.isEmpty()) {
+            return;
+        }
         Map<String, Sample> samples = peers.computeIfAbsent(node, n -> new HashMap<>());
         measurements.forEach((worker, measurement) -> {
             if (measurement.speed > 0 && measurement.samples > 0) {
--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -30,6 +30,7 @@
 import org.magnoliavane.http.DaemonTimers;
 import org.magnoliavane.http.HttpClient;
 import org.magnoliavane.membership.OwnRecord;
+import org.magnoliavane.membership.RendezvousHashing;
 import org.magnoliavane.poison.PoisonDetector;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.protocol.generated.ServiceBacklog;
@@ -540,7 +541,8 @@
     }
 
     private boolean isOwner(String name) {
-        return getLiveNodes().findOwner(name).equals(self);
+        return RendezvousHashing.isOwner(
+                name, self.name(), peerTable.getLiveListings(millis.getAsLong()), NodeListing::name, 1);
     }
 
     private LiveNodes getLiveNodes() {
@@ -557,16 +559,14 @@
 
     /** Gets the highest epoch of the store from which this node has read a topic. */
     private long getStoreEra() {
-        return getFollowers().mapToLong(TopicFollower::getEra).max().orElse(0);
-    }
-
-    private Stream<TopicFollower> getFollowers() {
-        return Stream.of(configurationFollower, workerFollower, nodeFollower);
+        return Math.max(configurationFollower.getEra(), Math.max(workerFollower.getEra(), nodeFollower.getEra()));
     }
 
     /** Lets each topic be read again that was last read in an older epoch of the store. */
     private void observeEra(long era) {
-        getFollowers().forEach(f -> f.observeEra(era));
+        configurationFollower.observeEra(era);
+        workerFollower.observeEra(era);
+        nodeFollower.observeEra(era);
     }
 
     private void detectRollback() {
