Do not ask an unhealthy worker for a slot because the healthy ones are busy

Change: whether a healthy worker exists is decided before workers that have been asked, or whose connections are in use, are left out. Result: SlotTest.anUnhealthyWorkerIsNotAskedBecauseTheHealthyOneIsBusy (two demands before, one now).

--- a/core/src/main/java/org/magnoliavane/balance/ScoredWorkers.java
+++ b/core/src/main/java/org/magnoliavane/balance/ScoredWorkers.java
@@ -67,18 +67,16 @@
     }
 
     /**
-     * Replaces the reason of workers that were excluded by their ids.
+     * Excludes workers that might be chosen otherwise. Others do not take their place: unhealthy workers stay excluded if the
+     * scores contain a healthy one.
      *
      * @param selected selects the workers
-     * @param reason the reason why their ids were excluded
+     * @param reason the reason
      * @return a copy in which these workers have the reason, unless they were excluded for another one
      */
-    public ScoredWorkers withReason(Predicate<ListedWorker> selected, Exclusion reason) {
+    public ScoredWorkers excluding(Predicate<ListedWorker> selected, Exclusion reason) {
         List<Scored> all = workers.stream()
-                .map(s ->
-                        s.exclusion().filter(e -> e == Exclusion.ALREADY_TRIED).isPresent() && selected.test(s.worker())
-                                ? s.withReason(reason)
-                                : s)
+                .map(s -> s.exclusion().isEmpty() && selected.test(s.worker()) ? s.withReason(reason) : s)
                 .toList();
         return new ScoredWorkers(all, drawn, maxRandomCost);
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -1,7 +1,6 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -158,10 +157,8 @@
      * free slot: a silent owner must not become the way around the others, at which the request waits.
      */
     private Optional<CapacityRequest.Candidate> chooseCandidate(PlainAdmission admission, Set<String> asked) {
-        Set<String> excluded = new HashSet<>(excludedWorkers);
-        excluded.addAll(asked);
         return context.workerSelector()
-                .choose(workers.scoreForSlot(admission, excluded))
+                .choose(workers.scoreForSlot(admission, excludedWorkers, asked))
                 .map(w -> new CapacityRequest.Candidate(w, asked.isEmpty()));
     }
 
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainWorkers.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainWorkers.java
@@ -1,8 +1,6 @@
 package org.magnoliavane.router.dispatch;
 
 import java.util.Collection;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 
 import org.magnoliavane.WorkerRole;
@@ -52,17 +50,20 @@
         return context.workerSelector().scorePlain(getWorkers(), excluded, now());
     }
 
-    /** Scores the workers for a request for a slot; those at which this node has used up its connections are excluded. */
-    ScoredWorkers scoreForSlot(PlainAdmission admission, Set<String> excluded) {
-        List<ListedWorker> used = getWorkers().stream()
-                .filter(w -> isConnectionShareUsed(admission, w))
-                .toList();
-        if (used.isEmpty()) {
-            return score(excluded);
-        }
-        Set<String> all = new HashSet<>(excluded);
-        used.forEach(w -> all.add(w.id()));
-        return score(all).withReason(w -> used.contains(w) && !excluded.contains(w.id()), Exclusion.CONNECTIONS_IN_USE);
+    /**
+     * Scores the workers for a request for a slot; those at which this node has used up its connections are excluded.
+     *
+     * <p>An unhealthy worker is not chosen because the healthy ones are busy: a worker that fails at once is always free, and
+     * would get most requests of an overload.
+     *
+     * @param admission how the nodes share the workers
+     * @param tried the ids of workers to which the request must not be sent again
+     * @param asked the ids of workers that have been asked for a slot
+     */
+    ScoredWorkers scoreForSlot(PlainAdmission admission, Set<String> tried, Set<String> asked) {
+        return score(tried)
+                .excluding(w -> isConnectionShareUsed(admission, w), Exclusion.CONNECTIONS_IN_USE)
+                .excluding(w -> asked.contains(w.id()), Exclusion.ALREADY_TRIED);
     }
 
     /** Returns whether this node has used up its share of the connections to a worker. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
@@ -54,7 +54,7 @@
         PlainWorkers workers = new PlainWorkers(context, service);
         PlainAdmission admission = workers.getAdmission();
         ScoredWorkers scored =
-                admission.needsSlots() ? workers.scoreForSlot(admission, Set.of()) : workers.score(Set.of());
+                admission.needsSlots() ? workers.scoreForSlot(admission, Set.of(), Set.of()) : workers.score(Set.of());
         RoleScores plain = new RoleScores(WorkerRole.PLAIN, scored, scored.computeProbabilities());
         return new ChoicePreview(
                 service,
--- a/router/src/test/java/org/magnoliavane/router/dispatch/SlotTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/SlotTest.java
@@ -85,6 +85,28 @@
         awaitRelease();
     }
 
+    /**
+     * Guards against a worker that breaks each request off at once, is thus always free, and gets most requests while the
+     * others are busy.
+     */
+    @Test
+    public void anUnhealthyWorkerIsNotAskedBecauseTheHealthyOneIsBusy() throws Exception {
+        reportNodes(66);
+        harness.loadTracker.suspend("PLAIN-1", Long.MAX_VALUE);
+        reservations.replies = demand -> Reply.REJECTED;
+        assertEquals(harness.send(WorkerRole.PLAIN), "no worker can serve the request in time");
+        assertEquals(reservations.demands.stream().map(Demand::worker).toList(), List.of("PLAIN-2"));
+    }
+
+    /** Guards against requests that are refused although a worker that failed lately may serve them. */
+    @Test
+    public void anUnhealthyWorkerIsAskedIfNoneIsHealthy() throws Exception {
+        reportNodes(66);
+        harness.loadTracker.suspend("PLAIN-1", Long.MAX_VALUE);
+        harness.loadTracker.suspend("PLAIN-2", Long.MAX_VALUE);
+        assertEquals(harness.send(WorkerRole.PLAIN), "done");
+    }
+
     /** Guards against connections beyond the cap of a worker: 100 for 120 nodes are none to spare, so each uses one. */
     @Test
     public void aNodeUsesNoMoreThanItsShareOfTheConnections() throws Exception {
