Correct explanations of requests that wait, are refused during a stop, or are not permitted

Found by a review: a request that waits for decode workers was explained with no probability for any prefill worker, and as waiting at an owner although prefill workers have too many tokens queued; a refusal during a stop had no Retry-After; 404 and 401 were stated although the node reads the configuration first and may answer 503; a path could have a query, and an unknown organisation was repeated in the answer, and either might be a key. Change: as above; one constant for the Retry-After during a stop.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
@@ -130,6 +130,14 @@
             ListedWorker worker = candidate.worker();
             zones.merge(worker.server().zone(), decode.probabilities().get(worker.id()), Double::sum);
         }
+        if (zones.isEmpty()) {
+            // The request waits for a decode worker, which may be any of them.
+            decode.scored()
+                    .workers()
+                    .forEach(s -> zones.merge(s.worker().server().zone(), 1.0, Double::sum));
+            zones.replaceAll((zone, workersOfZone) ->
+                    workersOfZone / decode.scored().workers().size());
+        }
         Optional<String> mainZone = zones.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey)
@@ -180,10 +188,6 @@
         if (!context.admissionQueues().wouldAsk(service, request.urgency())) {
             return Outcome.of(Action.WAITS_AT_NODE, "earlier requests ask for capacity first", List.of(), false);
         }
-        List<ListedWorker> free = getMostProbable(roles.get(0));
-        if (free.isEmpty()) {
-            return findWait(workers);
-        }
         Optional<ListedWorker> prefillWorker =
                 roles.stream().skip(1).flatMap(r -> getMostProbable(r).stream()).findFirst();
         if (prefillWorker
@@ -196,6 +200,10 @@
                     List.of(),
                     false);
         }
+        List<ListedWorker> free = getMostProbable(roles.get(0));
+        if (free.isEmpty()) {
+            return findWait(workers);
+        }
         return Outcome.of(
                 Action.SENT,
                 "the worker has free capacity as far as this node knows",
--- a/router/src/main/java/org/magnoliavane/router/explain/ExplainQuery.java
+++ b/router/src/main/java/org/magnoliavane/router/explain/ExplainQuery.java
@@ -39,7 +39,10 @@
     private static final List<String> FIELDS =
             List.of(HOST, PATH, ORGANISATION, PROMPT_TOKENS, OUTPUT_TOKENS, DEADLINE_MILLIS);
     private static final Pattern HOST_SYNTAX = Pattern.compile("[A-Za-z0-9._-]{1,253}(:[0-9]{1,5})?");
-    private static final Pattern PATH_SYNTAX = Pattern.compile("/[\\x21-\\x7e]{0,4095}");
+
+    /** A path without a query, which may contain a key. */
+    private static final Pattern PATH_SYNTAX = Pattern.compile("/[\\x21-\\x7e&&[^?#]]{0,4095}");
+
     private static final Pattern NAME_SYNTAX = Pattern.compile("[^\\p{Cntrl}]{1,200}");
     private static final Pattern NUMBER_SYNTAX = Pattern.compile("[0-9]{1,9}");
 
@@ -96,7 +99,7 @@
         }
         return new ExplainQuery(
                 require(fields, HOST, HOST_SYNTAX, "a host name, with or without a port"),
-                require(fields, PATH, PATH_SYNTAX, "a path that begins with / and has no spaces"),
+                require(fields, PATH, PATH_SYNTAX, "a path that begins with / and has no spaces and no query"),
                 check(fields, ORGANISATION, NAME_SYNTAX, "the name of an organisation, 1 to 200 characters"),
                 (int) checkNumber(fields, PROMPT_TOKENS, 0, MAX_TOKENS).orElse(0),
                 (int) checkNumber(fields, OUTPUT_TOKENS, 0, MAX_TOKENS).orElse(0),
--- a/router/src/main/java/org/magnoliavane/router/explain/RequestExplainer.java
+++ b/router/src/main/java/org/magnoliavane/router/explain/RequestExplainer.java
@@ -16,6 +16,7 @@
 import org.magnoliavane.router.dispatch.ChoicePreview.Outcome;
 import org.magnoliavane.router.dispatch.GenerationSize;
 import org.magnoliavane.router.dispatch.RequestMetadata;
+import org.magnoliavane.router.front.GracefulShutdown;
 import org.magnoliavane.router.peer.LiveNodes;
 import org.magnoliavane.routing.Organisation;
 import org.magnoliavane.routing.Route;
@@ -29,6 +30,10 @@
  * <p>Thread-safe.
  */
 public final class RequestExplainer {
+    /** A query reads nothing, but a request that the known configuration does not permit makes the node read it first. */
+    private static final String READS_FIRST =
+            "; the configuration is read first, and the status is 503 if the store does not respond";
+
     private final ExplainContext context;
 
     /**
@@ -84,7 +89,7 @@
         Optional<Route> route = table.findRoute(query.host(), query.path());
         if (route.isEmpty()) {
             body.putNull("route");
-            Fault fault = Fault.notRun(FaultKind.NOT_FOUND, "no route for this host and path", "");
+            Fault fault = Fault.notRun(FaultKind.NOT_FOUND, "no route for this host and path" + READS_FIRST, "");
             body.set("outcome", toJson(Outcome.refused(fault), nodes));
             return body;
         }
@@ -153,7 +158,7 @@
             String message = query.organisation().isPresent()
                     ? "the organisation is not known"
                     : "the route needs an API key, and no organisation is given";
-            return Optional.of(Fault.notRun(FaultKind.UNAUTHENTICATED, message, ""));
+            return Optional.of(Fault.notRun(FaultKind.UNAUTHENTICATED, message + READS_FIRST, ""));
         }
         boolean accepted = context.acceptance()
                 .canAccept(
@@ -162,7 +167,8 @@
                         context.clockMillis().getAsLong());
         return accepted
                 ? Optional.empty()
-                : Optional.of(Fault.notRun(FaultKind.UNAVAILABLE, "the node is about to stop", ""));
+                : Optional.of(Fault.notRun(FaultKind.UNAVAILABLE, "the node is about to stop", "")
+                        .withRetryAfterMillis(GracefulShutdown.RETRY_AFTER_MILLIS));
     }
 
     private static ObjectNode toJson(Route route) {
@@ -178,7 +184,12 @@
     private static ObjectNode toJson(
             ExplainQuery query, Optional<Organisation> organisation, int urgency, int urgencies) {
         ObjectNode json = Json.object()
-                .put("name", query.organisation().orElse(null))
+                // A name that is not known may be a key given by mistake.
+                .put(
+                        "name",
+                        query.organisation()
+                                .filter(n -> organisation.isPresent())
+                                .orElse(null))
                 .put("known", organisation.isPresent())
                 .put("urgency", urgency)
                 .put("urgencies", urgencies);
--- a/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
+++ b/router/src/main/java/org/magnoliavane/router/front/FrontendServer.java
@@ -66,9 +66,6 @@
     /** Retry delay for callers of a node that has no configuration yet. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 500;
 
-    /** Retry delay for callers of a node that is shutting down; they retry at another node. */
-    private static final long SHUTDOWN_RETRY_MILLIS = 50;
-
     /** Maximum time for which a request waits until the state of the node has been read again. */
     private static final long MAX_REFRESH_WAIT_MILLIS = 800;
 
@@ -330,7 +327,7 @@
         refuse(
                 exchange,
                 Fault.notRun(FaultKind.UNAVAILABLE, "the node is about to stop", "send the request to another address")
-                        .withRetryAfterMillis(SHUTDOWN_RETRY_MILLIS));
+                        .withRetryAfterMillis(GracefulShutdown.RETRY_AFTER_MILLIS));
     }
 
     /** Refuses a request whose organisation is over its usage cap. Units are returned if the request does not run. */
--- a/router/src/main/java/org/magnoliavane/router/front/GracefulShutdown.java
+++ b/router/src/main/java/org/magnoliavane/router/front/GracefulShutdown.java
@@ -18,6 +18,9 @@
     /** Longest time before the end of the grace period at which the process exits even with active requests. */
     private static final long MAX_EXIT_MARGIN_MILLIS = 600;
 
+    /** Time after which callers of a node that is shutting down may retry; they retry at another node. */
+    public static final long RETRY_AFTER_MILLIS = 50;
+
     /** Longest time before the exit by which requests without a response are answered. */
     private static final long MAX_RESPONSE_MARGIN_MILLIS = 300;
 
