--- a/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
+++ b/router/src/main/java/org/magnoliavane/router/store/TopicFollower.java
@@ -64,9 +64,6 @@
     /** Factor of the last response time within which a read is not late, so that a slower store gets no more calls. */
     private static final int USUAL_RESPONSE_FACTOR = 2;
 
-    /** Interval at which a node whose own reads are late asks others; with the age of what they know, it is less than the bound. */
-    private static final long REQUEST_INTERVAL_MILLIS = 400;
-
     /** Number of changes that are kept for nodes whose own reads are late. Renewals of entries are no changes. */
     private static final int MAX_RECENT_CHANGES = 256;
 
@@ -346,17 +343,21 @@
             return;
         }
         boolean isGap;
+        boolean goesOnReading;
         synchronized (this) {
-            if (!snapshotKnown
-                    || relies && (refreshing || catchingUp)
-                    || update.ageMillis() > schedule.overdueMillis()) {
+            if (!snapshotKnown || update.ageMillis() > schedule.overdueMillis()) {
                 return;
             }
             if (update.era() < era || newerEra) {
                 return;
             }
+            boolean mustRead = refreshing || catchingUp;
+            if (mustRead && !late) {
+                return;
+            }
+            goesOnReading = mustRead || !relies;
             isGap = update.from() > nextOffset;
-            if (isGap && !relies) {
+            if (isGap && goesOnReading) {
                 return;
             }
             if (isGap) {
@@ -374,22 +375,32 @@
             sendRead(0);
             return;
         }
-        List<KeyedRecord> changes = applyRecords(update.records(), update.to(), ReadGap.Source.PEER);
+        List<KeyedRecord> changes = applyRecords(update.records(), update.to(), ReadGap.Source.PEER, !goesOnReading);
+        Optional<TopicUpdate> news = Optional.empty();
         synchronized (this) {
             keepChanges(changes);
+            if (goesOnReading && update.to() > nextOffset) {
+                // Nodes that rely on this one must learn of the changes before its next position, or would read them.
+                news = Optional.of(
+                        new TopicUpdate(topic, nextOffset, update.to(), changes, update.ageMillis(), update.era()));
+            }
             nextOffset = Math.max(nextOffset, update.to());
             lastSuccessMillis = Math.max(lastSuccessMillis, received - update.ageMillis());
-            if (!relies) {
-                return;
-            }
-            late = false;
-            if (updatedUntilMillis < received) {
-                LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
+            if (!goesOnReading) {
+                relyOnUpdates(update, received);
             }
-            updatedUntilMillis = Math.max(
-                    updatedUntilMillis,
-                    received + Math.min(UPDATE_TIMEOUT_MILLIS, schedule.overdueMillis() - update.ageMillis()));
         }
+        news.ifPresent(n -> failures.run(loop, () -> onRead.accept(n)));
+    }
+
+    private void relyOnUpdates(TopicUpdate update, long received) {
+        late = false;
+        if (updatedUntilMillis < received) {
+            LOG.log(Level.INFO, "event=store_updates topic={0} outcome=relying_on_peers", topic);
+        }
+        updatedUntilMillis = Math.max(
+                updatedUntilMillis,
+                received + Math.min(UPDATE_TIMEOUT_MILLIS, schedule.overdueMillis() - update.ageMillis()));
     }
 
     /** Keeps changes of a topic with hedged reads, whose followers may ask for them. */
@@ -465,10 +476,12 @@
     }
 
     private void sendHedgedRead(long current, long ofRound, int hedgedRead) {
+        boolean asks;
         synchronized (this) {
-            if (current != generation || ofRound != round) {
+            if (current != generation || ofRound != round || getUpdatedMillis() > 0) {
                 return;
             }
+            asks = markLate();
         }
         LOG.log(
                 Level.INFO,
@@ -476,20 +489,18 @@
                 topic,
                 hedgedRead,
                 Long.toString(getAgeMillis()));
-        handleLate();
-        sendRead(current, ofRound, 0, hedgedRead);
-    }
-
-    private void handleLate() {
-        boolean asks;
-        synchronized (this) {
-            late = true;
-            asks = schedule.isHedged() && !asking;
-            asking |= asks;
-        }
         if (asks) {
             askOthers();
         }
+        sendRead(current, ofRound, 0, hedgedRead);
+    }
+
+    /** Records that the store has not responded in time, and returns whether to begin to ask other nodes. */
+    private synchronized boolean markLate() {
+        late = true;
+        boolean begins = schedule.isHedged() && !asking;
+        asking |= begins;
+        return begins;
     }
 
     /** Tells other nodes of the position until this node has read itself or relies on others. */
@@ -500,9 +511,14 @@
                 return;
             }
         }
-        failures.run(loop, () -> findPosition().ifPresent(onLate));
+        // Others take a position that is not too old for an update.
+        failures.run(
+                loop,
+                () -> findPosition()
+                        .filter(p -> p.ageMillis() > schedule.overdueMillis())
+                        .ifPresent(onLate));
         boolean goesOn = failures.run(
-                loop, () -> timers.schedule(this::askOthers, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS));
+                loop, () -> timers.schedule(this::askOthers, schedule.intervalMillis(), TimeUnit.MILLISECONDS));
         if (!goesOn) {
             // The next late read asks again.
             synchronized (this) {
@@ -545,7 +561,7 @@
             restore(batch);
         } else {
             boolean outdated = isSnapshot && batch.nextOffset() < getHighestOffset();
-            changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE);
+            changes = applyRecords(batch.records(), batch.nextOffset(), ReadGap.Source.STORE, true);
             if (isSnapshot && !outdated) {
                 Set<String> keys = getKeys(batch);
                 failures.run(loop, () -> listener.onSnapshot(keys));
@@ -595,8 +611,9 @@
      * @return the records that other nodes must learn: those that do more than renew an entry, and those that this node knows
      *     from a later page of a snapshot
      */
-    private List<KeyedRecord> applyRecords(List<KeyedRecord> records, long end, ReadGap.Source source) {
-        notifyRead(end, source);
+    private List<KeyedRecord> applyRecords(
+            List<KeyedRecord> records, long end, ReadGap.Source source, boolean endsOutage) {
+        notifyRead(end, source, endsOutage);
         List<KeyedRecord> changes = new ArrayList<>();
         for (KeyedRecord change : records) {
             boolean isNew = change.offset() > offsets.getOrDefault(change.key(), -1L);
@@ -609,7 +626,7 @@
 
     /** Lets the listener compare the first snapshot after a rollback with what is known. Offsets are assigned again. */
     private void restore(RecordBatch batch) {
-        notifyRead(batch.nextOffset(), ReadGap.Source.STORE);
+        notifyRead(batch.nextOffset(), ReadGap.Source.STORE, true);
         offsets.clear();
         Set<String> keys = getKeys(batch);
         LOG.log(
@@ -630,11 +647,11 @@
         return batch.records().stream().map(KeyedRecord::key).collect(Collectors.toSet());
     }
 
-    private void notifyRead(long end, ReadGap.Source source) {
+    private void notifyRead(long end, ReadGap.Source source, boolean endsOutage) {
         ReadGap gap;
         synchronized (this) {
             gap = new ReadGap(snapshotKnown ? getAgeMillis() : 0, source);
-            if (inOutage) {
+            if (inOutage && endsOutage) {
                 LOG.log(Level.INFO, "event=store_regained topic={0} offset={1}", topic, Long.toString(end));
                 inOutage = false;
             }
@@ -665,7 +682,6 @@
             }
             pendingReads--;
             if (pendingReads > 0 && !(failure instanceof HistoryLostException)) {
-                failedReads++;
                 return;
             }
         }
@@ -694,8 +710,8 @@
                 retryMillis = Math.min(MAX_RETRY_MILLIS, retryMillis * 2);
             }
         }
-        if (!(failure instanceof HistoryLostException)) {
-            handleLate();
+        if (!(failure instanceof HistoryLostException) && markLate()) {
+            askOthers();
         }
         scheduleRead(current, delay);
     }
