Name what an execution's classes share RequestScope, and show the steps of a stream

Change: RequestScope; a diagram of the steps in StreamExecution; links to and from RequestPreviewer; onDecodeFailed like the other callbacks.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/CapacityWait.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/CapacityWait.java
@@ -39,7 +39,7 @@
         void onWaitTimeout();
     }
 
-    private final RequestContext scope;
+    private final RequestScope scope;
     private final DispatchContext context;
     private final CallerRequest request;
     private final GenerationSize generationSize;
@@ -55,7 +55,7 @@
     private int waits;
 
     CapacityWait(
-            RequestContext scope,
+            RequestScope scope,
             GenerationSize generationSize,
             StreamWorkers workers,
             PrefillExchange prefill,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DecodeExchanges.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DecodeExchanges.java
@@ -70,10 +70,10 @@
         void onDecodeNotRun(WorkerExchange exchange, String reason);
 
         /** Called when the only exchange has failed and its worker may have run the request. */
-        void handleDecodeFailure(WorkerExchange exchange, String reason);
+        void onDecodeFailed(WorkerExchange exchange, String reason);
     }
 
-    private final RequestContext scope;
+    private final RequestScope scope;
     private final DispatchContext context;
     private final CallerRequest request;
     private final GenerationSize generationSize;
@@ -96,7 +96,7 @@
     private int possibleExecutions;
 
     DecodeExchanges(
-            RequestContext scope,
+            RequestScope scope,
             GenerationSize generationSize,
             StreamWorkers workers,
             RelayedStream stream,
@@ -424,6 +424,6 @@
             return;
         }
         remove(exchange);
-        listener.handleDecodeFailure(exchange, reason);
+        listener.onDecodeFailed(exchange, reason);
     }
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PrefillExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PrefillExchange.java
@@ -47,7 +47,7 @@
         void onPrefillFailed();
     }
 
-    private final RequestContext scope;
+    private final RequestScope scope;
     private final DispatchContext context;
     private final CallerRequest request;
     private final GenerationSize generationSize;
@@ -67,7 +67,7 @@
     private boolean workerWasIdle;
 
     PrefillExchange(
-            RequestContext scope,
+            RequestScope scope,
             GenerationSize generationSize,
             StreamWorkers workers,
             RelayedStream stream,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -57,7 +57,7 @@
     final RequestFeatures features;
 
     /** What other classes that execute the request need of it. */
-    final RequestContext scope;
+    final RequestScope scope;
 
     private volatile boolean trial;
     private Future<?> deadlineTimer;
@@ -68,7 +68,7 @@
         this.service = service;
         this.response = response;
         this.features = PoisonGuard.getFeatures(request);
-        this.scope = new RequestContext(context, request, service, features, executor, excludedWorkers, () -> ended);
+        this.scope = new RequestScope(context, request, service, features, executor, excludedWorkers, () -> ended);
     }
 
     /** Starts the execution of the request. */
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestPreviewer.java
@@ -154,6 +154,7 @@
         return new RoleScores(WorkerRole.PREFILL, scored, probabilities);
     }
 
+    /** Finds the outcome in the order of the checks of {@link StreamExecution} and {@link CapacityWait#tryAdmit}. */
     private Outcome findStreamOutcome(
             CallerRequest request,
             String service,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestScope.java
@@ -11,7 +11,7 @@
 import org.magnoliavane.poison.RequestFeatures;
 
 /**
- * Holds what the classes that execute a request share: the request, the dependencies, the clock, timers and log lines.
+ * Holds what the classes that execute one request share: the request, the dependencies, the clock, timers and log lines.
  *
  * <p>Thread-safe; called on any thread.
  *
@@ -23,7 +23,7 @@
  * @param excludedWorkers the ids of workers that get the request no more; may be changed on any thread
  * @param ended whether the execution has ended; read on the executor
  */
-record RequestContext(
+record RequestScope(
         DispatchContext context,
         CallerRequest request,
         String service,
@@ -32,6 +32,7 @@
         Set<String> excludedWorkers,
         BooleanSupplier ended) {
 
+    /** The lines of all classes of an execution have one logger, by which operators filter them. */
     private static final Logger LOG = System.getLogger(RequestExecution.class.getName());
 
     long now() {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamExecution.java
@@ -11,7 +11,17 @@
  * decode worker is reserved before the prefill starts, so that no prefill is wasted.
  *
  * <p>Joins the wait for capacity ({@link CapacityWait}), the prefill ({@link PrefillExchange}) and the decode
- * ({@link DecodeExchanges}), and decides whether a request that did not run or broke off is sent again, refused or failed.
+ * ({@link DecodeExchanges}), and decides whether a request that did not run or broke off is sent again, refused or failed:
+ *
+ * <pre>
+ *   waiting --onAdmitted--> prefill --onPrefilled--> decode --onDecoded--> answered
+ *      ^                       |                        |
+ *      +----onPrefillFailed----+                        |
+ *      +----onDecodeNotRun, onDecodeFailed (resumable)--+
+ *      +----onSilent: waits for a replacement while the decode goes on
+ * </pre>
+ *
+ * <p>{@link RequestPreviewer} explains the first steps without taking them; a change of their order has to be made there, too.
  *
  * <p>Runs on the executor of the request, except for {@link #maySend}, which is called on any thread.
  */
@@ -301,7 +311,7 @@
 
     /** Handles a decode that may have run: enqueues the request again if its stream is resumable, else fails it. */
     @Override
-    public void handleDecodeFailure(WorkerExchange exchange, String reason) {
+    public void onDecodeFailed(WorkerExchange exchange, String reason) {
         boolean mayRetry = request.route().resumable()
                 && stream.canContinueElsewhere()
                 && decodes.getPossibleExecutions() < request.route().maxAttempts();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamParts.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamParts.java
@@ -19,14 +19,14 @@
     /** Memory that a byte of an incomplete event takes: it is kept as part of its line as well, and buffers grow by doubling. */
     private static final int PARTIAL_EVENT_FACTOR = 3;
 
-    private final RequestContext scope;
+    private final RequestScope scope;
     private final DispatchContext context;
     private final GenerationSize generationSize;
     private final RelayedStream stream;
     private final Map<WorkerExchange, StreamPart> parts = new HashMap<>();
     private boolean progressRecorded;
 
-    StreamParts(RequestContext scope, GenerationSize generationSize, RelayedStream stream) {
+    StreamParts(RequestScope scope, GenerationSize generationSize, RelayedStream stream) {
         this.scope = scope;
         this.context = scope.context();
         this.generationSize = generationSize;
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerRefusals.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerRefusals.java
@@ -15,12 +15,12 @@
     /** Time for which a worker is suspended that refuses a decode although it has free memory. */
     private static final long NOT_DECODING_SUSPEND_MILLIS = 1500;
 
-    private final RequestContext scope;
+    private final RequestScope scope;
 
     /** Excluded workers that accepted no connection. */
     private final Set<String> unreachableWorkers = new HashSet<>();
 
-    WorkerRefusals(RequestContext scope) {
+    WorkerRefusals(RequestScope scope) {
         this.scope = scope;
     }
 
