Remove two wrappers of the worker selection that only tests called

Cause: since workers are scored before one is chosen, requests call choose(score...) for plain services and decode; choosePlain and chooseDecode were left with no caller but tests, which so did not take the path of requests. Change: the tests call choose(score...); their assertions are unchanged.

--- a/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
+++ b/core/src/main/java/org/magnoliavane/balance/WorkerSelector.java
@@ -72,19 +72,7 @@
     }
 
     /**
-     * Chooses a worker of a plain service by the share of its slots in use and its speed.
-     *
-     * @param workers the candidate workers of the service
-     * @param excluded the ids of workers that must not be chosen
-     * @param nowMillis the current time, in milliseconds
-     * @return the worker; empty if no worker is eligible
-     */
-    public Optional<ListedWorker> choosePlain(Collection<ListedWorker> workers, Set<String> excluded, long nowMillis) {
-        return choose(scorePlain(workers, excluded, nowMillis));
-    }
-
-    /**
-     * Scores the workers of a plain service as {@link #choosePlain} does.
+     * Scores the workers of a plain service by the share of their slots in use and their speed.
      *
      * @param workers the candidate workers of the service
      * @param excluded the ids of workers that must not be chosen
@@ -132,22 +120,7 @@
     }
 
     /**
-     * Chooses a decode worker by its requests and its speed among those with enough free memory.
-     *
-     * @param workers the candidate workers of the service
-     * @param engine the profile of the engines of the service
-     * @param tokens the KV cache memory that the request will occupy, in tokens
-     * @param excluded the ids of workers that must not be chosen
-     * @param nowMillis the current time, in milliseconds
-     * @return the worker; empty if none has free capacity
-     */
-    public Optional<ListedWorker> chooseDecode(
-            Collection<ListedWorker> workers, EngineProfile engine, int tokens, Set<String> excluded, long nowMillis) {
-        return choose(scoreDecode(workers, engine, tokens, excluded, nowMillis));
-    }
-
-    /**
-     * Scores decode workers as {@link #chooseDecode} does.
+     * Scores decode workers by their requests and their speed; those without enough free memory are excluded.
      *
      * @param workers the candidate workers of the service
      * @param engine the profile of the engines of the service
--- a/core/src/test/java/org/magnoliavane/balance/ScoredWorkersTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/ScoredWorkersTest.java
@@ -53,7 +53,11 @@
         Map<String, Integer> chosen = new HashMap<>();
         for (int i = 0; i < DRAWS; i++) {
             chosen.merge(
-                    selector.choosePlain(workers, Set.of(), NOW).orElseThrow().id(), 1, Integer::sum);
+                    selector.choose(selector.scorePlain(workers, Set.of(), NOW))
+                            .orElseThrow()
+                            .id(),
+                    1,
+                    Integer::sum);
         }
         assertEquals(probabilities.values().stream().mapToDouble(p -> p).sum(), 1, 1e-9);
         workers.forEach(w ->
--- a/core/src/test/java/org/magnoliavane/balance/WorkerSelectorTest.java
+++ b/core/src/test/java/org/magnoliavane/balance/WorkerSelectorTest.java
@@ -50,7 +50,7 @@
     @Test
     public void aDrainingWorkerIsNeverChosen() {
         List<ListedWorker> workers = List.of(createWorker("a", WorkerRole.PLAIN, "here", true));
-        assertTrue(selector.choosePlain(workers, Set.of(), NOW).isEmpty());
+        assertTrue(selector.choose(selector.scorePlain(workers, Set.of(), NOW)).isEmpty());
     }
 
     @Test
@@ -77,7 +77,11 @@
         List<ListedWorker> workers = List.of(
                 createWorker("far", WorkerRole.PLAIN, "there", false),
                 createWorker("near", WorkerRole.PLAIN, "here", false));
-        assertEquals(selector.choosePlain(workers, Set.of(), NOW).orElseThrow().id(), "near");
+        assertEquals(
+                selector.choose(selector.scorePlain(workers, Set.of(), NOW))
+                        .orElseThrow()
+                        .id(),
+                "near");
     }
 
     /** Memory limits a decode worker: nine typical requests fill a worker at Wellenbund. */
@@ -87,17 +91,18 @@
         startRequests("a", 9, 5600);
         startRequests("b", 8, 5600);
         assertEquals(
-                selector.chooseDecode(workers, ENGINE, 5500, Set.of(), NOW)
+                selector.choose(selector.scoreDecode(workers, ENGINE, 5500, Set.of(), NOW))
                         .orElseThrow()
                         .id(),
                 "b");
         tracker.recordStart("b", 5500);
-        assertTrue(selector.chooseDecode(workers, ENGINE, 5500, Set.of(), NOW).isEmpty());
+        assertTrue(selector.choose(selector.scoreDecode(workers, ENGINE, 5500, Set.of(), NOW))
+                .isEmpty());
     }
 
     @Test
     public void aRequestLargerThanTheUsableMemoryRunsOnAnIdleWorker() {
-        assertTrue(selector.chooseDecode(createDecodeWorkers(), ENGINE, 53_000, Set.of(), NOW)
+        assertTrue(selector.choose(selector.scoreDecode(createDecodeWorkers(), ENGINE, 53_000, Set.of(), NOW))
                 .isPresent());
     }
 
@@ -109,9 +114,9 @@
     public void aWorkerMarkedAsFullIsNotChosenUntilTheMarkExpires() {
         tracker.markFull("a", NOW + 30);
         tracker.markFull("b", NOW + 30);
-        assertTrue(selector.chooseDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW)
+        assertTrue(selector.choose(selector.scoreDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW))
                 .isEmpty());
-        assertTrue(selector.chooseDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW + 31)
+        assertTrue(selector.choose(selector.scoreDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW + 31))
                 .isPresent());
     }
 
@@ -120,7 +125,7 @@
     public void aSuspendedDecodeWorkerIsNotChosenWhileAHealthyOneIsFull() {
         startRequests("a", 10, 5600);
         tracker.suspend("b", NOW + 1000);
-        assertTrue(selector.chooseDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW)
+        assertTrue(selector.choose(selector.scoreDecode(createDecodeWorkers(), ENGINE, 5500, Set.of(), NOW))
                 .isEmpty());
     }
 
@@ -153,8 +158,9 @@
     @Test
     public void aWorkerIsChosenOnlyForItsOwnRole() {
         List<ListedWorker> workers = List.of(createWorker("p", WorkerRole.PREFILL, "here", false));
-        assertTrue(selector.choosePlain(workers, Set.of(), NOW).isEmpty());
-        assertTrue(selector.chooseDecode(workers, ENGINE, 100, Set.of(), NOW).isEmpty());
+        assertTrue(selector.choose(selector.scorePlain(workers, Set.of(), NOW)).isEmpty());
+        assertTrue(selector.choose(selector.scoreDecode(workers, ENGINE, 100, Set.of(), NOW))
+                .isEmpty());
         assertTrue(selector.choosePrefill(createDecodeWorkers(), Set.of(), "here", NOW)
                 .isEmpty());
     }
@@ -171,7 +177,9 @@
     private String choosePlain(Set<String> excluded) {
         List<ListedWorker> workers = List.of(
                 createWorker("a", WorkerRole.PLAIN, "here", false), createWorker("b", WorkerRole.PLAIN, "here", false));
-        return selector.choosePlain(workers, excluded, NOW).orElseThrow().id();
+        return selector.choose(selector.scorePlain(workers, excluded, NOW))
+                .orElseThrow()
+                .id();
     }
 
     private static List<ListedWorker> createDecodeWorkers() {
--- a/router/src/test/java/org/magnoliavane/router/explain/RequestExplainerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/explain/RequestExplainerTest.java
@@ -141,7 +141,7 @@
         assertEquals(service.at("/outcome/workers/0/worker").asText(), "d-1");
         assertEquals(service.at("/outcome/workers/0/owner").asText(), "self");
         assertEquals(
-                selector.chooseDecode(state.getWorkers("m").subList(0, 2), ENGINE, 930, Set.of(), NOW)
+                selector.choose(selector.scoreDecode(state.getWorkers("m").subList(0, 2), ENGINE, 930, Set.of(), NOW))
                         .orElseThrow()
                         .id(),
                 "d-1");
@@ -217,10 +217,10 @@
         tracker.recordStart("d-1", 100);
         for (int i = 0; i < 20; i++) {
             before.run();
-            chosen.add(selector.choosePlain(state.getWorkers("p"), Set.of(), NOW)
+            chosen.add(selector.choose(selector.scorePlain(state.getWorkers("p"), Set.of(), NOW))
                     .orElseThrow()
                     .id());
-            chosen.add(selector.chooseDecode(state.getWorkers("m"), ENGINE, 930, Set.of(), NOW)
+            chosen.add(selector.choose(selector.scoreDecode(state.getWorkers("m"), ENGINE, 930, Set.of(), NOW))
                     .orElseThrow()
                     .id());
         }
