Review: a stream without a length ends as complete when its worker is killed

Seen: a model worker that writes streams without a length is killed; callers get the events until then and a regular end of the stream, also where the stream could be resumed. Cause as far as known: the orderly end of the connection counts as the end of the response; whether the worker has ended is checked afterwards, for the evidence on poison only.

--- a/review/rig2/Case.java
+++ b/review/rig2/Case.java
@@ -24,8 +24,13 @@
     Store store;
     private final String network = "127." + (1 + new Random().nextInt(250)) + "." + new Random().nextInt(250) + ".";
     private final AtomicInteger ids = new AtomicInteger(new Random().nextInt(1 << 20));
+    private final Path folder;
     private PrintStream record;
 
+    Case() throws IOException {
+        folder = Files.createTempDirectory("review");
+    }
+
     abstract void prepare() throws IOException;
 
     /** Returns whether the rule was broken. */
@@ -37,7 +42,7 @@
     }
 
     static void main(Case test, String[] args) throws IOException {
-        Path folder = Files.createTempDirectory("review");
+        Path folder = test.folder;
         int status = NOT_RUN;
         Thread limit = new Thread(() -> {
             try {
@@ -75,13 +80,19 @@
     }
 
     void startRouters(int count) throws IOException {
-        Path folder = Files.createTempDirectory("review-routers");
-        folder.toFile().deleteOnExit();
         for (int i = 0; i < count; i++) {
-            routers.add(Router.start(store, folder, "edge-" + (i + 1), address(10 + i)));
+            startRouter(true);
         }
     }
 
+    /** Starts a router with a name and an address that no other one has had. */
+    Router startRouter(boolean firstStart) throws IOException {
+        int number = routers.size() + 1;
+        Router router = Router.start(store, folder, "edge-" + number, address(10 + number), firstStart);
+        routers.add(router);
+        return router;
+    }
+
     synchronized void log(String line) {
         record.println(line);
         record.flush();
@@ -93,13 +104,20 @@
 
     /** Formats the head of a request up to the headers that frame its body. */
     static String requestHead(String method, String path, String id) {
+        return requestHead(method, path, id, TIMEOUT_MILLIS);
+    }
+
+    static String requestHead(String method, String path, String id, int limitMillis) {
         return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nMagnoliavane-Attempt-Id: " + id
-                + "\r\nMagnoliavane-Deadline-Ms: " + TIMEOUT_MILLIS + "\r\n";
+                + "\r\nMagnoliavane-Deadline-Ms: " + limitMillis + "\r\n";
     }
 
     private static String configuration() {
         return "{\"version\":1,\"routes\":[" + route("book", "non_idempotent") + "," + route("look", "idempotent")
-                + "],\"services\":[{\"name\":\"app\",\"healthPath\":\"/healthz\",\"maxConnections\":100,"
+                + "," + streamRoute("stream", false) + "," + streamRoute("resumable", true)
+                + "],\"services\":[{\"name\":\"llm\",\"healthPath\":\"/healthz\",\"maxConnections\":620,\"protocol\":\"h1\","
+                + "\"tls\":false,\"engine\":{\"slots\":128,\"kvCapacity\":53213,\"kvBytes\":18432,\"linkMbps\":350000.0,"
+                + "\"kvHoldS\":0.5,\"switchS\":6.0,\"models\":[{\"name\":\"m\"}]}},{\"name\":\"app\",\"healthPath\":\"/healthz\",\"maxConnections\":100,"
                 + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
                 + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
     }
@@ -109,4 +127,11 @@
                 + "\",\"timeoutMs\":" + TIMEOUT_MILLIS + ",\"targetLatencyMs\":386,\"priority\":2,\"service\":\"app\","
                 + "\"maxAttempts\":2}";
     }
+
+    private static String streamRoute(String name, boolean resumable) {
+        return "{\"name\":\"" + name + "\",\"host\":\"" + HOST + "\",\"pathPrefix\":\"/" + name
+                + "/\",\"type\":\"streaming\",\"timeoutMs\":14000,\"targetLatencyMs\":900,\"targetGapMs\":300,"
+                + "\"priority\":1,\"service\":\"llm\",\"sticky\":true,\"maxAttempts\":" + (resumable ? 2 : 1)
+                + ",\"resumable\":" + resumable + "}";
+    }
 }
--- a/review/rig2/EncodedAnswers.java
+++ b/review/rig2/EncodedAnswers.java
@@ -38,6 +38,8 @@
     private final AtomicInteger wrong = new AtomicInteger();
     private volatile long startNanos = Long.MAX_VALUE;
 
+    private EncodedAnswers() throws IOException {}
+
     public static void main(String[] args) throws IOException {
         main(new EncodedAnswers(), args);
     }
--- a/review/rig2/Router.java
+++ b/review/rig2/Router.java
@@ -18,21 +18,23 @@
     final String host;
     final int callers;
     final int readiness;
+    final int directory;
     final Process process;
 
-    private Router(String name, String host, int callers, int readiness, Process process) {
+    private Router(String name, String host, int callers, int readiness, int directory, Process process) {
         this.name = name;
         this.host = host;
         this.callers = callers;
         this.readiness = readiness;
+        this.directory = directory;
         this.process = process;
     }
 
     /** Starts a router on a loopback address of its own, where the fixed port of the metrics is free. */
-    static Router start(Store store, Path folder, String name, String host) throws IOException {
+    static Router start(Store store, Path folder, String name, String host, boolean firstStart) throws IOException {
         int[] ports = findPorts(host, 4);
         String text = Files.readString(Path.of("platform/settings.toml.template"))
-                .replace("{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "true")
+                .replace("{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}", "" + firstStart)
                 .replace("{{#bounds.leaseMs}}", "")
                 .replace("{{/bounds.leaseMs}}{{^bounds.leaseMs}}0{{/bounds.leaseMs}}", "");
         String[][] values = {
@@ -57,7 +59,7 @@
         File log = folder.resolve(name + ".log").toFile();
         Process process = builder.redirectErrorStream(true).redirectOutput(log).start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
-        return new Router(name, host, ports[0], ports[1], process);
+        return new Router(name, host, ports[0], ports[1], ports[2], process);
     }
 
     private static String quote(String text) {
--- a/review/rig2/SmallChunks.java
+++ b/review/rig2/SmallChunks.java
@@ -25,6 +25,8 @@
 
     private final List<Worker> workers = new ArrayList<>();
 
+    private SmallChunks() throws IOException {}
+
     public static void main(String[] args) throws IOException {
         main(new SmallChunks(), args);
     }
