Review: a router hangs after large prompts, which timers keep in memory

Seen: 16 callers send prompts of 300,000 bytes one after the other; prompts are answered 500 or cut, and a router may then answer nothing any more, for good, its liveness check included. Cause as far as known: timers that are not cancelled hold requests that have ended, whose bytes the byte budget counts as free; the heap of 112 MB is exhausted, and an OutOfMemoryError ends threads of the HTTP server.

--- a/review/rig2/Worker.java
+++ b/review/rig2/Worker.java
@@ -20,11 +20,18 @@
     private final Behaviour behaviour;
 
     Worker(Store store, String host, String id, String service, Behaviour behaviour) throws IOException {
+        this(store, host, id, service, 6, "", behaviour);
+    }
+
+    /** Creates a worker; the stage is empty for a service without a model. */
+    Worker(Store store, String host, String id, String service, int slots, String stage, Behaviour behaviour)
+            throws IOException {
         this.id = id;
         this.behaviour = behaviour;
         server = Http.serve(host, this::serve);
         String entry = "{\"service\":\"" + service + "\",\"address\":\"" + host + ":" + server.getLocalPort()
-                + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,"
+                + "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\",\"coldRemainingMs\":0,"
+                + (stage.isEmpty() ? "" : "\"stage\":\"" + stage + "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],")
                 + "\"sequence\":0,\"born\":" + System.currentTimeMillis() + "}";
         store.put("keyed.servers", id, entry);
         Thread beats = new Thread(() -> {
@@ -47,11 +54,17 @@
             if (request.body() == null) {
                 return;
             }
-            if (!request.header("magnoliavane-expect-instance").equals(id)) {
+            String expected = request.header("magnoliavane-expect-instance");
+            if (expected.isEmpty()) {
+                // The state of the worker, which no case needs.
+                write(socket, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            if (!expected.equals(id)) {
                 write(socket, head(421, request) + "Magnoliavane-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
-            ran.add(request);
+            ran.add(new Http.Message(request.firstLine(), request.headers(), new byte[0]));
             behaviour.answer(this, request, socket);
         }
     }
