--- a/review/rig2/KilledWorker.java
+++ b/review/rig2/KilledWorker.java
@@ -25,7 +25,7 @@
     private static final int SECOND_KILL_SECOND = 18;
 
     /** Time after which a killed worker starts again, and time limit of the requests, in milliseconds: those of the site. */
-    private static final int DOWN_MILLIS = 4500;
+    private static final int DOWN_MILLIS = 3600;
 
     private static final int LIMIT_MILLIS = 14_000;
     private static final Pattern EVENT = Pattern.compile("id: ([0-9]+)\n");
--- a/review/rig2/ReplacedMachines.java
+++ b/review/rig2/ReplacedMachines.java
@@ -14,9 +14,9 @@
  */
 public final class ReplacedMachines extends Case {
     private static final int MACHINES = 3;
-    private static final int REPLACEMENTS = 4;
+    private static final int REPLACEMENTS = 3;
 
-    /** Time between the loss of a machine and the start of the next one: the largest x of the site. */
+    /** Time between the loss of a machine and the start of the next one: that of the list of troubles of the site. */
     private static final int GAP_MILLIS = 2000;
 
     /** Time in which the routers notice a loss before the next one: more than the contact time. */
