--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -49,7 +49,9 @@
 /** Dispatches requests to two workers of each role on loopback. */
 final class DispatchHarness implements AutoCloseable {
     private static final String SERVICE = "s";
-    private static final EngineProfile ENGINE = new EngineProfile(8, 10_000, 500);
+
+    /** Number of connections that a worker may not have accepted yet. */
+    private static final int BACKLOG = 4096;
 
     /** Called with each worker to which a request is about to be sent. */
     Consumer<ListedWorker> onChoice = worker -> {};
@@ -58,6 +60,9 @@
     Function<ListedWorker, ResponseKind> classification = worker -> ResponseKind.VALID;
 
     int promptTokens = 1000;
+    int timeoutMillis = 3000;
+    int targetMillis = 900;
+    EngineProfile engine = new EngineProfile(8, 10_000, 500);
 
     /** Receives the workers that are reported to other nodes, and until when they are suspended. */
     BiConsumer<String, Long> onUnreachable = (worker, until) -> {};
@@ -99,14 +104,30 @@
 
     /** Sends a request whose last worker has a role, and returns the body or the reason of a failure. */
     String send(WorkerRole role) throws Exception {
+        return sendAll(role, 1).get(0).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Sends requests whose last worker has a role, and returns futures of the bodies or the reasons of failures. */
+    List<CompletableFuture<String>> sendAll(WorkerRole role, int requests) {
         RequestKind kind = role == WorkerRole.PLAIN ? RequestKind.NON_IDEMPOTENT : RequestKind.STREAM;
         Route route = new Route(
-                "r", "h", "/", kind, 3000, 900, 300, 1, List.of(new WeightedService(SERVICE, 1)), 1, false, false);
+                "r",
+                "h",
+                "/",
+                kind,
+                timeoutMillis,
+                targetMillis,
+                300,
+                1,
+                List.of(new WeightedService(SERVICE, 1)),
+                1,
+                false,
+                false);
         routingState.install(RoutingTable.create(
                 1,
                 List.of(route),
                 List.of(new ServiceProfile(
-                        SERVICE, 100, role == WorkerRole.PLAIN ? Optional.empty() : Optional.of(ENGINE))),
+                        SERVICE, 100, role == WorkerRole.PLAIN ? Optional.empty() : Optional.of(engine))),
                 new CallerLimits(16_384, 100_000, 3000, 15_000)));
         LongSupplier millis = () -> System.nanoTime() / 1_000_000;
         Dispatcher dispatcher = new Dispatcher(new DispatchContext(
@@ -138,29 +159,34 @@
                 millis,
                 () -> 0.5,
                 new MetricRegistry()));
-        CollectedResponse response = new CollectedResponse();
-        long now = millis.getAsLong();
-        dispatcher.dispatch(
-                new CallerRequest(
-                        "POST",
-                        "/",
-                        Map.of(),
-                        new RequestMetadata(
-                                "a1",
-                                OptionalLong.empty(),
-                                Optional.of(new GenerationSize(promptTokens, 50, 50)),
-                                Optional.empty(),
-                                List.of()),
-                        new byte[0],
-                        route,
-                        1,
-                        now,
-                        now + 3000,
+        List<CompletableFuture<String>> bodies = new ArrayList<>();
+        for (int i = 0; i < requests; i++) {
+            CollectedResponse response = new CollectedResponse();
+            dispatcher.dispatch(createRequest("a" + i, route, millis.getAsLong()), response);
+            bodies.add(response.body);
+        }
+        return bodies;
+    }
+
+    private CallerRequest createRequest(String id, Route route, long now) {
+        return new CallerRequest(
+                "POST",
+                "/",
+                Map.of(),
+                new RequestMetadata(
+                        id,
+                        OptionalLong.empty(),
+                        Optional.of(new GenerationSize(promptTokens, 50, 50)),
                         Optional.empty(),
-                        0,
-                        1),
-                response);
-        return response.body.get(5, TimeUnit.SECONDS);
+                        List.of()),
+                new byte[0],
+                route,
+                1,
+                now,
+                now + timeoutMillis,
+                Optional.empty(),
+                0,
+                1);
     }
 
     /** A worker that responds to each request. */
@@ -170,7 +196,7 @@
         final List<String> requests = new CopyOnWriteArrayList<>();
 
         Worker(String id, WorkerRole role) throws IOException {
-            socket = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            socket = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
             listed = new ListedWorker(
                     new BackendServer(id, SERVICE, role, "127.0.0.1", socket.getLocalPort(), "z", false), 6, 1);
             Thread thread = new Thread(this::serve, id);
