Report requests that wait while workers are idle

Change: IdleCapacityMonitor looks every 500 ms for services of which requests have waited for 1.5 s without an admission while a worker that may serve them has no request. It logs event=waiting_beside_idle and counts admission.waiting_beside_idle.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -40,6 +40,7 @@
 import org.magnoliavane.router.dispatch.AdmissionQueues;
 import org.magnoliavane.router.dispatch.DispatchContext;
 import org.magnoliavane.router.dispatch.Dispatcher;
+import org.magnoliavane.router.dispatch.IdleCapacityMonitor;
 import org.magnoliavane.router.dispatch.PoisonGuard;
 import org.magnoliavane.router.dispatch.RetryBudgets;
 import org.magnoliavane.router.dispatch.WireFormat;
@@ -101,6 +102,9 @@
     /** Interval at which the load of prefill and decode workers is evaluated. */
     private static final long ROLE_BALANCE_INTERVAL_MILLIS = 250;
 
+    /** Interval of the check for requests that wait while workers are idle. */
+    private static final long IDLE_CAPACITY_INTERVAL_MILLIS = 500;
+
     /** Key by which the nodes elect the one that changes the roles of workers. */
     private static final String ROLE_ELECTION_KEY = "roles";
 
@@ -296,6 +300,9 @@
         metrics.register("nodes.known", (Gauge<Integer>) () -> peerTable.countNodes(millis.getAsLong()));
         listSelf();
         startPauseDetection();
+        IdleCapacityMonitor idleCapacity =
+                IdleCapacityMonitor.create(admissionQueues, routingState, loadTracker, millis, metrics);
+        failures.repeat("idle_capacity", timers, IDLE_CAPACITY_INTERVAL_MILLIS, idleCapacity::check);
         failures.repeat("roles", timers, ROLE_BALANCE_INTERVAL_MILLIS, roleController::evaluateServices);
         LOG.log(
                 Level.INFO,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/AdmissionQueues.java
@@ -128,6 +128,9 @@
         ServiceQueue queue = queues.computeIfAbsent(service, ServiceQueue::new);
         synchronized (queue) {
             queue.remove(request);
+            if (queue.entries.isEmpty()) {
+                queue.lastProgressMillis = clockMillis.getAsLong();
+            }
             queue.entries.put(request, queue.waiting.add(request, urgency, arrivalMillis, latestStartMillis));
         }
         admitWaiting(queue);
@@ -159,6 +162,24 @@
         return backlogs;
     }
 
+    /**
+     * Gets the services of which requests wait.
+     *
+     * @return for each service, how many requests wait, and for how long none has been admitted
+     */
+    public List<WaitingRequests> getWaiting() {
+        List<WaitingRequests> waiting = new ArrayList<>();
+        for (ServiceQueue queue : queues.values()) {
+            synchronized (queue) {
+                if (!queue.entries.isEmpty()) {
+                    long millis = clockMillis.getAsLong() - queue.lastProgressMillis;
+                    waiting.add(new WaitingRequests(queue.service, queue.entries.size(), millis));
+                }
+            }
+        }
+        return waiting;
+    }
+
     /** Returns whether a new on-time request would be among those that ask for capacity at once. */
     boolean wouldAsk(String service, int urgency) {
         ServiceQueue queue = queues.get(service);
@@ -191,6 +212,7 @@
         synchronized (queue) {
             if (leaves) {
                 queue.remove(request);
+                queue.recordProgress(granted, clockMillis.getAsLong());
             } else if (queue.asking.remove(request)) {
                 queue.tried.add(request);
             }
@@ -258,10 +280,11 @@
         }
     }
 
-    private static void handleOutcome(ServiceQueue queue, WaitingRequest request, Outcome outcome) {
+    private void handleOutcome(ServiceQueue queue, WaitingRequest request, Outcome outcome) {
         synchronized (queue) {
             if (outcome == Outcome.ADMITTED) {
                 queue.remove(request);
+                queue.recordProgress(true, clockMillis.getAsLong());
             } else if (outcome == Outcome.NO_CAPACITY) {
                 queue.asking.remove(request);
                 queue.tried.add(request);
@@ -317,6 +340,15 @@
         admitWaiting(queue);
     }
 
+    /**
+     * The requests of a service that wait.
+     *
+     * @param service the name of the service
+     * @param requests the number of requests
+     * @param millisWithoutAdmission the time for which requests have waited and none was admitted, in milliseconds
+     */
+    public record WaitingRequests(String service, int requests, long millisWithoutAdmission) {}
+
     private static final class ServiceQueue {
         private final String service;
         private final AdmissionQueue<WaitingRequest> waiting = new AdmissionQueue<>();
@@ -328,6 +360,9 @@
         /** Requests that are not tried again before the next poll. */
         private final Set<WaitingRequest> tried = Collections.newSetFromMap(new IdentityHashMap<>());
 
+        /** Time of the latest admission, or since which requests wait. */
+        private long lastProgressMillis;
+
         private boolean reportedOnTime;
         private boolean pollScheduled;
         private boolean admitting;
@@ -337,6 +372,10 @@
             this.service = service;
         }
 
+        void recordProgress(boolean admitted, long nowMillis) {
+            lastProgressMillis = admitted ? nowMillis : lastProgressMillis;
+        }
+
         void remove(WaitingRequest request) {
             asking.remove(request);
             tried.remove(request);
