Take no response with an encoding that was not requested

Cause: the HTTP client kept the content decoders that its library registers by default, and nothing looked at the header. Requests were sent without Accept-Encoding, which permits any encoding.

--- a/http/src/main/java/org/magnoliavane/http/InterimResponseFilter.java
+++ b/http/src/main/java/org/magnoliavane/http/InterimResponseFilter.java
@@ -4,6 +4,7 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.ContentEncoding;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -13,6 +14,9 @@
  * Reads responses, and ends each interim one (status 1xx) with its head, so that the final response is read after it.
  * {@link HttpClientFilter} takes an interim response for the final one, and what follows for its body.
  *
+ * <p>Bodies are received as the server wrote them: {@link HttpClientFilter} decodes some encodings, and drops what it cannot
+ * decode.
+ *
  * <p>Thread-safe.
  */
 final class InterimResponseFilter extends HttpClientFilter {
@@ -23,6 +27,12 @@
     private final Attribute<HttpRequestPacket> requests =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("magnoliavane.interim.request");
 
+    InterimResponseFilter() {
+        for (ContentEncoding encoding : getContentEncodings()) {
+            removeContentEncoding(encoding);
+        }
+    }
+
     /** Returns whether a status is not that of a final response. */
     static boolean isInterim(int status) {
         return status < FIRST_FINAL_STATUS;
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -111,6 +111,22 @@
         }
     }
 
+    /** Guards against a body that is not what the server wrote: decoded, or dropped because it could not be decoded. */
+    @Test
+    public void anEncodedBodyIsReceivedAsTheServerWroteIt() throws Exception {
+        try (ServerSocket encoding = new ServerSocket(0)) {
+            CompletableFuture<HttpResponse> response =
+                    client.send(HttpRequest.of("GET", HOST, encoding.getLocalPort(), "/"));
+            try (Socket socket = encoding.accept()) {
+                socket.getInputStream().read(new byte[1000]);
+                socket.getOutputStream()
+                        .write("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 7\r\n\r\nno gzip"
+                                .getBytes(StandardCharsets.UTF_8));
+                assertEquals(new String(response.get(5, TimeUnit.SECONDS).body(), StandardCharsets.UTF_8), "no gzip");
+            }
+        }
+    }
+
     @DataProvider
     public Object[][] earlyEnds() {
         return new Object[][] {{"reset"}, {"close"}, {"half-close"}};
--- a/router/src/main/java/org/magnoliavane/router/dispatch/ResponseKind.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/ResponseKind.java
@@ -8,6 +8,8 @@
     NOT_RUN,
     /** Another worker now has the address; the request did not run. */
     WRONG_WORKER,
+    /** The body has an encoding that no request asks for, so it is not what the worker wrote; the request may have run. */
+    ENCODED,
     /** The response belongs to another request, or lacks proof of its origin. */
     UNVERIFIED
 }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -385,6 +385,11 @@
                 closeWithOutcome(1);
                 listener.onNotRun(this, "another worker has the address");
                 break;
+            case ENCODED:
+                closeWithOutcome(1);
+                context.metrics().counter("worker.encoded_responses").inc();
+                listener.onBroken(this, "status " + responseStatus + " with an encoding that was not requested");
+                break;
             default:
                 closeWithOutcome(1);
                 context.metrics().counter("worker.unverified_responses").inc();
