Read bodies in many small chunks without nesting one in the other

Cause: BodyReader registers for the next part while it handles one, and the HTTP server delivers what has arrived already within that registration: 17 stack frames for each chunk, some 60 chunks on a stack of 256 KiB.

Change: BodyReader handles each part through a SerialExecutor, so that a part which arrives during a registration is read after it. A part allocates what has arrived in place of 16 KB.

--- a/http/src/main/java/org/magnoliavane/http/server/BodyReader.java
+++ b/http/src/main/java/org/magnoliavane/http/server/BodyReader.java
@@ -16,6 +16,7 @@
 import org.glassfish.grizzly.http.server.Request;
 import org.magnoliavane.budget.BudgetedBuffer;
 import org.magnoliavane.budget.ByteBudget.Allocation;
+import org.magnoliavane.http.SerialExecutor;
 
 /**
  * Reads the body of a request without blocking, with a maximum size, within a budget and a timeout. A body for which there
@@ -44,6 +45,9 @@
     /** Size of the parts in which bytes are read from a connection or discarded. */
     private static final int PART_BYTES = 16 * 1024;
 
+    /** Lets each part of a body be read after the one before, not within the call that reads it. */
+    private final SerialExecutor serial = SerialExecutor.create(this::onError);
+
     private final NIOInputStream in;
     private final int limitBytes;
     private final Allocation allocation;
@@ -101,29 +105,32 @@
     }
 
     private void start() {
-        try {
-            onDataAvailable();
-        } catch (IOException e) {
-            onError(e);
-        }
+        onDataAvailable();
     }
 
     @Override
-    public void onDataAvailable() throws IOException {
-        if (!readAvailable()) {
-            return;
-        }
-        if (in.isFinished()) {
-            finish();
-        } else {
-            in.notifyAvailable(this);
-        }
+    public void onDataAvailable() {
+        serial.execute(this::readNext);
     }
 
     @Override
-    public void onAllDataRead() throws IOException {
-        if (readAvailable()) {
-            finish();
+    public void onAllDataRead() {
+        serial.execute(this::readNext);
+    }
+
+    /** Reads what has arrived, and registers for what follows, which may be delivered before the registration returns. */
+    private void readNext() {
+        try {
+            if (finished.get() || !readAvailable()) {
+                return;
+            }
+            if (in.isFinished()) {
+                finish();
+            } else {
+                in.notifyAvailable(this);
+            }
+        } catch (IOException e) {
+            onError(e);
         }
     }
 
@@ -175,7 +182,7 @@
         if (in.readyData() <= 0) {
             return true;
         }
-        byte[] part = known.orElseGet(() -> new byte[PART_BYTES]);
+        byte[] part = known.orElseGet(() -> new byte[Math.min(PART_BYTES, in.readyData())]);
         while (in.readyData() > 0) {
             int offset = known.isPresent() ? size : 0;
             int length = in.read(part, offset, Math.min(in.readyData(), part.length - offset));
