Take a response without a length as whole only if its worker goes on

Cause: the orderly end of a connection was taken for the end of the response. The host of a killed process closes its connections in order as well.

Change: WorkerExchange, which all exchanges with workers share, completes such a response only when the worker accepts a new connection after its end. Otherwise the exchange is broken: resumed, repeated or failed as any other one. The check for the evidence on crashing requests is the same one now.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -214,12 +214,9 @@
                 ReadSchedule.heldOpen(2 * RARE_CHANGE_WAIT_MILLIS, NODES_READ_INTERVAL_MILLIS));
         storeUpdates.start(Map.of(
                 Topic.CONFIGURATION, configurationFollower, Topic.WORKERS, workerFollower, Topic.NODES, nodeFollower));
-        PoisonGuard poisonGuard = new PoisonGuard(
-                new PoisonDetector(this::ownsTrials),
-                new WorkerEndDetector(client, timers),
-                timers,
-                millis,
-                this::onCrash);
+        WorkerEndDetector workerEnds = new WorkerEndDetector(client, timers);
+        PoisonGuard poisonGuard =
+                new PoisonGuard(new PoisonDetector(this::ownsTrials), workerEnds, timers, millis, this::onCrash);
         this.admissionQueues = new AdmissionQueues(
                 timers,
                 millis,
@@ -253,6 +250,7 @@
                 reservationService,
                 retryBudgets,
                 poisonGuard,
+                workerEnds,
                 this::onUnreachable,
                 client,
                 wire,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/DispatchContext.java
@@ -24,6 +24,7 @@
  * @param reservationService reserves capacity at model workers
  * @param retryBudgets the limits on retries and hedged requests
  * @param poisonGuard keeps requests that crash workers away from them
+ * @param workerEnds finds out whether the process of a worker has ended
  * @param onUnreachable receives the id of a worker that accepted no connection or whose address another worker has, and the
  *     time in milliseconds until which it is suspended
  * @param client sends requests to workers
@@ -44,6 +45,7 @@
         ReservationService reservationService,
         RetryBudgets retryBudgets,
         PoisonGuard poisonGuard,
+        WorkerEndDetector workerEnds,
         BiConsumer<String, Long> onUnreachable,
         HttpClient client,
         WireFormat wireFormat,
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PlainExecution.java
@@ -322,11 +322,7 @@
                     .getSpeeds()
                     .recordPlain(service, exchange.getWorker().id(), exchange.getAgeMillis(), now());
         }
-        if (exchange.isDelimited()) {
-            context.poisonGuard().recordAnswer(features);
-        } else {
-            context.poisonGuard().recordAnswerWithoutLength(features, exchange.getWorker(), false);
-        }
+        context.poisonGuard().recordAnswer(features);
         if (attempt.writer.isPresent()) {
             finish("answered", "worker=" + exchange.getWorker().id() + " status=" + attempt.status + " relayed=true");
             attempt.writer.get().end();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/PoisonGuard.java
@@ -118,21 +118,6 @@
         logCleared(THIS_NODE);
     }
 
-    /** Records an answer that ended with its connection, which a worker that crashed between two events leaves as well. */
-    void recordAnswerWithoutLength(RequestFeatures request, ListedWorker worker, boolean pastBeginning) {
-        if (!detector.isAccused(request)) {
-            recordAnswer(request);
-            return;
-        }
-        endDetector.checkEnded(worker, true).thenAccept(ended -> {
-            if (ended) {
-                recordCrash(request, worker, pastBeginning);
-            } else {
-                recordAnswer(request);
-            }
-        });
-    }
-
     /**
      * Records that a request broke off at a worker.
      *
--- a/router/src/main/java/org/magnoliavane/router/dispatch/StreamParts.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/StreamParts.java
@@ -142,12 +142,7 @@
      * @param onlyExecution whether no other worker may have run the request
      */
     void recordDecoded(WorkerExchange exchange, boolean onlyExecution) {
-        if (exchange.isDelimited()) {
-            context.poisonGuard().recordAnswer(scope.features());
-        } else {
-            context.poisonGuard()
-                    .recordAnswerWithoutLength(scope.features(), exchange.getWorker(), exchange.isPastBeginning());
-        }
+        context.poisonGuard().recordAnswer(scope.features());
         int tokens = generationSize.expectedOutputTokens() - 1;
         boolean whole =
                 onlyExecution && exchange.getWorkerRequest().lastEventId().isEmpty();
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerEndDetector.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerEndDetector.java
@@ -59,8 +59,39 @@
         return checks.computeIfAbsent(process, p -> start(worker, process, closedByWorker));
     }
 
+    /**
+     * Checks a worker that has closed the connection of a response that has no other end. The host of a process that is killed
+     * closes its connections in the same way.
+     *
+     * @return a future of true if the process of the worker has ended, so that the response may be incomplete
+     */
+    CompletableFuture<Boolean> checkEndedWithResponse(ListedWorker worker) {
+        String process = getProcessId(worker);
+        CompletableFuture<Boolean> known = checks.get(process);
+        if (known != null && known.getNow(false)) {
+            return known;
+        }
+        // A worker that ran at an earlier check may have ended since.
+        CompletableFuture<Boolean> check = connect(worker, process, true);
+        check.thenAccept(ended -> {
+            if (ended) {
+                checks.put(process, check);
+                removeLater(process);
+            }
+        });
+        return check;
+    }
+
     private CompletableFuture<Boolean> start(ListedWorker worker, String process, boolean closedByWorker) {
+        removeLater(process);
+        return connect(worker, process, closedByWorker);
+    }
+
+    private void removeLater(String process) {
         timers.schedule(() -> checks.remove(process), RESULT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<Boolean> connect(ListedWorker worker, String process, boolean closedByWorker) {
         return client.check(worker.server().host(), worker.server().port()).thenApply(result -> {
             boolean ended = result == ConnectResult.REFUSED || closedByWorker && result == ConnectResult.NO_RESPONSE;
             LOG.log(Level.INFO, "event=worker_checked worker={0} ended={1} connect={2}", process, ended, result);
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -279,12 +279,38 @@
             if (ended || !headReceived) {
                 return;
             }
-            recordOutcome(status >= 500 ? ERROR_FAILURE_WEIGHT : 0);
-            finish();
-            listener.onEnd(this);
+            if (delimited) {
+                complete();
+            } else {
+                context.workerEnds()
+                        .checkEndedWithResponse(getWorker())
+                        .thenAccept(workerEnded -> executor.execute(() -> handleUndelimitedEnd(workerEnded)));
+            }
         });
     }
 
+    private void complete() {
+        recordOutcome(status >= 500 ? ERROR_FAILURE_WEIGHT : 0);
+        finish();
+        listener.onEnd(this);
+    }
+
+    /** Handles the end of a response that ended with its connection, which proves nothing if the worker ended with it. */
+    private void handleUndelimitedEnd(boolean workerEnded) {
+        if (ended) {
+            return;
+        }
+        if (!workerEnded) {
+            complete();
+            return;
+        }
+        finish();
+        recordOutcome(1);
+        recordBroken(true);
+        context.metrics().counter("worker.ended_with_response").inc();
+        listener.onBroken(this, "the worker ended with its connection, and the response has no other end");
+    }
+
     @Override
     public void onFailure(IOException cause) {
         executor.execute(() -> {
--- a/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/DispatchHarness.java
@@ -151,6 +151,7 @@
                         timers,
                         millis,
                         () -> {}),
+                new WorkerEndDetector(client, timers),
                 onUnreachable,
                 client,
                 new PlainFormat(),
--- a/router/src/test/java/org/magnoliavane/router/explain/RequestExplainerTest.java
+++ b/router/src/test/java/org/magnoliavane/router/explain/RequestExplainerTest.java
@@ -81,6 +81,7 @@
                 null,
                 null,
                 null,
+                null,
                 () -> NOW,
                 random::nextDouble,
                 metrics));
--- a/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
+++ b/router/src/test/java/org/magnoliavane/router/front/RequestGuardTest.java
@@ -292,6 +292,7 @@
                         timers,
                         millis,
                         () -> {}),
+                new WorkerEndDetector(client, timers),
                 (id, until) -> {},
                 client,
                 wire,
