Leave machines that have been silent for long out of the directory

Cause: beyond half of the listed nodes being silent, a node takes itself to be cut off and names all; a machine that was lost long ago counted for that for ever, since nobody removes the listing of a killed process.

Change: after three contact times without a report a node is lost (MemberSilence). Lost nodes are no evidence, are named only if nothing else is left, and get one report a round in turn. A node that hears neither another node nor the store names all.

--- a/router/src/main/java/org/magnoliavane/router/RouterNode.java
+++ b/router/src/main/java/org/magnoliavane/router/RouterNode.java
@@ -139,7 +139,7 @@
     private final ByteBudget budget = ByteBudget.ofHeap();
     private final RoutingState routingState = new RoutingState();
     private final StoreAvailability availability;
-    private final PeerTable peerTable = new PeerTable();
+    private final PeerTable peerTable;
     private final WorkerLoadTracker loadTracker = new WorkerLoadTracker(this::onLoadChanged);
     private final UnreachableWorkers unreachableWorkers = new UnreachableWorkers();
     private final HttpClient client;
@@ -179,6 +179,7 @@
                 settings.callers().port(),
                 settings.peerPort(),
                 settings.zone());
+        this.peerTable = PeerTable.create(settings.contactMillis());
         this.client = HttpClient.open("workers", CONNECT_TIMEOUT_MILLIS);
         this.availability = StoreAvailability.withMinimumOutage(MISSED_RENEWALS * settings.listingRenewalMillis());
         this.workerController = new WorkerController(
@@ -444,10 +445,16 @@
 
     private List<String> getCallerAddresses() {
         Stream<String> own = isReady() ? Stream.of(settings.callers().toString()) : Stream.empty();
-        return Stream.concat(own, peerTable.getCallerAddresses(millis.getAsLong()).stream())
+        boolean selfUsable = isReady() && !isCutOff();
+        return Stream.concat(own, peerTable.getCallerAddresses(selfUsable, millis.getAsLong()).stream())
                 .toList();
     }
 
+    /** Returns whether this node hears neither another node nor the store, so that it cannot tell which nodes are gone. */
+    private boolean isCutOff() {
+        return getLiveNodes().count() == 1 && workerFollower.getAgeMillis() > settings.contactMillis();
+    }
+
     private NodeReport createReport() {
         NodeReport.Builder report = NodeReport.newBuilder()
                 .setNode(self.name())
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerReports.java
@@ -72,6 +72,7 @@
     private final AtomicBoolean changePending = new AtomicBoolean();
     private final AtomicBoolean evidencePending = new AtomicBoolean();
     private int nextNode;
+    private int nextLost;
 
     private PeerReports(
             PeerChannel channel,
@@ -158,10 +159,16 @@
     }
 
     private void sendRound() {
-        List<NodeListing> all = peerTable.getListings();
+        List<NodeListing> lost = peerTable.getLostListings(millis.getAsLong());
+        List<NodeListing> others = new ArrayList<>(peerTable.getListings());
+        others.removeAll(lost);
         List<NodeListing> next = new ArrayList<>();
-        for (int i = 0; i < Math.min(MAX_NODES_PER_ROUND, all.size()); i++) {
-            next.add(all.get(Math.floorMod(nextNode++, all.size())));
+        for (int i = 0; i < Math.min(MAX_NODES_PER_ROUND, others.size()); i++) {
+            next.add(others.get(Math.floorMod(nextNode++, others.size())));
+        }
+        if (!lost.isEmpty()) {
+            // Two nodes that lose each other in a partition would otherwise never hear of each other again.
+            next.add(lost.get(Math.floorMod(nextLost++, lost.size())));
         }
         send(next);
     }
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
@@ -8,13 +8,14 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.magnoliavane.membership.MemberSilence;
 import org.magnoliavane.protocol.generated.NodeReport;
 import org.magnoliavane.router.store.NodeListing;
 
 /**
  * Keeps the listings and the latest reports of the other nodes. A node that has stopped reporting is left out of the
- * addresses for callers, unless more than half of the nodes are unresponsive, since the fault is then more likely at
- * this node.
+ * addresses for callers, unless more than half of the nodes have fallen silent, since the fault is then more likely at
+ * this node. Nodes that have been silent for long are lost; they neither count for that nor are named ({@link MemberSilence}).
  *
  * <p>Thread-safe.
  */
@@ -28,11 +29,37 @@
     /** Time within which a newly listed node must send its first report. */
     private static final long FIRST_REPORT_TIMEOUT_MILLIS = 3000;
 
+    /** Number of contact times after which a silent node counts as lost; a frozen node is silent for little more than one. */
+    private static final int LOST_CONTACT_TIMES = 3;
+
+    private static final long DEFAULT_CONTACT_MILLIS = 3000;
+
     private final Map<String, Peer> peers = new ConcurrentHashMap<>();
+    private final MemberSilence silence;
 
     /** Kept up to date by the methods that change the nodes, since each report of another node asks for it. */
     private volatile long newestConfigurationVersion;
 
+    /** Creates an empty table for nodes with a contact time of 3 s. */
+    public PeerTable() {
+        this(DEFAULT_CONTACT_MILLIS);
+    }
+
+    private PeerTable(long contactMillis) {
+        silence = new MemberSilence(
+                REPORT_TIMEOUT_MILLIS, FIRST_REPORT_TIMEOUT_MILLIS, LOST_CONTACT_TIMES * contactMillis);
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param contactMillis the time after which a node that cannot be reached counts as out of touch, in milliseconds
+     * @return the table
+     */
+    public static PeerTable create(long contactMillis) {
+        return new PeerTable(contactMillis);
+    }
+
     /**
      * Adds a node. A listing of a run that is known already has no effect.
      *
@@ -87,7 +114,15 @@
      */
     public boolean isUnresponsive(String name, long nowMillis) {
         Peer peer = peers.get(name);
-        return peer != null && peer.isUnresponsive(nowMillis);
+        return peer != null && isUnresponsive(peer, nowMillis);
+    }
+
+    private boolean isUnresponsive(Peer peer, long nowMillis) {
+        return getState(peer, nowMillis) != MemberSilence.State.LIVE;
+    }
+
+    private MemberSilence.State getState(Peer peer, long nowMillis) {
+        return silence.getState(peer.hasReported, nowMillis - peer.lastReportMillis);
     }
 
     /**
@@ -139,7 +174,7 @@
     public List<NodeListing> getLiveListings(long nowMillis) {
         List<NodeListing> listings = new ArrayList<>(peers.size());
         for (Peer peer : peers.values()) {
-            if (peer.hasReported && !peer.leaving && !peer.isUnresponsive(nowMillis)) {
+            if (peer.hasReported && !peer.leaving && !isUnresponsive(peer, nowMillis)) {
                 listings.add(peer.listing);
             }
         }
@@ -155,23 +190,42 @@
     public int countNodes(long nowMillis) {
         return 1
                 + (int) peers.values().stream()
-                        .filter(p -> !p.isUnresponsive(nowMillis))
+                        .filter(p -> !isUnresponsive(p, nowMillis))
                         .count();
     }
 
+    /**
+     * Gets the listings of the nodes that have been silent for so long that they count as lost.
+     *
+     * @param nowMillis the current time in milliseconds
+     * @return the listings
+     */
+    public List<NodeListing> getLostListings(long nowMillis) {
+        return peers.values().stream()
+                .filter(p -> getState(p, nowMillis) == MemberSilence.State.LOST)
+                .map(Peer::listing)
+                .toList();
+    }
+
     /**
      * Gets the addresses of the other nodes that callers may use.
      *
+     * @param selfUsable whether this node serves callers and is not cut off from the others and the store
      * @param nowMillis the current time in milliseconds
      * @return the addresses as IP address and port
      */
-    public List<String> getCallerAddresses(long nowMillis) {
-        long unresponsive =
-                peers.values().stream().filter(p -> p.isUnresponsive(nowMillis)).count();
-        boolean reportsTrusted = unresponsive * 2 <= peers.size();
+    public List<String> getCallerAddresses(boolean selfUsable, long nowMillis) {
+        List<Peer> all = List.copyOf(peers.values());
+        List<MemberSilence.State> states =
+                all.stream().map(p -> getState(p, nowMillis)).toList();
+        boolean trusted = MemberSilence.isTrusted(states);
+        boolean lostToo = MemberSilence.mayUseLost(states, selfUsable);
         List<String> addresses = new ArrayList<>();
-        for (Peer peer : peers.values()) {
-            boolean usable = !reportsTrusted || !peer.isUnresponsive(nowMillis) && peer.ready;
+        for (Peer peer : all) {
+            MemberSilence.State state = getState(peer, nowMillis);
+            boolean usable = state == MemberSilence.State.LOST
+                    ? lostToo
+                    : !trusted || state == MemberSilence.State.LIVE && peer.ready;
             if (usable && !peer.leaving) {
                 addresses.add(peer.listing.host() + ":" + peer.listing.callerPort());
             }
@@ -215,9 +269,5 @@
             boolean leaving,
             boolean ready,
             long configurationVersion,
-            List<String> onTimeServices) {
-        boolean isUnresponsive(long nowMillis) {
-            return nowMillis - lastReportMillis > (hasReported ? REPORT_TIMEOUT_MILLIS : FIRST_REPORT_TIMEOUT_MILLIS);
-        }
-    }
+            List<String> onTimeServices) {}
 }
