End the timers of a request with the request

Cause: timers that were left held the request and its body until they were due, while the byte budget counted the body as free.

Change: RequestTimers holds all timers of a request and cancels them when its execution ends.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestExecution.java
@@ -5,8 +5,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 import org.magnoliavane.Fault;
@@ -60,7 +58,6 @@
     final RequestScope scope;
 
     private volatile boolean trial;
-    private Future<?> deadlineTimer;
 
     RequestExecution(DispatchContext context, CallerRequest request, String service, CallerResponse response) {
         this.context = context;
@@ -68,18 +65,21 @@
         this.service = service;
         this.response = response;
         this.features = PoisonGuard.getFeatures(request);
-        this.scope = new RequestScope(context, request, service, features, executor, excludedWorkers, () -> ended);
+        this.scope = new RequestScope(
+                context,
+                request,
+                service,
+                features,
+                executor,
+                excludedWorkers,
+                RequestTimers.create(context.timers(), executor));
     }
 
     /** Starts the execution of the request. */
     final void start() {
         executor.execute(() -> {
             context.retryBudgets().countRequest(service);
-            deadlineTimer = context.timers()
-                    .schedule(
-                            () -> executor.execute(this::handleDeadline),
-                            Math.max(0, request.deadlineMillis() - now()),
-                            TimeUnit.MILLISECONDS);
+            schedule(getRemainingMillis(), this::handleDeadline);
             response.onDisconnect(() -> executor.execute(this::handleDisconnect));
             context.poisonGuard().add(this);
             if (!mayProceed()) {
@@ -232,9 +232,7 @@
 
     final void finish(String outcome, String detail) {
         ended = true;
-        if (deadlineTimer != null) {
-            deadlineTimer.cancel(false);
-        }
+        scope.timers().cancelAll();
         try {
             cancelExchanges();
         } finally {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/RequestScope.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/RequestScope.java
@@ -3,8 +3,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 
 import org.magnoliavane.balance.ListedWorker;
 import org.magnoliavane.http.SerialExecutor;
@@ -21,7 +19,7 @@
  * @param features the features of the request that may crash workers
  * @param executor runs everything that is not thread-safe of the request
  * @param excludedWorkers the ids of workers that get the request no more; may be changed on any thread
- * @param ended whether the execution has ended; read on the executor
+ * @param timers the timers of the request, which end with its execution
  */
 record RequestScope(
         DispatchContext context,
@@ -30,7 +28,7 @@
         RequestFeatures features,
         SerialExecutor executor,
         Set<String> excludedWorkers,
-        BooleanSupplier ended) {
+        RequestTimers timers) {
 
     /** The lines of all classes of an execution have one logger, by which operators filter them. */
     private static final Logger LOG = System.getLogger(RequestExecution.class.getName());
@@ -46,15 +44,7 @@
 
     /** Runs a task on the executor after a time, unless the execution has ended by then. */
     void schedule(long millis, Runnable task) {
-        context.timers()
-                .schedule(
-                        () -> executor.execute(() -> {
-                            if (!ended.getAsBoolean()) {
-                                task.run();
-                            }
-                        }),
-                        Math.max(0, millis),
-                        TimeUnit.MILLISECONDS);
+        timers.schedule(millis, task);
     }
 
     /** Acquires an exchange from the retry budget of the service. */
