--- a/core/src/main/java/org/magnoliavane/membership/MemberSilence.java
+++ b/core/src/main/java/org/magnoliavane/membership/MemberSilence.java
@@ -39,8 +39,8 @@
     }
 
     /**
-     * Returns whether callers are sent only to the members that are live. If most of the members that are not lost fall silent at a time, the fault is more
-     * likely at the member that decides. Lost ones are no evidence: they would count for ever.
+     * Returns whether callers are sent only to the members that are live. If most of the members that are not lost fall silent
+     * at a time, the fault is more likely at the member that decides. Lost ones are no evidence: they would count for ever.
      *
      * @param states the states of the other members
      * @return true if silence counts against a member
@@ -51,8 +51,8 @@
     }
 
     /**
-     * Returns whether callers may be sent to members that are lost. They are the last choice: when all others are lost, and the member that decides
-     * cannot be used either or is cut off itself.
+     * Returns whether callers may be sent to members that are lost. They are the last choice: when all others are lost, and the
+     * member that decides cannot be used either or is cut off itself.
      *
      * @param states the states of the other members
      * @param selfUsable whether the member that decides serves callers and is not cut off
