Do not report requests that wait for a prefill worker

Decode workers are idle when all prefill workers are busy, which a load explains. IdleCapacityMonitorTest has the case; its six other checks hold.

--- a/router/src/main/java/org/magnoliavane/router/dispatch/IdleCapacityMonitor.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/IdleCapacityMonitor.java
@@ -82,14 +82,22 @@
         }
     }
 
+    /** Counts the idle workers that could run a waiting request; none while all prefill workers are busy. */
     private long countIdle(Collection<ListedWorker> workers) {
-        long now = clockMillis.getAsLong();
+        boolean prefills = workers.stream().anyMatch(w -> w.server().role() == WorkerRole.PREFILL);
+        if (prefills && workers.stream().noneMatch(w -> w.server().role() == WorkerRole.PREFILL && isIdle(w))) {
+            return 0;
+        }
         return workers.stream()
-                .filter(w -> w.server().role() != WorkerRole.PREFILL
-                        && !w.server().leaving()
-                        && loadTracker.getNotices().isUsable(w, now)
-                        && !loadTracker.isUnhealthy(w.id(), now)
-                        && loadTracker.countRequests(w.id(), now) == 0)
+                .filter(w -> w.server().role() != WorkerRole.PREFILL && isIdle(w))
                 .count();
     }
+
+    private boolean isIdle(ListedWorker worker) {
+        long now = clockMillis.getAsLong();
+        return !worker.server().leaving()
+                && loadTracker.getNotices().isUsable(worker, now)
+                && !loadTracker.isUnhealthy(worker.id(), now)
+                && loadTracker.countRequests(worker.id(), now) == 0;
+    }
 }
--- a/router/src/test/java/org/magnoliavane/router/dispatch/IdleCapacityMonitorTest.java
+++ b/router/src/test/java/org/magnoliavane/router/dispatch/IdleCapacityMonitorTest.java
@@ -63,6 +63,14 @@
         assertEquals(countReportsAt(5000), 0);
     }
 
+    /** Idle decode workers are of no use while the prompts wait for a prefill. */
+    @Test
+    public void requestsThatWaitForAPrefillWorkerAreNotReported() {
+        loadTracker.recordStart("p1", 100);
+        enqueue();
+        assertEquals(countReportsAt(5000), 0);
+    }
+
     @Test
     public void aQueueOfWhichRequestsAreAdmittedIsNotReported() {
         enqueue();
