Keep the connection open that shows whether a worker goes on

Cause: the routers' log has connect=ACCEPTED two milliseconds before connect=REFUSED of the same worker. A killed process closes its sockets one after the other, and its host accepts connections until the port is closed.

Change: the connection of that check stays open for 30 ms. If it is closed meanwhile, a second connection decides, since a worker with too many connections closes new ones too.

--- a/http/src/main/java/org/magnoliavane/http/ConnectResult.java
+++ b/http/src/main/java/org/magnoliavane/http/ConnectResult.java
@@ -6,6 +6,8 @@
 public enum ConnectResult {
     /** The server accepted the connection. */
     ACCEPTED,
+    /** The server accepted the connection and closed it. */
+    CLOSED,
     /** No process listens on the port. */
     REFUSED,
     /** The server did not respond in time, or could not be reached. */
--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -150,13 +150,38 @@
      * @return a future of the result, which never fails
      */
     public CompletableFuture<ConnectResult> check(String host, int port) {
+        return check(host, port, 0);
+    }
+
+    /**
+     * Opens a connection to a server and closes it after a time. The host of a process that is ending may accept connections
+     * until it has closed the port, and closes them with it.
+     *
+     * @param host the address of the server
+     * @param port the port
+     * @param heldMillis the time in milliseconds for which the connection is kept open
+     * @return a future of the result, which never fails
+     */
+    public CompletableFuture<ConnectResult> check(String host, int port, long heldMillis) {
         CompletableFuture<ConnectResult> result = new CompletableFuture<>();
-        timers.schedule(() -> result.complete(ConnectResult.NO_RESPONSE), connectTimeoutMillis, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                () -> result.complete(ConnectResult.NO_RESPONSE),
+                connectTimeoutMillis + heldMillis,
+                TimeUnit.MILLISECONDS);
         transport.connect(new InetSocketAddress(host, port), new EmptyCompletionHandler<Connection>() {
             @Override
             public void completed(Connection connection) {
-                connection.closeSilently();
+                if (heldMillis == 0) {
+                    acceptAndClose(connection);
+                    return;
+                }
+                connection.addCloseListener((closed, type) -> result.complete(ConnectResult.CLOSED));
+                timers.schedule(() -> acceptAndClose(connection), heldMillis, TimeUnit.MILLISECONDS);
+            }
+
+            private void acceptAndClose(Connection<?> connection) {
                 result.complete(ConnectResult.ACCEPTED);
+                connection.closeSilently();
             }
 
             @Override
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -193,6 +193,18 @@
         assertEquals(client.check(HOST, closed).get(5, TimeUnit.SECONDS), ConnectResult.REFUSED);
     }
 
+    /** Guards against a server that seems to run because its host accepts connections until the end of its process. */
+    @Test
+    public void aHeldCheckTellsAServerThatEndsMeanwhile() throws Exception {
+        assertEquals(client.check(HOST, port, 50).get(5, TimeUnit.SECONDS), ConnectResult.ACCEPTED);
+        CompletableFuture<ConnectResult> result;
+        try (ServerSocket ending = new ServerSocket(0)) {
+            result = client.check(HOST, ending.getLocalPort(), 3000);
+            Thread.sleep(100);
+        }
+        assertEquals(result.get(5, TimeUnit.SECONDS), ConnectResult.CLOSED);
+    }
+
     /** Guards against retries of requests that may have been sent. Only a ConnectException proves that none was. */
     @Test
     public void aRefusedConnectionFailsWithAConnectException() throws Exception {
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerEndDetector.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerEndDetector.java
@@ -27,6 +27,12 @@
      */
     private static final long RESULT_MILLIS = 300;
 
+    /**
+     * Time for which the connection of a check is kept open after a response that may have ended with its worker. A process that
+     * is killed closes its sockets one after the other; the host accepts connections until the port is closed.
+     */
+    private static final long HELD_MILLIS = 30;
+
     private final HttpClient client;
     private final ScheduledExecutorService timers;
     private final Map<String, CompletableFuture<Boolean>> checks = new ConcurrentHashMap<>();
@@ -72,7 +78,13 @@
             return known;
         }
         // A worker that ran at an earlier check may have ended since.
-        CompletableFuture<Boolean> check = connect(worker, process, true);
+        String host = worker.server().host();
+        int port = worker.server().port();
+        CompletableFuture<Boolean> check = client.check(host, port, HELD_MILLIS)
+                // A worker that has too many connections closes a new one as well.
+                .thenCompose(r ->
+                        r == ConnectResult.CLOSED ? client.check(host, port) : CompletableFuture.completedFuture(r))
+                .thenApply(r -> isEnded(process, r, true));
         check.thenAccept(ended -> {
             if (ended) {
                 checks.put(process, check);
@@ -92,10 +104,13 @@
     }
 
     private CompletableFuture<Boolean> connect(ListedWorker worker, String process, boolean closedByWorker) {
-        return client.check(worker.server().host(), worker.server().port()).thenApply(result -> {
-            boolean ended = result == ConnectResult.REFUSED || closedByWorker && result == ConnectResult.NO_RESPONSE;
-            LOG.log(Level.INFO, "event=worker_checked worker={0} ended={1} connect={2}", process, ended, result);
-            return ended;
-        });
+        return client.check(worker.server().host(), worker.server().port())
+                .thenApply(r -> isEnded(process, r, closedByWorker));
+    }
+
+    private static boolean isEnded(String process, ConnectResult result, boolean closedByWorker) {
+        boolean ended = result == ConnectResult.REFUSED || closedByWorker && result == ConnectResult.NO_RESPONSE;
+        LOG.log(Level.INFO, "event=worker_checked worker={0} ended={1} connect={2}", process, ended, result);
+        return ended;
     }
 }
