Decide the state of each node once for an answer of the directory

PeerTable.getCallerAddresses computed each state twice, once to judge whether silence counts and once to choose; it reuses the first now. MAX_NESTED of SerialExecutor is used in its class only, and is private. Behaviour is the same.

Run on it: PeerDirectoryTest, PeerTableTest, MemberSilenceTest, PeerLoopsTest, SerialExecutorTest and GrantDepthTest pass, formatter and linter are clean.

--- a/http/src/main/java/org/magnoliavane/http/SerialExecutor.java
+++ b/http/src/main/java/org/magnoliavane/http/SerialExecutor.java
@@ -25,7 +25,7 @@
      * Number of executors whose tasks may nest on a thread: those of an exchange, of its request and of the writer of its
      * response, so that a part of a response is passed on before the next one is read.
      */
-    static final int MAX_NESTED = 3;
+    private static final int MAX_NESTED = 3;
 
     private static final AtomicIntegerFieldUpdater<SerialExecutor> RUNNING =
             AtomicIntegerFieldUpdater.newUpdater(SerialExecutor.class, "running");
--- a/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
+++ b/router/src/main/java/org/magnoliavane/router/peer/PeerTable.java
@@ -221,8 +221,9 @@
         boolean trusted = MemberSilence.isTrusted(states);
         boolean lostToo = MemberSilence.mayUseLost(states, selfUsable);
         List<String> addresses = new ArrayList<>();
-        for (Peer peer : all) {
-            MemberSilence.State state = getState(peer, nowMillis);
+        for (int i = 0; i < all.size(); i++) {
+            Peer peer = all.get(i);
+            MemberSilence.State state = states.get(i);
             boolean usable = state == MemberSilence.State.LOST
                     ? lostToo
                     : !trusted || state == MemberSilence.State.LIVE && peer.ready;
