Refuse responses that break the grammar of HTTP

Cause: the parser of the HTTP library takes more than the grammar allows. A line without a colon swallows what follows it, names need not be tokens, the first of two different lengths counts, an unknown, empty, doubled or upper-case coding is ignored so that chunk frames become the body, and a chunk may be longer than its size.

Change: ResponseGrammarFilter stands before the parser of HttpClient, by which all responses are read: those of workers for plain requests, prefills, decodes, resumptions and replacements, of the store, and of the daemon's engines and servers. ResponseFramer accepts the grammar of RFC 9110, section 5, and RFC 9112, sections 4 to 7, and formats the head and the chunks anew with one way to state the end of the body, so that the parser behind cannot find another end. Anything else ends the exchange with a MalformedResponseException: the answer is broken, counts against its worker and in the metric worker.malformed_responses, and is repeated where that is allowed. It is no evidence that the request crashes workers.

Where recipients may choose: a length that is stated repeatedly must be the same; continuation lines are joined unless they are blank or look like a field; the space after the status may be missing if there is no reason; lines end with CR and LF only; bytes beyond the stated end are refused if they arrive with it, unless they begin another response, which answers nothing and is dropped. Chunk extensions and trailers are checked and left out; such responses were lost before.

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -51,6 +51,7 @@
                 .setTcpNoDelay(true)
                 .setProcessor(FilterChainBuilder.stateless()
                         .add(new ResetDetectingFilter(this::handleConnectionEnd))
+                        .add(new ResponseGrammarFilter(exchanges::get))
                         .add(new InterimResponseFilter())
                         .add(new ExchangeFilter())
                         .build())
@@ -123,7 +124,7 @@
      * @return the exchange, which may be closed at any time
      */
     public HttpExchange stream(HttpRequest request, ResponseListener listener, BooleanSupplier maySend) {
-        HttpExchange exchange = new HttpExchange(listener);
+        HttpExchange exchange = new HttpExchange(listener, ResponseFramer.forMethod(request.method()));
         if (request.timeoutMillis() > 0) {
             exchange.setTimeout(timers.schedule(
                     () -> exchange.fail(new SocketTimeoutException(
@@ -298,11 +299,6 @@
         @Override
         public NextAction handleRead(FilterChainContext context) {
             HttpExchange exchange = exchanges.get(context.getConnection());
-            if (exchange == null) {
-                // The request has not been sent: the connection is being established.
-                context.getConnection().closeSilently();
-                return context.getStopAction();
-            }
             receive(exchange, context.getMessage());
             NextAction suspend = context.getSuspendAction();
             return exchange.trySuspend(context) ? suspend : context.getStopAction();
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -1,9 +1,11 @@
 package org.magnoliavane.http;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -19,16 +21,16 @@
  * <p>Thread-safe.
  */
 public final class HttpExchange implements AutoCloseable {
-    private static final int FIRST_INTERIM_STATUS = 100;
     private static final int SWITCHING_PROTOCOLS = 101;
 
-    /** The largest status of HTTP; a larger one is malformed and says nothing about the request. */
-    private static final int LAST_STATUS = 599;
-
     /** Largest number of interim responses; a faulty server may send them without end. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
     private final ResponseListener listener;
+
+    /** Checks received bytes; used by the thread that reads from the connection. */
+    private final ResponseFramer framer;
+
     private final SerialExecutor serial = SerialExecutor.create(this::handleListenerFailure);
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean sendingDecided = new AtomicBoolean();
@@ -50,8 +52,9 @@
     private boolean paused;
     private FilterChainContext suspended;
 
-    HttpExchange(ResponseListener listener) {
+    HttpExchange(ResponseListener listener, ResponseFramer framer) {
         this.listener = listener;
+        this.framer = framer;
     }
 
     /**
@@ -138,21 +141,34 @@
         }
     }
 
-    void receive(HttpContent content) {
-        lastReadNanos = System.nanoTime();
+    /**
+     * Checks received bytes. If they are no response, the exchange fails, unless it has ended before.
+     *
+     * @return the bytes to parse; empty if there are none
+     */
+    Optional<byte[]> check(ByteBuffer bytes) {
         // Bytes that arrive before the request is sent cannot be its response.
         if (!sendingDecided.get()) {
             failUnlessSendingStarted(new WithdrawnException("the server sent a response before the request"));
         }
+        if (ended.get()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(framer.check(bytes)).filter(b -> b.length > 0);
+        } catch (MalformedResponseException e) {
+            failAfterReceived(e);
+            return Optional.empty();
+        }
+    }
+
+    void receive(HttpContent content) {
+        lastReadNanos = System.nanoTime();
         if (ended.get()) {
             return;
         }
         HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
         int status = head.getStatus();
-        if (status > LAST_STATUS) {
-            fail(new IOException("response with status " + status));
-            return;
-        }
         if (InterimResponseFilter.isInterim(status)) {
             skipInterimResponse(status);
             return;
@@ -169,9 +185,7 @@
     /** Skips a response that announces the final one; no other with such a status can be the answer to a request. */
     private void skipInterimResponse(int status) {
         interimResponses++;
-        if (status < FIRST_INTERIM_STATUS
-                || status == SWITCHING_PROTOCOLS
-                || interimResponses > MAX_INTERIM_RESPONSES) {
+        if (status == SWITCHING_PROTOCOLS || interimResponses > MAX_INTERIM_RESPONSES) {
             fail(new IOException("interim response " + interimResponses + " with status " + status));
         }
     }
--- a/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
+++ b/node/src/test/java/org/magnoliavane/node/http/PlainTest.java
@@ -1,8 +1,10 @@
 package org.magnoliavane.node.http;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -99,6 +101,41 @@
         assertEquals(first.requestCount.get() + second.requestCount.get(), 1);
     }
 
+    @DataProvider
+    public Object[][] malformedHeads() {
+        return new Object[][] {
+            {"HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 4x\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 4\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 4\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nX-\u0001Name: a\r\nContent-Length: 4\r\n\r\n"},
+        };
+    }
+
+    /** Guards against a success that is not the server's: where its body ends is not certain. */
+    @Test(dataProvider = "malformedHeads")
+    public void aBookingWhoseResponseIsMalformedIsReportedAsUnknown(String head) throws Exception {
+        try (ServerSocket server = new ServerSocket(0)) {
+            node.servers.add(toBackendServer("b1", server.getLocalPort()));
+            CompletableFuture<Void> served = CompletableFuture.runAsync(() -> serveOnce(server, head + "done"));
+            HttpResponse<String> response = node.send("POST", "/bookings", "{}", "Idempotency-Key", "k");
+            assertEquals(response.statusCode(), 502, response.body());
+            assertEquals(readError(response).path("ran").asText(), "unknown");
+            served.get(5, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void serveOnce(ServerSocket server, String response) {
+        try (Socket connection = server.accept()) {
+            connection.getInputStream().read(new byte[4096]);
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     public void aBookingThatTimesOutIsReportedAsUnknown() throws Exception {
         FakeServer server = addServer("b1", "a");
@@ -217,10 +254,14 @@
 
     private static BackendServer createClosedServer(String id) throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
-            return new BackendServer(id, "bookings", WorkerRole.PLAIN, "127.0.0.1", socket.getLocalPort(), "a", false);
+            return toBackendServer(id, socket.getLocalPort());
         }
     }
 
+    private static BackendServer toBackendServer(String id, int port) {
+        return new BackendServer(id, "bookings", WorkerRole.PLAIN, "127.0.0.1", port, "a", false);
+    }
+
     private static JsonNode readError(HttpResponse<String> response) {
         return Json.tryRead(response.body()).orElseThrow().path("error");
     }
--- a/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
+++ b/router/src/main/java/org/magnoliavane/router/dispatch/WorkerExchange.java
@@ -14,6 +14,7 @@
 import org.magnoliavane.balance.WorkerNotices;
 import org.magnoliavane.http.HttpExchange;
 import org.magnoliavane.http.HttpRequest;
+import org.magnoliavane.http.MalformedResponseException;
 import org.magnoliavane.http.ResponseListener;
 import org.magnoliavane.http.WithdrawnException;
 import org.magnoliavane.poison.PoisonDetector;
@@ -334,6 +335,9 @@
             } else if (!sent) {
                 // The connection broke before it was used.
                 listener.onNotRun(this, UNUSABLE);
+            } else if (cause instanceof MalformedResponseException) {
+                context.metrics().counter("worker.malformed_responses").inc();
+                listener.onBroken(this, cause.getMessage());
             } else {
                 recordBroken(true);
                 listener.onBroken(this, cause.getMessage());
