Do not take a response without a length as whole if the upload was not read

Callers got part of a response as a complete one: a worker answers a long upload at once with 200 and no length, writes a part of the body, and closes the connection with most of the upload unread. Bookings got 200 with the part, streams ended as complete.

Cause: a response without a length is complete when its connection ends in order and the request has been written. But written means that it is in the buffers of the two hosts. A server that closes a connection ends it in order first; only then its host resets it, as bytes were left unread. The client had closed its side by then and never saw the reset.

Change: after an orderly end, the connection of such a response is kept open for 30 ms, if the request has a body. If it is reset meanwhile, or the request is still not written, the response is broken. Responses with a length or chunks, and requests without a body, are handled as before.

A response without a length to an upload that is read to its end is complete as before, also if its server closes in two steps 100 ms apart (aResponseWithoutLengthToAnUploadThatIsReadToItsEnd…).

--- a/http/src/main/java/org/magnoliavane/http/HttpClient.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpClient.java
@@ -124,7 +124,7 @@
      * @return the exchange, which may be closed at any time
      */
     public HttpExchange stream(HttpRequest request, ResponseListener listener, BooleanSupplier maySend) {
-        HttpExchange exchange = new HttpExchange(listener, ResponseFramer.forMethod(request.method()));
+        HttpExchange exchange = new HttpExchange(request, listener, timers);
         if (request.timeoutMillis() > 0) {
             exchange.setTimeout(timers.schedule(
                     () -> exchange.fail(new SocketTimeoutException(
@@ -199,11 +199,9 @@
         transport.shutdownNow();
     }
 
-    private void handleConnectionEnd(Connection<?> connection, boolean orderly) {
+    private boolean handleConnectionEnd(Connection<?> connection, boolean orderly) {
         HttpExchange exchange = exchanges.get(connection);
-        if (exchange != null) {
-            exchange.handleConnectionEnd(orderly);
-        }
+        return exchange != null && exchange.handleConnectionEnd(orderly);
     }
 
     private static HttpContent toContent(HttpRequest request) {
@@ -272,12 +270,12 @@
 
                 @Override
                 public void failed(Throwable cause) {
-                    exchange.handleWriteFailure(new IOException("failed to write the request", cause));
+                    exchange.failAfterReceived(new IOException("failed to write the request", cause));
                 }
 
                 @Override
                 public void cancelled() {
-                    exchange.handleWriteFailure(new IOException("writing the request was cancelled"));
+                    exchange.failAfterReceived(new IOException("writing the request was cancelled"));
                 }
             });
             if (!connection.isOpen()) {
--- a/http/src/main/java/org/magnoliavane/http/HttpExchange.java
+++ b/http/src/main/java/org/magnoliavane/http/HttpExchange.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.glassfish.grizzly.Buffer;
@@ -26,7 +28,15 @@
     /** Largest number of interim responses; a faulty server may send them without end. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    /**
+     * Time after which a connection whose end ends the response is checked for a reset. A server that closes it without having
+     * read the whole request first ends it in order, and its host resets it at once.
+     */
+    private static final long RESET_WAIT_MILLIS = 30;
+
     private final ResponseListener listener;
+    private final ScheduledExecutorService timers;
+    private final boolean hasRequestBody;
 
     /** Checks received bytes; used by the thread that reads from the connection. */
     private final ResponseFramer framer;
@@ -39,12 +49,9 @@
     private volatile boolean selfDelimited = true;
     private int interimResponses;
 
-    /** Whether the request was written completely; used in {@link #serial} only, like the next field. */
+    /** Whether the request was written completely; used in {@link #serial} only. */
     private boolean requestWritten;
 
-    /** Whether an orderly close has ended a response that has no other end. */
-    private boolean closedOrderly;
-
     private volatile Connection<?> connection;
     private volatile long lastReadNanos = System.nanoTime();
     private volatile Future<?> timeout;
@@ -52,9 +59,11 @@
     private boolean paused;
     private FilterChainContext suspended;
 
-    HttpExchange(ResponseListener listener, ResponseFramer framer) {
+    HttpExchange(HttpRequest request, ResponseListener listener, ScheduledExecutorService timers) {
         this.listener = listener;
-        this.framer = framer;
+        this.timers = timers;
+        hasRequestBody = request.body().length > 0;
+        framer = ResponseFramer.forMethod(request.method());
     }
 
     /**
@@ -191,36 +200,47 @@
     }
 
     /**
-     * Handles the end of the connection. An orderly close completes a response that has neither a content length nor
-     * chunked encoding, if the request was written completely: a server that closes the connection earlier resets it, and the
-     * next read sees an orderly close if the failed write has consumed the error of the reset. In all other cases the exchange
-     * fails unless it has already ended.
+     * Handles the end of the connection. In order, it completes a response that has neither a content length nor chunked encoding,
+     * unless the server has not read the whole request: what it sent before it gave up is no complete response. In all other
+     * cases the exchange fails unless it has already ended.
      *
      * @param orderly false if the connection was reset
+     * @return whether the connection must be kept open to find out whether it will be reset
      */
-    void handleConnectionEnd(boolean orderly) {
-        serial.execute(() -> {
-            closedOrderly = orderly && headReceived && !selfDelimited;
-            if (closedOrderly && requestWritten) {
-                completeByClose();
-            }
-        });
+    boolean handleConnectionEnd(boolean orderly) {
+        if (orderly && !selfDelimited) {
+            serial.execute(this::handleUndelimitedEnd);
+            return true;
+        }
         failAfterReceived(new IOException("connection closed by the server"));
+        return false;
     }
 
-    /** Handles the end of writing the request, which may be noticed after the end of its connection. */
-    void handleRequestWritten() {
-        serial.execute(() -> {
-            requestWritten = true;
-            if (closedOrderly) {
-                completeByClose();
-            }
-        });
+    private void handleUndelimitedEnd() {
+        if (requestWritten && !hasRequestBody) {
+            completeByClose();
+            return;
+        }
+        timers.schedule(() -> serial.execute(this::completeUnlessReset), RESET_WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Handles a request that was not written completely. */
-    void handleWriteFailure(IOException cause) {
-        serial.execute(() -> fail(cause));
+    private void completeUnlessReset() {
+        if (ended.get()) {
+            return;
+        }
+        Connection<?> current = connection;
+        if (requestWritten && !ResetDetectingFilter.isReset(current)) {
+            completeByClose();
+            return;
+        }
+        // Parts of the request may wait to be written.
+        current.terminateSilently();
+        fail(new IOException("connection closed by the server before it had read the whole request"));
+    }
+
+    /** Handles the end of writing the request, which may be noticed after the end of its connection. */
+    void handleRequestWritten() {
+        serial.execute(() -> requestWritten = true);
     }
 
     private void completeByClose() {
@@ -230,16 +250,9 @@
         }
     }
 
-    /**
-     * Fails the exchange unless what was received before is its complete response, or may be: the outcome of writing the request
-     * decides whether a response that ends with its connection is complete.
-     */
+    /** Fails the exchange unless what was received before is its complete response. */
     void failAfterReceived(IOException cause) {
-        serial.execute(() -> {
-            if (!closedOrderly) {
-                fail(cause);
-            }
-        });
+        serial.execute(() -> fail(cause));
     }
 
     void fail(IOException cause) {
--- a/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
+++ b/http/src/test/java/org/magnoliavane/http/HttpClientTest.java
@@ -1,6 +1,7 @@
 package org.magnoliavane.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -37,6 +38,12 @@
 
     private static final int EARLY_ROUNDS = 60;
 
+    /** Less than the buffers of a connection hold. */
+    private static final int BUFFERED_BYTES = 3_000_000;
+
+    /** The part of such a request that the server reads. */
+    private static final int READ_BYTES = 200_000;
+
     private HttpServer server;
     private HttpClient client;
     private int port;
@@ -152,7 +159,37 @@
                     socket.getOutputStream()
                             .write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart".getBytes(StandardCharsets.UTF_8));
                     Thread.sleep(round % 5);
-                    end(socket, end);
+                    end(socket, end, 20);
+                }
+                try {
+                    complete.add(new String(response.get(5, TimeUnit.SECONDS).body(), StandardCharsets.UTF_8));
+                } catch (ExecutionException expected) {
+                    assertTrue(expected.getCause() instanceof IOException, expected.toString());
+                }
+            }
+        }
+        assertEquals(complete, List.of(), complete.size() + " of " + EARLY_ROUNDS + " taken for complete");
+    }
+
+    /**
+     * Guards against the same when the buffers of the connection hold the rest of the request, which the server has not read: to
+     * the client, all of it is written.
+     */
+    @Test(dataProvider = "earlyEnds")
+    public void aResponseWithoutLengthToAnUploadThatIsNotReadToItsEndIsNotComplete(String end) throws Exception {
+        List<String> complete = new ArrayList<>();
+        byte[] body = new byte[BUFFERED_BYTES];
+        for (int round = 0; round < EARLY_ROUNDS; round++) {
+            try (ServerSocket early = new ServerSocket(0)) {
+                CompletableFuture<HttpResponse> response = client.send(
+                        HttpRequest.of("POST", HOST, early.getLocalPort(), "/").withBody("text/plain", body));
+                try (Socket socket = early.accept()) {
+                    socket.getInputStream().readNBytes(READ_BYTES);
+                    // The rest of the request fills the buffers.
+                    Thread.sleep(round % 5 * 10L);
+                    socket.getOutputStream()
+                            .write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart".getBytes(StandardCharsets.UTF_8));
+                    end(socket, end, 0);
                 }
                 try {
                     complete.add(new String(response.get(5, TimeUnit.SECONDS).body(), StandardCharsets.UTF_8));
@@ -164,10 +201,39 @@
         assertEquals(complete, List.of(), complete.size() + " of " + EARLY_ROUNDS + " taken for complete");
     }
 
-    private static void end(Socket socket, String end) throws IOException, InterruptedException {
+    /** An upload that was read to its end may be answered without a length, also if the connection is closed in two steps. */
+    @Test
+    public void aResponseWithoutLengthToAnUploadThatIsReadToItsEndIsComplete() throws Exception {
+        byte[] body = new byte[BUFFERED_BYTES];
+        for (int round = 0; round < 10; round++) {
+            try (ServerSocket server = new ServerSocket(0)) {
+                CompletableFuture<HttpResponse> response = client.send(
+                        HttpRequest.of("POST", HOST, server.getLocalPort(), "/").withBody("text/plain", body));
+                try (Socket socket = server.accept()) {
+                    readRequest(socket.getInputStream(), body.length);
+                    socket.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nwhole".getBytes(StandardCharsets.UTF_8));
+                    if (round % 2 == 0) {
+                        socket.shutdownOutput();
+                        Thread.sleep(100);
+                    }
+                }
+                assertEquals(new String(response.get(5, TimeUnit.SECONDS).body(), StandardCharsets.UTF_8), "whole");
+            }
+        }
+    }
+
+    private static void readRequest(InputStream in, int bodyBytes) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) in.read());
+        }
+        assertEquals(in.readNBytes(bodyBytes).length, bodyBytes);
+    }
+
+    private static void end(Socket socket, String end, long pauseMillis) throws IOException, InterruptedException {
         if (end.equals("half-close")) {
             socket.shutdownOutput();
-            Thread.sleep(20);
+            Thread.sleep(pauseMillis);
         }
         if (!end.equals("close")) {
             socket.setSoLinger(true, 0);
